--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# Every goal sets up its own environment, so a fresh machine needs nothing else.
+PYTHON ?= python3
+BIN := .venv/bin
+ROUND ?= demo
+
+.PHONY: demo test lint measure clean
+
+.venv/ready: constraints.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --constraint constraints.txt setuptools wheel
+	$(BIN)/pip install --quiet --no-build-isolation --constraint constraints.txt \
+		-e packages/fennelhill-core -e packages/fennelhilld \
+		-e packages/fennelhill -e packages/fennelhill-bench \
+		pytest pytest-bdd hypothesis ruff numpydoc
+	touch .venv/ready
+
+demo: .venv/ready
+	$(BIN)/python -m fennelhill_bench demo
+
+test: .venv/ready
+	$(BIN)/python -m pytest
+
+lint: .venv/ready
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/numpydoc lint $$(git ls-files 'packages/*.py' | grep -v /tests/)
+
+measure: .venv/ready
+	$(BIN)/python -m fennelhill_bench measure --round=$(ROUND)
+
+clean:
+	rm -rf .venv
--- /dev/null
+++ b/packages/fennelhill-bench/src/fennelhill_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load, checks and measurements; for development only."""
--- /dev/null
+++ b/packages/fennelhill-bench/src/fennelhill_bench/__main__.py
@@ -0,0 +1,42 @@
+"""The command line of the bench: demo and measurements."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+
+import fire
+from loguru import logger
+
+from fennelhill_bench.demo import DURATION_MS, run_demo
+
+
+class Bench:
+    """Runs the demonstration and the measurements, on loopback only.
+
+    make demo                       the Bogotá deployment loses a primary
+    make measure ROUND=reads        one round of measurements
+    """
+
+    def demo(self, duration_ms: float = DURATION_MS, seed: int = 1) -> None:
+        """Run the demonstration; exit 1 if a promise broke.
+
+        Parameters
+        ----------
+        duration_ms : float
+            How long the load runs, in milliseconds.
+        seed : int
+            Seed of all choices.
+        """
+        _only_warnings()
+        kept = asyncio.run(run_demo(duration_ms, seed))
+        raise SystemExit(0 if kept else 1)
+
+
+def _only_warnings() -> None:
+    logger.remove()
+    logger.add(sys.stderr, level="WARNING")
+
+
+if __name__ == "__main__":
+    fire.Fire(Bench)
--- /dev/null
+++ b/packages/fennelhill-bench/src/fennelhill_bench/database.py
@@ -0,0 +1,278 @@
+"""The SQL side of the target stand-in: sqlite3 files with a replicated log."""
+
+from __future__ import annotations
+
+import sqlite3
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from fennelhill_core.tokens import Position
+from fennelhilld.targets.messages import Fault, Rows, Statement
+
+_FORBIDDEN = {
+    sqlite3.SQLITE_TRANSACTION,
+    sqlite3.SQLITE_SAVEPOINT,
+    sqlite3.SQLITE_ATTACH,
+    sqlite3.SQLITE_DETACH,
+    sqlite3.SQLITE_PRAGMA,
+}
+
+
+class LogEntry(msgspec.Struct):
+    """One committed transaction.
+
+    Parameters
+    ----------
+    term : int
+        Term of the primary that committed it.
+    at_s : float
+        Loop time of the commit, for the emulated replication delay.
+    writes : list
+        Pairs of SQL text and parameters, in order.
+    """
+
+    term: int
+    at_s: float
+    writes: list[tuple[str, list[Any]]]
+
+
+class SqlFault(Exception):  # noqa: N818 - carries the protocol's Fault
+    """A statement failed.
+
+    Parameters
+    ----------
+    fault : Fault
+        What kind of failure.
+    detail : str
+        The message.
+    """
+
+    def __init__(self, fault: Fault, detail: str) -> None:
+        super().__init__(detail)
+        self.fault = fault
+
+
+class Database:
+    """A sqlite3 file and the log of what was committed to it.
+
+    Parameters
+    ----------
+    name : str
+        Name of the target, for the file.
+    """
+
+    def __init__(self, name: str) -> None:
+        self._directory = tempfile.TemporaryDirectory(prefix=f"fennelhill-{name}-")
+        self._generation = 0
+        self.log: list[LogEntry] = []
+        self._applier = self._fresh_file()
+
+    @property
+    def path(self) -> Path:
+        """Where the current database file is."""
+        return Path(self._directory.name) / f"{self._generation}.sqlite"
+
+    def connect(self) -> sqlite3.Connection:
+        """Open a connection in sqlite3's autocommit mode.
+
+        Returns
+        -------
+        sqlite3.Connection
+            The connection.
+        """
+        connection = sqlite3.connect(
+            self.path, isolation_level=None, cached_statements=64
+        )
+        connection.execute("PRAGMA synchronous=OFF")
+        connection.execute("PRAGMA busy_timeout=0")
+        return connection
+
+    def apply(self, entry: LogEntry) -> None:
+        """Run a replicated transaction and append it to the log.
+
+        Parameters
+        ----------
+        entry : LogEntry
+            What the primary committed.
+        """
+        self._applier.execute("BEGIN IMMEDIATE")
+        for sql, params in entry.writes:
+            self._applier.execute(sql, params)
+        self._applier.execute("COMMIT")
+        self.log.append(entry)
+
+    def truncate(self, length: int) -> None:
+        """Drop the end of the log, and with it what it had done.
+
+        Parameters
+        ----------
+        length : int
+            Entries to keep.
+        """
+        kept = self.log[:length]
+        self._applier.close()
+        self._generation += 1
+        self.log = []
+        self._applier = self._fresh_file()
+        for entry in kept:
+            self.apply(entry)
+
+    def close(self) -> None:
+        """Remove the files."""
+        self._applier.close()
+        self._directory.cleanup()
+
+    def _fresh_file(self) -> sqlite3.Connection:
+        connection = self.connect()
+        connection.execute("PRAGMA journal_mode=WAL")
+        return connection
+
+
+class SqlSession:
+    """The SQL state of one connection: at most one open transaction.
+
+    Parameters
+    ----------
+    database : Database
+        The database of the target.
+    """
+
+    __slots__ = ("_connection", "_database", "in_write", "open", "writes")
+
+    def __init__(self, database: Database) -> None:
+        self._database = database
+        self._connection: sqlite3.Connection | None = None
+        self.open = False
+        self.in_write = False
+        self.writes: list[tuple[str, list[Any]]] = []
+
+    def begin(self, write: bool) -> None:
+        """Open a transaction.
+
+        Parameters
+        ----------
+        write : bool
+            Whether it may change data.
+        """
+        connection = self._connected()
+        connection.set_authorizer(None)
+        connection.execute(f"PRAGMA query_only={0 if write else 1}")
+        connection.execute("BEGIN IMMEDIATE" if write else "BEGIN")
+        connection.set_authorizer(_authorize)
+        self.open = True
+        self.in_write = write
+        self.writes = []
+
+    def run(self, statement: Statement, max_rows: int) -> Rows:
+        """Run one statement in the open transaction.
+
+        Parameters
+        ----------
+        statement : Statement
+            What to run.
+        max_rows : int
+            Rows that the answer may hold.
+
+        Returns
+        -------
+        Rows
+            The result.
+
+        Raises
+        ------
+        SqlFault
+            If it can't be run; the caller rolls back.
+        """
+        connection = self._connected()
+        changes = connection.total_changes
+        try:
+            cursor = connection.execute(statement.sql, statement.params)
+            rows = [list(row) for row in cursor.fetchmany(max_rows + 1)]
+        except (sqlite3.Error, sqlite3.Warning, OverflowError, ValueError) as error:
+            raise SqlFault(Fault.SQL, str(error)) from error
+        if len(rows) > max_rows:
+            raise SqlFault(Fault.ANSWER_TOO_LARGE, f"more than {max_rows} rows")
+        if any(isinstance(value, bytes) for row in rows for value in row):
+            raise SqlFault(Fault.SQL, "blob values are not supported; use hex()")
+        changed = connection.total_changes - changes
+        if statement.require_rows not in (-1, changed):
+            raise SqlFault(Fault.REQUIREMENT, f"changed {changed} rows")
+        if self.in_write and statement.sql.lstrip()[:6].lower() != "select":
+            self.writes.append((statement.sql, statement.params))
+        columns = [column[0] for column in cursor.description or []]
+        return Rows(columns, rows, changed)
+
+    def commit(self, term: int, at_s: float) -> None:
+        """Commit, and append to the log what was written.
+
+        Parameters
+        ----------
+        term : int
+            The primary's term.
+        at_s : float
+            Loop time of the commit.
+        """
+        self._end("COMMIT")
+        if self.writes:
+            self._database.log.append(LogEntry(term, at_s, self.writes))
+            self.writes = []
+
+    def rollback(self) -> None:
+        """Roll back, if a transaction is open."""
+        if self.open:
+            self._end("ROLLBACK")
+        self.writes = []
+
+    def reset(self) -> None:
+        """Roll back and forget all that a user may have left on the connection."""
+        self.rollback()
+        connection = self._connected()
+        connection.set_authorizer(None)
+        left = connection.execute("SELECT count(*) FROM sqlite_temp_master").fetchone()
+        if left[0]:
+            self.close()
+
+    def close(self) -> None:
+        """Close the sqlite3 connection; an open transaction is rolled back."""
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+        self.open = False
+        self.in_write = False
+        self.writes = []
+
+    def _connected(self) -> sqlite3.Connection:
+        if self._connection is None:
+            self._connection = self._database.connect()
+        return self._connection
+
+    def _end(self, how: str) -> None:
+        connection = self._connected()
+        connection.set_authorizer(None)
+        connection.execute(how)
+        self.open = False
+        self.in_write = False
+
+
+def _authorize(action: int, *_: object) -> int:
+    return sqlite3.SQLITE_DENY if action in _FORBIDDEN else sqlite3.SQLITE_OK
+
+
+def position_of(log: list[LogEntry], term: int) -> Position:
+    """Return the position of a log's end.
+
+    Parameters
+    ----------
+    log : list of LogEntry
+        The log.
+    term : int
+        Term of the primary that the log is reconciled with.
+
+    Returns
+    -------
+    Position
+        The position.
+    """
+    return Position(term, len(log))
--- /dev/null
+++ b/packages/fennelhill-bench/src/fennelhill_bench/deployment.py
@@ -0,0 +1,432 @@
+"""Whole deployments in one process: daemons, targets and the platform."""
+
+from __future__ import annotations
+
+import random
+import socket
+
+import msgspec
+from fennelhill_core.clock import Clock
+from fennelhill_core.settings import (
+    EntryHost,
+    Fleet,
+    Group,
+    Kind,
+    Limits,
+    RequestClass,
+    Settings,
+    Target,
+    Team,
+    hash_token,
+)
+from fennelhill_core.streams import Dialer, StreamEndpoint, WebSocketDialer
+from fennelhilld.daemon import PEER_PATH, TARGET_PATH, Daemon, Outside
+from fennelhilld.failover.steward import GroupRow
+from fennelhilld.platform.messages import HostEntry, Row
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application
+
+from fennelhill_bench.network import MemoryTransport, Network
+from fennelhill_bench.platform import HostListStandIn, TableServiceStandIn
+from fennelhill_bench.target import TargetSpec, TargetStandIn
+
+TEAM = "curtiembre"
+OTHER_TEAM = "umbhalo"
+TOKENS = {TEAM: "curtiembre-demo-token", OTHER_TEAM: "umbhalo-demo-token"}
+FLEET_SECRET = "a-secret-for-loopback-only"
+FIRST_ATTEMPT = "bench-0"
+
+
+class Plan(msgspec.Struct):
+    """The shape of a deployment.
+
+    Parameters
+    ----------
+    name : str
+        Name of the deployment.
+    zones : list of str
+        Availability zones.
+    hosts : int
+        Entry hosts, spread over the zones.
+    groups : list of str
+        Database groups, each with a target in each of the first three zones.
+    slots : int
+        Statements that a target runs at the same time.
+    connections : int
+        Connections that a target accepts.
+    connect_ms : float
+        Time to set up a connection.
+    service_ms : float
+        Time that a statement occupies a slot.
+    lag_ms : float
+        Replication delay beyond the network's.
+    one_way_ms : float
+        Delay between two zones.
+    limits : Limits
+        Bounds in the settings.
+    read_policy : str
+        Name of the read policy.
+    owner_policy : str
+        Name of the owner policy.
+    """
+
+    name: str
+    zones: list[str]
+    hosts: int
+    groups: list[str]
+    slots: int
+    connections: int
+    connect_ms: float
+    service_ms: float = 4.0
+    lag_ms: float = 25.0
+    one_way_ms: float = 1.4
+    limits: Limits = Limits()
+    read_policy: str = "least_wait"
+    owner_policy: str = "rendezvous"
+
+    @classmethod
+    def bogota(cls, **changes: object) -> Plan:
+        """Return the plan of the Bogotá deployment.
+
+        Parameters
+        ----------
+        **changes : object
+            Fields that differ.
+
+        Returns
+        -------
+        Plan
+            The plan.
+        """
+        plan = cls(
+            "bogota",
+            ["bog-a", "bog-b", "bog-c"],
+            6,
+            ["orders-1", "orders-2", "orders-3"],
+            slots=2,
+            connections=16,
+            connect_ms=12.0,
+        )
+        return msgspec.structs.replace(plan, **changes)
+
+    @classmethod
+    def johannesburg(cls, **changes: object) -> Plan:
+        """Return the plan of the Johannesburg deployment.
+
+        Parameters
+        ----------
+        **changes : object
+            Fields that differ.
+
+        Returns
+        -------
+        Plan
+            The plan.
+        """
+        plan = cls(
+            "johannesburg",
+            ["jnb-a", "jnb-b", "jnb-c", "jnb-d"],
+            7,
+            ["jobs-1", "jobs-2", "jobs-3"],
+            slots=3,
+            connections=36,
+            connect_ms=27.0,
+        )
+        return msgspec.structs.replace(plan, **changes)
+
+    def settings(self, addresses: list[str]) -> Settings:
+        """Write the settings of this plan.
+
+        Parameters
+        ----------
+        addresses : list of str
+            ``ip:port`` of each entry host, then of each target.
+
+        Returns
+        -------
+        Settings
+            Checked settings.
+        """
+        free = iter(addresses)
+        zones = self.zones
+        hosts = [
+            EntryHost(
+                id=f"{zones[n % len(zones)]}-{n // len(zones) + 1}",
+                zone=zones[n % len(zones)],
+                address=next(free),
+            )
+            for n in range(self.hosts)
+        ]
+        groups = {
+            name: Group(
+                targets=[self._target(name, zone, next(free)) for zone in zones[:3]]
+            )
+            for name in self.groups
+        }
+        settings = Settings(
+            version=1,
+            fleet=Fleet(name=self.name, secret=FLEET_SECRET),
+            entry_hosts=hosts,
+            groups=groups,
+            teams={name: self._team(name) for name in TOKENS},
+            limits=self.limits,
+            read_policy=self.read_policy,
+            owner_policy=self.owner_policy,
+        )
+        return Settings.from_yaml(settings.to_yaml())
+
+    def _target(self, group: str, zone: str, address: str) -> Target:
+        return Target(
+            id=f"{group}-{zone[-1]}",
+            zone=zone,
+            address=address,
+            slots=self.slots,
+            connections=self.connections,
+        )
+
+    def _team(self, name: str) -> Team:
+        return Team(
+            token_sha256=hash_token(TOKENS[name]),
+            # The last group stays the other team's alone, to test the border.
+            groups=self.groups if name == TEAM else self.groups[:1],
+            classes={
+                "order": RequestClass(kind=Kind.WRITE, priority="booking"),
+                "upsert": RequestClass(kind=Kind.WRITE, idempotent=True),
+                "order-read": RequestClass(kind=Kind.READ, deadline_ms=500),
+                "status": RequestClass(
+                    kind=Kind.READ,
+                    allowed_age_ms=2000,
+                    deadline_ms=500,
+                    priority="poll",
+                ),
+            },
+        )
+
+    def address_count(self) -> int:
+        """Return how many addresses `settings` takes.
+
+        Returns
+        -------
+        int
+            Entry hosts and targets.
+        """
+        return self.hosts + 3 * len(self.groups)
+
+
+class Deployment:
+    """A running deployment.
+
+    Parameters
+    ----------
+    plan : Plan
+        Its shape.
+    seed : int
+        Seed of all randomness.
+    """
+
+    def __init__(self, plan: Plan, seed: int = 1) -> None:
+        self.plan = plan
+        self.clock = Clock()
+        self.random = random.Random(seed)
+        self.network = Network(plan.one_way_ms)
+        self.table = TableServiceStandIn(self.clock)
+        self.host_list = HostListStandIn(self.clock)
+        self.targets: dict[str, TargetStandIn] = {}
+        self.daemons: dict[str, Daemon] = {}
+        self.settings: Settings | None = None
+        self.memory: MemoryTransport | None = None
+        self._servers: list[HTTPServer] = []
+
+    @classmethod
+    def in_memory(cls, plan: Plan, seed: int = 1) -> Deployment:
+        """Start a deployment whose streams are in memory, for virtual time.
+
+        Parameters
+        ----------
+        plan : Plan
+            Its shape.
+        seed : int
+            Seed of all randomness.
+
+        Returns
+        -------
+        Deployment
+            The running deployment.
+        """
+        self = cls(plan, seed)
+        self.memory = MemoryTransport()
+        count = plan.address_count()
+        addresses = [f"127.0.0.1:{10_000 + n}" for n in range(count)]
+        self._build(addresses, self.memory, self.memory)
+        for target in self.targets.values():
+            self.memory.listen(self._address_of(target), target.serve)
+        for daemon in self.daemons.values():
+            self.memory.listen(daemon.host.address, daemon.serve_peer)
+            daemon.start()
+        return self
+
+    @classmethod
+    def on_loopback(cls, plan: Plan, seed: int = 1) -> Deployment:
+        """Start a deployment whose streams are sockets on the loopback device.
+
+        Parameters
+        ----------
+        plan : Plan
+            Its shape.
+        seed : int
+            Seed of all randomness.
+
+        Returns
+        -------
+        Deployment
+            The running deployment.
+        """
+        self = cls(plan, seed)
+        sockets = [_listening_socket() for _ in range(plan.address_count())]
+        addresses = [f"127.0.0.1:{s.getsockname()[1]}" for s in sockets]
+        peers = WebSocketDialer(PEER_PATH, FLEET_SECRET)
+        self._build(addresses, peers, WebSocketDialer(TARGET_PATH))
+        socket_of = dict(zip(addresses, sockets, strict=True))
+        for target in self.targets.values():
+            endpoint = {"handler": target.serve}
+            server = HTTPServer(Application([(TARGET_PATH, StreamEndpoint, endpoint)]))
+            server.add_sockets([socket_of[self._address_of(target)]])
+            self._servers.append(server)
+        for daemon in self.daemons.values():
+            daemon.start()
+            daemon.listen([socket_of[daemon.host.address]])
+        return self
+
+    def _build(
+        self, addresses: list[str], peer_base: Dialer, target_base: Dialer
+    ) -> None:
+        settings = self.plan.settings(addresses)
+        self.settings = settings
+        for name, group in settings.groups.items():
+            self._build_group(name, group)
+        self.host_list.publish([HostEntry(host.id) for host in settings.entry_hosts])
+        for host in settings.entry_hosts:
+            self.network.place(host.address, host.zone)
+            outside = Outside(
+                self.network.dialer(host.zone, peer_base),
+                self.network.dialer(host.zone, target_base),
+                self.table,
+                self.host_list,
+            )
+            random_state = random.Random(self.random.getrandbits(64))
+            self.daemons[host.id] = Daemon(
+                host, settings, outside, self.clock, random_state
+            )
+
+    def _build_group(self, name: str, group: Group) -> None:
+        plan = self.plan
+        members = {}
+        for target in group.targets:
+            spec = TargetSpec(
+                target.id,
+                target.zone,
+                target.slots,
+                target.connections,
+                plan.connect_ms,
+                plan.service_ms,
+                lag_ms=plan.lag_ms,
+            )
+            self.network.place(target.address, target.zone)
+            members[target.id] = TargetStandIn(spec, self.network, self.clock)
+        first = members[group.targets[0].id]
+        for member in members.values():
+            member.peers = members
+            member.start()
+            member.fence(1, FIRST_ATTEMPT)
+        first.promote(1, FIRST_ATTEMPT)
+        for member in members.values():
+            member.follow(1, first.id)
+        row = GroupRow(1, FIRST_ATTEMPT, first.id)
+        text = msgspec.json.encode(row).decode()
+        self.table.rows[f"group/{name}"] = Row(1, text)
+        self.targets.update(members)
+
+    def group(self, name: str) -> list[TargetStandIn]:
+        """Return the targets of a group.
+
+        Parameters
+        ----------
+        name : str
+            The database group.
+
+        Returns
+        -------
+        list of TargetStandIn
+            In the order of the settings.
+        """
+        return [
+            self.targets[target.id] for target in self.settings.groups[name].targets
+        ]
+
+    def primary(self, group: str) -> TargetStandIn:
+        """Return the living target that leads the highest term.
+
+        Parameters
+        ----------
+        group : str
+            The database group.
+
+        Returns
+        -------
+        TargetStandIn
+            The primary.
+
+        Raises
+        ------
+        LookupError
+            If there is none now.
+        """
+        leading = [t for t in self.group(group) if t.primary and t.alive]
+        if not leading:
+            raise LookupError(f"no primary of {group}")
+        return max(leading, key=lambda target: target.term)
+
+    def kill_daemon(self, host_id: str) -> None:
+        """Crash an entry host.
+
+        Parameters
+        ----------
+        host_id : str
+            Name of the entry host.
+        """
+        daemon = self.daemons.pop(host_id)
+        if self.memory is not None:
+            self.memory.stop(daemon.host.address)
+        self.network.drop(daemon.host.address)
+        daemon.close()
+
+    def kill_target(self, target: TargetStandIn) -> None:
+        """Crash a target.
+
+        Parameters
+        ----------
+        target : TargetStandIn
+            The target.
+        """
+        target.kill()
+
+    def close(self) -> None:
+        """Stop everything."""
+        for daemon in self.daemons.values():
+            daemon.close()
+        for server in self._servers:
+            server.stop()
+        for target in self.targets.values():
+            target.close()
+
+    def _address_of(self, target: TargetStandIn) -> str:
+        for group in self.settings.groups.values():
+            for entry in group.targets:
+                if entry.id == target.id:
+                    return entry.address
+        raise LookupError(target.id)
+
+
+def _listening_socket() -> socket.socket:
+    return bind_sockets(0, "127.0.0.1")[0]
--- /dev/null
+++ b/packages/fennelhill-bench/src/fennelhill_bench/load.py
@@ -0,0 +1,400 @@
+"""A mixed load of sessions that roam at every request, checked as it runs."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+from collections import Counter
+
+import msgspec
+from fennelhill_core.clock import Clock
+from fennelhill_core.tasks import Tasks
+from fennelhill_core.tokens import Signer
+from fennelhilld.watching.samples import covers
+from hdrh.histogram import HdrHistogram
+
+from fennelhill_bench.clients import Call, Client, Outcome
+from fennelhill_bench.deployment import FLEET_SECRET, TEAM, Deployment
+from fennelhill_bench.ledger import TABLES, Ledger
+
+TICK_MS = 50.0
+HISTOGRAM_MAX_US = 60_000_000
+US_PER_MS = 1_000
+DEADLINE_MS = {"status": 500.0, "order-read": 500.0, "order": 1000.0, "upsert": 1000.0}
+STATUS_SQL = (
+    "SELECT ?, coalesce((SELECT n FROM progress WHERE session = ?), 0), "
+    "coalesce((SELECT n FROM tick WHERE id = 1), 0)"
+)
+PROGRESS_SQL = (
+    "INSERT INTO progress (session, n) VALUES (?, ?) "
+    "ON CONFLICT (session) DO UPDATE SET n = max(n, excluded.n)"
+)
+TICK_SQL = (
+    "INSERT INTO tick (id, n) VALUES (1, ?) "
+    "ON CONFLICT (id) DO UPDATE SET n = max(n, excluded.n)"
+)
+ORDER_SQL = "INSERT INTO orders (request, session) VALUES (?, ?)"
+
+
+class Mix(msgspec.Struct):
+    """How often a session does what, and how fast.
+
+    Parameters
+    ----------
+    sessions : int
+        Sessions that run at the same time.
+    think_ms : float
+        Mean pause between two requests of a session.
+    status : float
+        Weight of status polls.
+    order_read : float
+        Weight of reads that accept no age.
+    order : float
+        Weight of orders.
+    progress : float
+        Weight of idempotent writes.
+    transaction : float
+        Weight of transactions.
+    """
+
+    sessions: int = 24
+    think_ms: float = 150.0
+    status: float = 0.70
+    order_read: float = 0.06
+    order: float = 0.12
+    progress: float = 0.08
+    transaction: float = 0.04
+
+
+class Tally:
+    """What the load has seen so far."""
+
+    def __init__(self) -> None:
+        self.requests = 0
+        self.late = 0
+        self.reads = 0
+        self.replica_reads = 0
+        self.permitted_reads = 0
+        self.permitted_replica_reads = 0
+        self.codes: Counter[int] = Counter()
+        self.late_by_class: Counter[str] = Counter()
+        self.by_class: Counter[str] = Counter()
+        self.latency = HdrHistogram(1, HISTOGRAM_MAX_US, 3)
+        self.write_acks_ms: dict[str, list[float]] = {}
+
+    def note(self, class_name: str, outcome: Outcome) -> None:
+        """Count an answered request.
+
+        Parameters
+        ----------
+        class_name : str
+            Its request class.
+        outcome : Outcome
+            What the caller was told.
+        """
+        self.requests += 1
+        self.by_class[class_name] += 1
+        self.codes[outcome.code] += 1
+        self.latency.record_value(max(1, int(outcome.latency_ms * US_PER_MS)))
+        # A caller without a good answer by its deadline was served late.
+        late = outcome.latency_ms > DEADLINE_MS[class_name]
+        if outcome.answer is None or late:
+            self.late += 1
+            self.late_by_class[class_name] += 1
+
+    def percentile_ms(self, percentile: float) -> float:
+        """Return a percentile of the latency.
+
+        Parameters
+        ----------
+        percentile : float
+            From 0 to 100.
+
+        Returns
+        -------
+        float
+            Milliseconds.
+        """
+        return self.latency.get_value_at_percentile(percentile) / US_PER_MS
+
+    @property
+    def late_share(self) -> float:
+        """Share of the requests without a good answer by their deadline."""
+        return self.late / max(1, self.requests)
+
+    @property
+    def replica_read_share(self) -> float:
+        """Share of all answered reads that replicas served."""
+        return self.replica_reads / max(1, self.reads)
+
+    @property
+    def permitted_replica_share(self) -> float:
+        """The same, of the reads that some replica could have served."""
+        return self.permitted_replica_reads / max(1, self.permitted_reads)
+
+    def write_gap_ms(self, group: str, since_ms: float) -> float:
+        """Return the longest time without an acknowledged write.
+
+        Parameters
+        ----------
+        group : str
+            The database group.
+        since_ms : float
+            Gaps that ended before this time do not count.
+
+        Returns
+        -------
+        float
+            Milliseconds; -1 where no write was acknowledged afterwards.
+        """
+        times = self.write_acks_ms.get(group, [])
+        gaps = [
+            later - earlier
+            for earlier, later in itertools.pairwise(times)
+            if later >= since_ms
+        ]
+        return max(gaps, default=-1.0)
+
+
+class Load:
+    """Drives sessions against a deployment and checks what they are told.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        The deployment.
+    client : Client
+        Sends the calls.
+    mix : Mix
+        What to send.
+    seed : int
+        Seed of all choices.
+    """
+
+    def __init__(
+        self, deployment: Deployment, client: Client, mix: Mix, seed: int = 1
+    ) -> None:
+        self.deployment = deployment
+        self.ledger = Ledger()
+        self.tally = Tally()
+        self._client = client
+        self._mix = mix
+        self._clock = Clock()
+        self._random = random.Random(seed)
+        self._tasks = Tasks()
+        self._stopping = False
+        self._groups = list(deployment.settings.teams[TEAM].groups)
+        self._signer = Signer([FLEET_SECRET])
+
+    async def prepare(self) -> None:
+        """Create the tables in every group.
+
+        Raises
+        ------
+        RuntimeError
+            If a group does not answer.
+        """
+        for group in self._groups:
+            for sql in TABLES:
+                call = Call("execute", group, sql, class_name="upsert")
+                call.deadline_ms = 10_000
+                outcome = await self._send(call)
+                if outcome.answer is None:
+                    raise RuntimeError(f"{group}: {outcome.error}")
+
+    def start(self) -> None:
+        """Start all sessions."""
+        for number in range(self._mix.sessions):
+            group = self._groups[number % len(self._groups)]
+            self._tasks.spawn(_Session(self, f"s{number}", group).run())
+        for group in self._groups:
+            self._tasks.spawn(self._tick(group))
+
+    async def stop(self) -> None:
+        """Let every session finish its request."""
+        self._stopping = True
+        await self._tasks.wait()
+
+    async def settle_unknown(self) -> None:
+        """Ask for the outcome of every order whose answer left it open."""
+        for request, booking in self.ledger.bookings.items():
+            if booking.told != "unknown":
+                continue
+            call = Call("outcome", f"{booking.group}/{request}", deadline_ms=5_000)
+            outcome = await self._send(call)
+            if outcome.answer is not None:
+                booking.told = outcome.answer.outcome
+
+    async def _send(self, call: Call) -> Outcome:
+        """Send a call through any entry host that is up."""
+        host = self._random.choice(list(self.deployment.daemons))
+        return await self._client.call(host, call)
+
+    async def _tick(self, group: str) -> None:
+        n = 0
+        while not self._stopping:
+            n += 1
+            call = Call("execute", group, TICK_SQL, [n], class_name="upsert")
+            outcome = await self._send(call)
+            self.tally.note("upsert", outcome)
+            if outcome.answer is not None:
+                now_ms = self._clock.now_ms()
+                self.ledger.ticked(group, now_ms, n)
+                self.tally.write_acks_ms.setdefault(group, []).append(now_ms)
+            await self._clock.sleep_ms(TICK_MS)
+
+
+class _Session:
+    """One caller with a session token, who reaches another host each time."""
+
+    def __init__(self, load: Load, name: str, group: str) -> None:
+        self._load = load
+        self._name = name
+        self._group = group
+        self._token = ""
+        self._written = 0
+        self._attempted = 0
+        self._count = 0
+
+    async def run(self) -> None:
+        load, mix = self._load, self._load._mix
+        outcome = await load._send(Call("session"))
+        self._token = outcome.session
+        actions = {
+            self._status: mix.status,
+            self._order_read: mix.order_read,
+            self._order: mix.order,
+            self._progress: mix.progress,
+            self._transaction: mix.transaction,
+        }
+        while not load._stopping:
+            pause_ms = load._random.expovariate(1.0 / mix.think_ms)
+            await load._clock.sleep_ms(min(pause_ms, 4 * mix.think_ms))
+            if load._stopping:
+                return
+            action = load._random.choices(list(actions), list(actions.values()))[0]
+            await action()
+
+    async def _status(self) -> None:
+        await self._read("status", allowed_age_ms=2000.0)
+
+    async def _order_read(self) -> None:
+        await self._read("order-read", allowed_age_ms=0.0)
+
+    async def _read(self, class_name: str, allowed_age_ms: float) -> None:
+        load, tally = self._load, self._load.tally
+        self._count += 1
+        mark = f"{self._name}/{self._count}"
+        call = self._call(STATUS_SQL, [mark, self._name], class_name)
+        written, started_ms = self._written, load._clock.now_ms()
+        permitted = bool(allowed_age_ms) and self._replica_could_serve()
+        tick = load.ledger.tick_before(self._group, started_ms - allowed_age_ms)
+        outcome = await load._send(call)
+        tally.note(class_name, outcome)
+        if outcome.answer is None:
+            return
+        row = outcome.answer.rows[0]
+        load.ledger.belongs("read", mark, row[0])
+        load.ledger.read(f"{class_name} of {self._name}", written, row[1])
+        load.ledger.read(f"{class_name} in {self._group}", tick, row[2])
+        by_replica = outcome.answer.served_by == "replica"
+        tally.reads += 1
+        tally.replica_reads += by_replica
+        tally.permitted_reads += permitted
+        tally.permitted_replica_reads += permitted and by_replica
+
+    async def _order(self) -> None:
+        load = self._load
+        request = self._new_request()
+        call = self._call(ORDER_SQL, [request, self._name], "order", request)
+        outcome = await load._send(call)
+        load.tally.note("order", outcome)
+        self._finish_booking(request, outcome)
+
+    async def _progress(self) -> None:
+        self._attempted += 1
+        n = self._attempted
+        call = self._call(PROGRESS_SQL, [self._name, n], "upsert")
+        outcome = await self._load._send(call)
+        self._load.tally.note("upsert", outcome)
+        if outcome.answer is not None:
+            self._written = n
+            self._token = outcome.session
+
+    async def _transaction(self) -> None:
+        load = self._load
+        request = self._new_request()
+        self._attempted += 1
+        n = self._attempted
+        begin = Call("begin", self._group, class_name="order", session=self._token)
+        began = await load._send(begin)
+        if began.answer is None:
+            load.tally.note("order", began)
+            load.ledger.told(request, began.error)
+            return
+        place = began.answer.transaction
+        for sql, params in (
+            (ORDER_SQL, [request, self._name]),
+            (PROGRESS_SQL, [self._name, n]),
+        ):
+            statement = Call("statement", place, sql, params, class_name="order")
+            outcome = await load._send(statement)
+            if outcome.answer is None:
+                load.tally.note("order", outcome)
+                await load._send(Call("rollback", place))
+                if outcome.error is not None:
+                    load.ledger.bookings[request].told = "not run"
+                return
+        commit = Call("commit", place, class_name="order", key=request)
+        commit.session = self._token
+        outcome = await load._send(commit)
+        load.tally.note("order", outcome)
+        if outcome.answer is not None:
+            self._written = n
+        self._finish_booking(request, outcome)
+
+    def _call(self, sql: str, params: list, class_name: str, key: str = "") -> Call:
+        return Call("execute", self._group, sql, params, class_name, self._token, key)
+
+    def _new_request(self) -> str:
+        self._count += 1
+        request = f"{self._name}-{self._count}"
+        self._load.ledger.booked(request, self._group)
+        return request
+
+    def _finish_booking(self, request: str, outcome: Outcome) -> None:
+        load = self._load
+        if outcome.answer is None and outcome.error is None:
+            return
+        load.ledger.told(request, outcome.error)
+        if outcome.answer is not None:
+            self._token = outcome.session
+            acks = load.tally.write_acks_ms.setdefault(self._group, [])
+            acks.append(load._clock.now_ms())
+
+    def _replica_could_serve(self) -> bool:
+        """Look at the targets themselves for a replica that holds what I wrote."""
+        session = self._load._signer.open_session(self._token, TEAM)
+        need = session.need(self._group) if session else None
+        if need is None:
+            return False
+        return any(
+            target.alive and not target.primary and covers(target.position, need)
+            for target in self._load.deployment.group(self._group)
+        )
+
+
+async def run_for(load: Load, duration_ms: float) -> None:
+    """Run a load for a time, then stop it.
+
+    Parameters
+    ----------
+    load : Load
+        The load, prepared.
+    duration_ms : float
+        How long, in milliseconds.
+    """
+    load.start()
+    await asyncio.sleep(duration_ms / 1000.0)
+    await load.stop()
--- /dev/null
+++ b/packages/fennelhill-bench/src/fennelhill_bench/network.py
@@ -0,0 +1,419 @@
+"""The emulated network: delays between zones, cuts and silent connections."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+
+from fennelhill_core.clock import MS_PER_S
+from fennelhill_core.streams import (
+    Dialer,
+    DialError,
+    Stream,
+    StreamClosed,
+    StreamHandler,
+)
+from fennelhill_core.tasks import Tasks
+
+LOCAL_MS = 0.05
+
+
+class Network:
+    """Decides how long messages take between zones and which get lost.
+
+    A message that meets a cut is lost and its stream stays silent for good, as
+    if something between the two ends had forgotten the connection.
+
+    Parameters
+    ----------
+    one_way_ms : float
+        Delay between two availability zones in milliseconds.
+    """
+
+    def __init__(self, one_way_ms: float = 1.4) -> None:
+        self.one_way_ms = one_way_ms
+        self.zone_of: dict[str, str] = {}
+        self._cuts: set[frozenset[str]] = set()
+        self._isolated: set[str] = set()
+        self._streams: list[ShapedStream] = []
+
+    def place(self, address: str, zone: str) -> None:
+        """Say in which zone an address is.
+
+        Parameters
+        ----------
+        address : str
+            ``ip:port`` of a process.
+        zone : str
+            Its availability zone.
+        """
+        self.zone_of[address] = zone
+
+    def cut(self, zone: str, other: str) -> None:
+        """Separate two zones.
+
+        Parameters
+        ----------
+        zone : str
+            One zone.
+        other : str
+            The other zone.
+        """
+        self._cuts.add(frozenset((zone, other)))
+
+    def isolate(self, zone: str) -> None:
+        """Separate a zone from all others.
+
+        Parameters
+        ----------
+        zone : str
+            The zone.
+        """
+        self._isolated.add(zone)
+
+    def heal(self) -> None:
+        """End all cuts.  Streams that lost a message stay silent."""
+        self._cuts.clear()
+        self._isolated.clear()
+
+    def reachable(self, zone: str, other: str) -> bool:
+        """Tell whether messages pass.
+
+        Parameters
+        ----------
+        zone : str
+            One zone.
+        other : str
+            The other zone.
+
+        Returns
+        -------
+        bool
+            Whether they do.
+        """
+        if zone == other:
+            return True
+        if zone in self._isolated or other in self._isolated:
+            return False
+        return frozenset((zone, other)) not in self._cuts
+
+    def delay_ms(self, zone: str, other: str) -> float:
+        """Return the delay of a message.
+
+        Parameters
+        ----------
+        zone : str
+            One zone.
+        other : str
+            The other zone.
+
+        Returns
+        -------
+        float
+            Milliseconds, one way.
+        """
+        return LOCAL_MS if zone == other else self.one_way_ms
+
+    def dialer(self, zone: str, base: Dialer) -> ShapedDialer:
+        """Return a dialer for a process in a zone.
+
+        Parameters
+        ----------
+        zone : str
+            Where the process is.
+        base : Dialer
+            Opens the real or in-memory streams.
+
+        Returns
+        -------
+        ShapedDialer
+            The dialer.
+        """
+        return ShapedDialer(self, zone, base)
+
+    def silence(self, address: str) -> int:
+        """Make the open streams to an address silent for good.
+
+        Parameters
+        ----------
+        address : str
+            ``ip:port`` of a process.
+
+        Returns
+        -------
+        int
+            How many streams were open.
+        """
+        met = [s for s in self._streams if s.address == address and not s.closed]
+        for stream in met:
+            stream.silent = True
+        return len(met)
+
+    def drop(self, address: str) -> None:
+        """Close the open streams to an address, as when its process dies.
+
+        Parameters
+        ----------
+        address : str
+            ``ip:port`` of a process.
+        """
+        for stream in self._streams:
+            if stream.address == address:
+                stream.close()
+
+    def opened(self, stream: ShapedStream) -> None:
+        """Note an open stream.
+
+        Parameters
+        ----------
+        stream : ShapedStream
+            The stream.
+        """
+        self._streams = [held for held in self._streams if not held.closed]
+        self._streams.append(stream)
+
+
+class ShapedDialer:
+    """Opens streams that the emulated network delays and cuts."""
+
+    __slots__ = ("_base", "_network", "_zone")
+
+    def __init__(self, network: Network, zone: str, base: Dialer) -> None:
+        self._network = network
+        self._zone = zone
+        self._base = base
+
+    async def dial(self, address: str, timeout_ms: float) -> Stream:
+        """Open a stream.
+
+        Parameters
+        ----------
+        address : str
+            ``ip:port`` of the other process.
+        timeout_ms : float
+            Limit in milliseconds.
+
+        Returns
+        -------
+        Stream
+            The shaped stream.
+
+        Raises
+        ------
+        DialError
+            If the zone is cut off (after the limit) or nobody listens.
+        """
+        other = self._network.zone_of.get(address, self._zone)
+        if not self._network.reachable(self._zone, other):
+            await asyncio.sleep(timeout_ms / MS_PER_S)
+            raise DialError(f"{address}: no answer")
+        await asyncio.sleep(2 * self._network.delay_ms(self._zone, other) / MS_PER_S)
+        base = await self._base.dial(address, timeout_ms)
+        stream = ShapedStream(self._network, self._zone, other, address, base)
+        self._network.opened(stream)
+        return stream
+
+
+class _DelayLine:
+    """Delivers messages in order, each after the same delay."""
+
+    __slots__ = ("_deliver", "_line")
+
+    def __init__(self, deliver: object) -> None:
+        self._line: deque[bytes | None] = deque()
+        self._deliver = deliver
+
+    def push(self, message: bytes | None, delay_ms: float) -> None:
+        self._line.append(message)
+        loop = asyncio.get_running_loop()
+        # Each timer takes the oldest message, so equal times can't reorder them.
+        loop.call_later(delay_ms / MS_PER_S, self._pop)
+
+    def _pop(self) -> None:
+        self._deliver(self._line.popleft())
+
+
+class ShapedStream:
+    """The dialling side of a stream, with delay, cuts and silence applied."""
+
+    def __init__(
+        self, network: Network, zone: str, other: str, address: str, base: Stream
+    ) -> None:
+        self.address = address
+        self.silent = False
+        self.closed = False
+        self._network = network
+        self._zones = (zone, other)
+        self._base = base
+        self._inbox: asyncio.Queue[bytes | None] = asyncio.Queue()
+        self._out = _DelayLine(self._transmit)
+        self._in = _DelayLine(self._inbox.put_nowait)
+        self._sends = Tasks()
+        self._pump_task = asyncio.ensure_future(self._pump())
+
+    async def send(self, message: bytes) -> None:
+        """Send a message after the link's delay.
+
+        Parameters
+        ----------
+        message : bytes
+            The message.
+
+        Raises
+        ------
+        StreamClosed
+            If the stream is closed.
+        """
+        if self.closed:
+            raise StreamClosed
+        self._out.push(message, self._network.delay_ms(*self._zones))
+
+    async def receive(self) -> bytes:
+        """Wait for a message.
+
+        Returns
+        -------
+        bytes
+            The message.
+
+        Raises
+        ------
+        StreamClosed
+            If the stream is closed.
+        """
+        message = await self._inbox.get()
+        if message is None:
+            raise StreamClosed
+        return message
+
+    def close(self) -> None:
+        """Close both directions."""
+        if self.closed:
+            return
+        self.closed = True
+        self._pump_task.cancel()
+        self._inbox.put_nowait(None)
+        if not self._lost():
+            self._base.close()
+
+    def _lost(self) -> bool:
+        if not self._network.reachable(*self._zones):
+            self.silent = True
+        return self.silent
+
+    def _transmit(self, message: bytes | None) -> None:
+        if message is None or self._lost() or self.closed:
+            return
+        self._sends.spawn(self._send_base(message))
+
+    async def _send_base(self, message: bytes) -> None:
+        try:
+            await self._base.send(message)
+        except StreamClosed:
+            self._in.push(None, 0)
+
+    async def _pump(self) -> None:
+        try:
+            while True:
+                message = await self._base.receive()
+                if not self._lost():
+                    self._in.push(message, self._network.delay_ms(*self._zones))
+        except StreamClosed:
+            if not self._lost():
+                self._in.push(None, self._network.delay_ms(*self._zones))
+
+
+class MemoryTransport:
+    """Listeners and streams inside one process, for tests under virtual time."""
+
+    __slots__ = ("_listeners", "_tasks")
+
+    def __init__(self) -> None:
+        self._listeners: dict[str, StreamHandler] = {}
+        self._tasks = Tasks()
+
+    def listen(self, address: str, handler: StreamHandler) -> None:
+        """Serve streams to an address.
+
+        Parameters
+        ----------
+        address : str
+            ``ip:port`` as others dial it.
+        handler : callable
+            Serves one stream until it ends.
+        """
+        self._listeners[address] = handler
+
+    def stop(self, address: str) -> None:
+        """Refuse new streams to an address.
+
+        Parameters
+        ----------
+        address : str
+            ``ip:port`` as others dial it.
+        """
+        self._listeners.pop(address, None)
+
+    async def dial(self, address: str, timeout_ms: float) -> Stream:
+        """Open a stream.
+
+        Parameters
+        ----------
+        address : str
+            ``ip:port`` of a listener.
+        timeout_ms : float
+            Unused: memory answers at once.
+
+        Returns
+        -------
+        Stream
+            The dialling side.
+
+        Raises
+        ------
+        DialError
+            If nobody listens.
+        """
+        handler = self._listeners.get(address)
+        if handler is None:
+            raise DialError(f"{address}: connection refused")
+        near, far = _MemoryStream.pair()
+        self._tasks.spawn(handler(far))
+        return near
+
+
+class _MemoryStream:
+    """One side of a pair of queues."""
+
+    __slots__ = ("_closed", "_inbox", "_other")
+
+    def __init__(self) -> None:
+        self._inbox: asyncio.Queue[bytes | None] = asyncio.Queue()
+        self._other: _MemoryStream | None = None
+        self._closed = False
+
+    @classmethod
+    def pair(cls) -> tuple[_MemoryStream, _MemoryStream]:
+        near, far = cls(), cls()
+        near._other, far._other = far, near
+        return near, far
+
+    async def send(self, message: bytes) -> None:
+        if self._closed or self._other is None or self._other._closed:
+            raise StreamClosed
+        self._other._inbox.put_nowait(message)
+
+    async def receive(self) -> bytes:
+        message = await self._inbox.get()
+        if message is None:
+            self._inbox.put_nowait(None)
+            raise StreamClosed
+        return message
+
+    def close(self) -> None:
+        if self._closed:
+            return
+        self._closed = True
+        self._inbox.put_nowait(None)
+        if self._other is not None:
+            self._other._inbox.put_nowait(None)
--- /dev/null
+++ b/packages/fennelhill-bench/src/fennelhill_bench/platform.py
@@ -0,0 +1,170 @@
+"""Stand-ins of the platform: table service, object store and host list."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from fennelhill_core.clock import MS_PER_S, Clock
+from fennelhilld.platform.messages import (
+    Commit,
+    CommitReply,
+    HostEntry,
+    Row,
+    StoreFault,
+    StoreUnavailableError,
+)
+
+
+class _RateLimit:
+    """Counts requests in the last second."""
+
+    __slots__ = ("_clock", "_per_s", "_times_ms")
+
+    def __init__(self, per_s: int, clock: Clock) -> None:
+        self._per_s = per_s
+        self._clock = clock
+        self._times_ms: deque[float] = deque()
+
+    def admit(self) -> bool:
+        now_ms = self._clock.now_ms()
+        while self._times_ms and self._times_ms[0] <= now_ms - MS_PER_S:
+            self._times_ms.popleft()
+        if len(self._times_ms) >= self._per_s:
+            return False
+        self._times_ms.append(now_ms)
+        return True
+
+
+class TableServiceStandIn:
+    """Rows with versions and conditional transactions over several of them.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    writes_per_s : int
+        Transactions that are accepted a second.
+    reads_per_s : int
+        Reads that are accepted a second.
+    """
+
+    def __init__(
+        self, clock: Clock, writes_per_s: int = 300, reads_per_s: int = 2000
+    ) -> None:
+        self.rows: dict[str, Row] = {}
+        self.down = False
+        self.delay_ms = 3.0
+        self.lose_answers = 0
+        self.writes = 0
+        self.reads = 0
+        self._clock = clock
+        self._write_limit = _RateLimit(writes_per_s, clock)
+        self._read_limit = _RateLimit(reads_per_s, clock)
+
+    async def read(self, key: str) -> Row | None:
+        """Read a row.
+
+        Parameters
+        ----------
+        key : str
+            Name of the row.
+
+        Returns
+        -------
+        Row or None
+            The row, if there is one.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the service is down or over its rate.
+        """
+        await self._pass(self._read_limit)
+        self.reads += 1
+        return self.rows.get(key)
+
+    async def commit(self, commit: Commit) -> CommitReply:
+        """Run a conditional transaction: all of it, or nothing.
+
+        Parameters
+        ----------
+        commit : Commit
+            Versions that must hold, and rows to write.
+
+        Returns
+        -------
+        CommitReply
+            Whether the conditions held.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the service is down, over its rate, or the answer was lost.
+        """
+        await self._pass(self._write_limit)
+        self.writes += 1
+        for key, version in commit.expect.items():
+            row = self.rows.get(key)
+            if (row.version if row else 0) != version:
+                return CommitReply(False)
+        for key, value in commit.put.items():
+            row = self.rows.get(key)
+            self.rows[key] = Row((row.version if row else 0) + 1, value)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise StoreUnavailableError(StoreFault.NO_ANSWER)
+        return CommitReply(True)
+
+    async def _pass(self, limit: _RateLimit) -> None:
+        await self._clock.sleep_ms(self.delay_ms)
+        if self.down:
+            raise StoreUnavailableError(StoreFault.DOWN)
+        if not limit.admit():
+            raise StoreUnavailableError(StoreFault.RATE_LIMITED)
+
+
+class HostListStandIn:
+    """A list of live and leaving hosts that lags behind the truth.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    lag_ms : float
+        How far the list is behind, in milliseconds.
+    """
+
+    def __init__(self, clock: Clock, lag_ms: float = 3_000) -> None:
+        self.lag_ms = lag_ms
+        self.down = False
+        self._clock = clock
+        self._history: list[tuple[float, list[HostEntry]]] = []
+
+    def publish(self, hosts: list[HostEntry]) -> None:
+        """Set the truth as of now.
+
+        Parameters
+        ----------
+        hosts : list of HostEntry
+            All hosts.
+        """
+        self._history.append((self._clock.now_ms(), hosts))
+
+    async def hosts(self) -> list[HostEntry]:
+        """Return the list as it was some time ago.
+
+        Returns
+        -------
+        list of HostEntry
+            The hosts.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the list is down.
+        """
+        if self.down:
+            raise StoreUnavailableError(StoreFault.DOWN)
+        seen_ms = self._clock.now_ms() - self.lag_ms
+        known = [hosts for at_ms, hosts in self._history if at_ms <= seen_ms]
+        return known[-1] if known else self._history[0][1]
--- /dev/null
+++ b/packages/fennelhill-bench/src/fennelhill_bench/target.py
@@ -0,0 +1,543 @@
+"""The target stand-in: a database server with terms, slots and a replicated log."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import msgspec
+from fennelhill_core.clock import MS_PER_S, Clock, timeout_ms
+from fennelhill_core.rpc import Request, Response
+from fennelhill_core.streams import Stream, StreamClosed
+from fennelhill_core.tokens import Position
+from fennelhilld.targets.messages import (
+    Batch,
+    BatchReply,
+    Begin,
+    ControlReply,
+    End,
+    Fault,
+    Fence,
+    Follow,
+    Hello,
+    HelloReply,
+    Promote,
+    Status,
+)
+
+from fennelhill_bench.database import Database, SqlFault, SqlSession
+from fennelhill_bench.network import Network
+
+IDLE_STATUS_MS = 500.0
+
+
+class TargetSpec(msgspec.Struct):
+    """How a target stand-in behaves.
+
+    Parameters
+    ----------
+    id : str
+        Name of the target.
+    zone : str
+        Its availability zone.
+    slots : int
+        Statements that run at the same time.
+    connections : int
+        Connections that are accepted.
+    connect_ms : float
+        Time to set up a connection, during which it occupies a slot.
+    service_ms : float
+        Time that a batch occupies a slot.
+    commit_ms : float
+        Time that a batch without a new transaction occupies a slot.
+    lag_ms : float
+        Replication delay beyond the network's.
+    lock_timeout_ms : float
+        How long a transaction waits for the write lock.
+    """
+
+    id: str
+    zone: str
+    slots: int = 2
+    connections: int = 16
+    connect_ms: float = 12.0
+    service_ms: float = 4.0
+    commit_ms: float = 0.5
+    lag_ms: float = 20.0
+    lock_timeout_ms: float = 400.0
+
+
+class TargetStandIn:
+    """One target.  Faults are set by calling the methods of the second half.
+
+    Parameters
+    ----------
+    spec : TargetSpec
+        How it behaves.
+    network : Network
+        Decides what replication can reach.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, spec: TargetSpec, network: Network, clock: Clock) -> None:
+        self.spec = spec
+        self.id = spec.id
+        self.term = 0
+        self.primary = False
+        self.log_term = 0
+        self.leader: TargetStandIn | None = None
+        self.peers: dict[str, TargetStandIn] = {}
+        self.leaving = False
+        self.alive = True
+        self.connections_seen = 0
+        self.open_connections = 0
+        self.answer_faults: deque[str] = deque()
+        self.database = Database(spec.id)
+        self._granted_to = ""
+        self._network = network
+        self._clock = clock
+        self._slots = asyncio.Semaphore(spec.slots)
+        self._write_lock = asyncio.Lock()
+        self._running = asyncio.Event()
+        self._running.set()
+        self._streams: set[Stream] = set()
+        self._sessions: set[SqlSession] = set()
+        self._changed = asyncio.Event()
+        self._follower: asyncio.Task | None = None
+        self._last_answer = b""
+
+    # The protocol.
+
+    async def serve(self, stream: Stream) -> None:
+        """Serve one connection until it ends.
+
+        Parameters
+        ----------
+        stream : Stream
+            The accepted stream.
+        """
+        if not self.alive:
+            stream.close()
+            return
+        self._streams.add(stream)
+        try:
+            hello = await self._receive(stream)
+            if self.open_connections >= self.spec.connections:
+                reply = HelloReply(Fault.TOO_MANY_CONNECTIONS)
+                await self._answer(stream, hello, reply)
+                return
+            self.open_connections += 1
+            try:
+                await self._serve_open(stream, hello)
+            finally:
+                self.open_connections -= 1
+        except (StreamClosed, msgspec.DecodeError):
+            return
+        finally:
+            self._streams.discard(stream)
+            stream.close()
+
+    async def _serve_open(self, stream: Stream, hello: Request) -> None:
+        async with self._slots:
+            await self._clock.sleep_ms(self.spec.connect_ms)
+        self.connections_seen += 1
+        await self._answer(stream, hello, HelloReply())
+        if msgspec.json.decode(hello.params, type=Hello).control:
+            await self._serve_control(stream)
+        else:
+            await self._serve_data(stream)
+
+    async def _serve_data(self, stream: Stream) -> None:
+        session = SqlSession(self.database)
+        self._sessions.add(session)
+        held = _LockHolder(self._write_lock)
+        try:
+            while True:
+                request = await self._receive(stream)
+                if request.method == "ping":
+                    await self._answer(stream, request, {})
+                    continue
+                batch = msgspec.json.decode(request.params, type=Batch)
+                reply = await self._run_batch(session, held, batch)
+                await self._answer(stream, request, reply)
+        finally:
+            self._sessions.discard(session)
+            session.close()
+            held.release()
+
+    async def _serve_control(self, stream: Stream) -> None:
+        reporter = asyncio.ensure_future(self._report(stream))
+        try:
+            while True:
+                request = await self._receive(stream)
+                await self._answer(stream, request, self._control(request))
+        finally:
+            reporter.cancel()
+
+    def _control(self, request: Request) -> Status | ControlReply:
+        match request.method:
+            case "fence":
+                order = msgspec.json.decode(request.params, type=Fence)
+                return ControlReply(
+                    self.fence(order.term, order.attempt), self.status()
+                )
+            case "promote":
+                order = msgspec.json.decode(request.params, type=Promote)
+                obeyed = self.promote(order.term, order.attempt)
+                return ControlReply(obeyed, self.status())
+            case "follow":
+                order = msgspec.json.decode(request.params, type=Follow)
+                obeyed = self.follow(order.term, order.leader)
+                return ControlReply(obeyed, self.status())
+            case _:
+                return self.status()
+
+    async def _report(self, stream: Stream) -> None:
+        """Push the status whenever the log or the role changes."""
+        try:
+            while True:
+                changed = self._changed
+                await self._running.wait()
+                status = msgspec.Raw(msgspec.json.encode(self.status()))
+                await stream.send(msgspec.json.encode(Request("status", status)))
+                try:
+                    async with timeout_ms(IDLE_STATUS_MS):
+                        await changed.wait()
+                except TimeoutError:
+                    continue
+        except StreamClosed:
+            return
+
+    async def _run_batch(
+        self, session: SqlSession, held: _LockHolder, batch: Batch
+    ) -> BatchReply:
+        # The lock comes before the slot: holders of a slot never wait for it.
+        if batch.begin is Begin.WRITE and not await held.acquire(
+            self.spec.lock_timeout_ms
+        ):
+            return self._failed(session, held, Fault.LOCK_TIMEOUT, "write lock")
+        cost_ms = self.spec.service_ms
+        if batch.begin is Begin.NONE and batch.end is not End.NONE:
+            cost_ms = self.spec.commit_ms
+        async with self._occupied(cost_ms):
+            try:
+                return self._run_statements(session, held, batch)
+            except SqlFault as failure:
+                return self._failed(session, held, failure.fault, str(failure))
+
+    def _run_statements(
+        self, session: SqlSession, held: _LockHolder, batch: Batch
+    ) -> BatchReply:
+        if not self.alive:
+            raise StreamClosed
+        if batch.begin is not Begin.NONE:
+            session.begin(batch.begin is Begin.WRITE)
+        elif not session.open and (batch.statements or batch.end is End.COMMIT):
+            raise SqlFault(Fault.NO_TRANSACTION, "no transaction is open")
+        writing = session.in_write or batch.begin is Begin.WRITE
+        if (writing and not self.primary) or (batch.term and batch.term != self.term):
+            raise SqlFault(Fault.NOT_PRIMARY, f"{self.id} is in term {self.term}")
+        reply = BatchReply()
+        for statement in batch.statements:
+            reply.results.append(session.run(statement, batch.max_rows))
+        if batch.end is End.COMMIT:
+            session.commit(self.term, asyncio.get_running_loop().time())
+            self._notify()
+        elif batch.end is End.ROLLBACK:
+            session.rollback()
+        reply.position = self.position
+        if batch.reset:
+            session.reset()
+        if not session.open:
+            held.release()
+        return reply
+
+    def _failed(
+        self, session: SqlSession, held: _LockHolder, fault: Fault, detail: str
+    ) -> BatchReply:
+        session.reset()
+        held.release()
+        return BatchReply(position=self.position, fault=fault, detail=detail)
+
+    @asynccontextmanager
+    async def _occupied(self, duration_ms: float) -> AsyncIterator[None]:
+        async with self._slots:
+            await self._clock.sleep_ms(duration_ms)
+            await self._running.wait()
+            yield
+
+    async def _receive(self, stream: Stream) -> Request:
+        message = await stream.receive()
+        await self._running.wait()
+        return msgspec.json.decode(message, type=Request)
+
+    async def _answer(self, stream: Stream, request: Request, result: object) -> None:
+        await self._running.wait()
+        raw = msgspec.Raw(msgspec.json.encode(result))
+        message = msgspec.json.encode(Response(request.id or 0, raw))
+        fault = self.answer_faults.popleft() if self.answer_faults else ""
+        previous, self._last_answer = self._last_answer, message
+        if fault == "late":
+            await self._clock.sleep_ms(3_000)
+        elif fault == "lost":
+            return
+        elif fault == "partial":
+            message = message[: len(message) // 2]
+        elif fault == "swapped":
+            message = previous
+        await stream.send(message)
+        if fault == "duplicated":
+            await stream.send(message)
+
+    # Terms and replication.
+
+    @property
+    def position(self) -> Position:
+        """The end of the applied log, under the term it is reconciled with."""
+        return Position(self.log_term, len(self.database.log))
+
+    def status(self) -> Status:
+        """Describe this target.
+
+        Returns
+        -------
+        Status
+            What control connections report.
+        """
+        log = self.database.log
+        last_term = log[-1].term if log else 0
+        leader = self.leader.id if self.leader else ""
+        return Status(
+            self.id,
+            self.term,
+            self.primary,
+            self.position,
+            last_term,
+            leader,
+            self.leaving,
+        )
+
+    def fence(self, term: int, attempt: str) -> bool:
+        """Grant a term and refuse everything of lower ones.
+
+        Parameters
+        ----------
+        term : int
+            The new term.
+        attempt : str
+            The promotion attempt that it is granted to.
+
+        Returns
+        -------
+        bool
+            Whether it was granted.
+        """
+        if term < self.term or (term == self.term and attempt != self._granted_to):
+            return False
+        if term > self.term:
+            self.term = term
+            self._granted_to = attempt
+            self._step_down()
+            self.leader = None
+            self._notify()
+        return True
+
+    def promote(self, term: int, attempt: str) -> bool:
+        """Lead a granted term.
+
+        Parameters
+        ----------
+        term : int
+            The term.
+        attempt : str
+            The promotion attempt that fenced this target.
+
+        Returns
+        -------
+        bool
+            Whether this target leads now.
+        """
+        if term != self.term or attempt != self._granted_to:
+            return False
+        if not self.primary:
+            self.primary = True
+            self.leader = None
+            self.log_term = term
+            self._notify()
+        return True
+
+    def follow(self, term: int, leader: str) -> bool:
+        """Replicate from the primary of a term.
+
+        Parameters
+        ----------
+        term : int
+            The term.
+        leader : str
+            Name of the target that leads it.
+
+        Returns
+        -------
+        bool
+            Whether this target follows now.
+        """
+        if term < self.term or (term == self.term and self.primary):
+            return False
+        if leader not in self.peers or leader == self.id:
+            return False
+        if term > self.term:
+            self._granted_to = ""
+        self.term = term
+        self._step_down()
+        self.leader = self.peers[leader]
+        self._notify()
+        return True
+
+    def start(self) -> None:
+        """Start replication, in whichever role this target is."""
+        self._follower = asyncio.ensure_future(self._replicate())
+
+    def _step_down(self) -> None:
+        if self.primary:
+            self.primary = False
+            for session in self._sessions:
+                session.close()
+
+    async def _replicate(self) -> None:
+        """Apply the leader's entries, each after the delay of the network and lag."""
+        while True:
+            leader = self.leader
+            if leader is None or not self._can_pull(leader):
+                await self._wait_for_change(self._changed)
+                continue
+            if self.log_term != self.term:
+                # Reconciling takes a round trip, in which the leader may be lost.
+                await self._clock.sleep_ms(2 * self._delay_ms(leader))
+                if leader is self.leader and self._can_pull(leader):
+                    self._reconcile(leader)
+                continue
+            await self._apply_next(leader)
+
+    async def _apply_next(self, leader: TargetStandIn) -> None:
+        changed, index = leader._changed, len(self.database.log)
+        if index >= len(leader.database.log):
+            await self._wait_for_change(changed)
+            return
+        entry = leader.database.log[index]
+        delay_ms = self._delay_ms(leader) + self.spec.lag_ms
+        due_s = entry.at_s + delay_ms / MS_PER_S
+        wait_s = due_s - asyncio.get_running_loop().time()
+        if wait_s > 0:
+            await self._clock.sleep_ms(wait_s * MS_PER_S)
+        still_following = leader is self.leader and self._can_pull(leader)
+        if still_following and self.log_term == self.term:
+            try:
+                self.database.apply(entry)
+            except Exception:
+                # A statement that runs only on the primary would split the copies.
+                self.kill()
+                raise
+            self._notify()
+
+    def _reconcile(self, leader: TargetStandIn) -> None:
+        """Drop what the leader does not have; the rest is then a common prefix."""
+        mine, theirs = self.database.log, leader.database.log
+        common = 0
+        for own, other in zip(mine, theirs, strict=False):
+            if own is not other:
+                break
+            common += 1
+        if common < len(mine):
+            for session in self._sessions:
+                session.close()
+            self.database.truncate(common)
+        self.log_term = self.term
+        self._notify()
+
+    def _can_pull(self, leader: TargetStandIn) -> bool:
+        return (
+            self.alive
+            and self._running.is_set()
+            and leader.alive
+            and leader._running.is_set()
+            and leader.primary
+            and leader.term == self.term
+            and self._network.reachable(self.spec.zone, leader.spec.zone)
+        )
+
+    def _delay_ms(self, leader: TargetStandIn) -> float:
+        return self._network.delay_ms(self.spec.zone, leader.spec.zone)
+
+    async def _wait_for_change(self, changed: asyncio.Event) -> None:
+        # Reachability changes without an event, so look again after a while.
+        try:
+            async with timeout_ms(20):
+                await changed.wait()
+        except TimeoutError:
+            return
+
+    def _notify(self) -> None:
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    # Faults.
+
+    def pause(self) -> None:
+        """Freeze the process; the kernel still accepts its connections."""
+        self._running.clear()
+
+    def resume(self) -> None:
+        """End a freeze; the target acts on whatever it believed before."""
+        self._running.set()
+        self._notify()
+
+    def kill(self) -> None:
+        """Crash: all connections close, open transactions are gone."""
+        self.alive = False
+        for session in self._sessions:
+            session.close()
+        for stream in list(self._streams):
+            stream.close()
+
+    def restart(self) -> None:
+        """Come back after a crash, as a replica until somebody says otherwise."""
+        self.alive = True
+        self.primary = False
+        self.leader = None
+        self._notify()
+
+    def close(self) -> None:
+        """Remove everything."""
+        if self._follower is not None:
+            self._follower.cancel()
+        self.kill()
+        self.database.close()
+
+
+class _LockHolder:
+    """Remembers whether a connection holds the target's write lock."""
+
+    __slots__ = ("_held", "_lock")
+
+    def __init__(self, lock: asyncio.Lock) -> None:
+        self._lock = lock
+        self._held = False
+
+    async def acquire(self, limit_ms: float) -> bool:
+        if self._held:
+            return True
+        try:
+            async with timeout_ms(limit_ms):
+                await self._lock.acquire()
+        except TimeoutError:
+            return False
+        self._held = True
+        return True
+
+    def release(self) -> None:
+        if self._held:
+            self._held = False
+            self._lock.release()
--- /dev/null
+++ b/packages/fennelhill-bench/src/fennelhill_bench/virtual_time.py
@@ -0,0 +1,62 @@
+"""An event loop whose time jumps ahead whenever nothing is left to do."""
+
+from __future__ import annotations
+
+import asyncio
+import selectors
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+T = TypeVar("T")
+
+
+class _JumpingSelector(selectors.DefaultSelector):
+    """Moves virtual time ahead instead of waiting."""
+
+    skipped_s = 0.0
+
+    def select(
+        self, timeout: float | None = None
+    ) -> list[tuple[selectors.SelectorKey, int]]:
+        ready = super().select(0)
+        if ready or timeout == 0:
+            return ready
+        if timeout is None:
+            raise RuntimeError("every task waits and no timer is set: a deadlock")
+        self.skipped_s += max(timeout, 0.0)
+        return []
+
+
+class VirtualTimeLoop(asyncio.SelectorEventLoop):
+    """Runs programs without sockets in no time, and the same way every time."""
+
+    def __init__(self) -> None:
+        self._jumping = _JumpingSelector()
+        super().__init__(self._jumping)
+
+    def time(self) -> float:
+        """Virtual time.
+
+        Returns
+        -------
+        float
+            Seconds since the loop was made.
+        """
+        return self._jumping.skipped_s
+
+
+def run_virtual(main: Coroutine[Any, Any, T]) -> T:
+    """Run a coroutine under virtual time.
+
+    Parameters
+    ----------
+    main : coroutine
+        What to run.
+
+    Returns
+    -------
+    object
+        Its result.
+    """
+    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+        return runner.run(main)
--- /dev/null
+++ b/packages/fennelhill-core/src/fennelhill_core/__init__.py
@@ -0,0 +1,1 @@
+"""What every fennelhill program shares: codes, messages, settings and streams."""
--- /dev/null
+++ b/packages/fennelhill-core/src/fennelhill_core/registry.py
@@ -0,0 +1,81 @@
+"""Named families of interchangeable parts, filled by decorators."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from typing import Generic, TypeVar
+
+T = TypeVar("T")
+
+
+class Registry(Generic[T]):
+    """Maps the names that settings use to the classes that they choose.
+
+    Parameters
+    ----------
+    family : str
+        What the entries are, for error messages.
+    """
+
+    __slots__ = ("_entries", "family")
+
+    def __init__(self, family: str) -> None:
+        self.family = family
+        self._entries: dict[str, type[T]] = {}
+
+    def register(self, name: str) -> Callable[[type[T]], type[T]]:
+        """Return a class decorator that files the class under a name.
+
+        Parameters
+        ----------
+        name : str
+            The name that settings use.
+
+        Returns
+        -------
+        callable
+            The decorator.
+
+        Raises
+        ------
+        ValueError
+            If the name is taken.
+        """
+
+        def decorate(entry: type[T]) -> type[T]:
+            if name in self._entries:
+                raise ValueError(f"{self.family} {name!r} is registered twice")
+            self._entries[name] = entry
+            return entry
+
+        return decorate
+
+    def get(self, name: str) -> type[T]:
+        """Look up a class.
+
+        Parameters
+        ----------
+        name : str
+            The name that settings use.
+
+        Returns
+        -------
+        type
+            The registered class.
+
+        Raises
+        ------
+        KeyError
+            If there is none, with the names that exist.
+        """
+        try:
+            return self._entries[name]
+        except KeyError:
+            known = ", ".join(sorted(self._entries))
+            raise KeyError(f"no {self.family} {name!r}; there are: {known}") from None
+
+    def __contains__(self, name: str) -> bool:
+        return name in self._entries
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(sorted(self._entries))
--- /dev/null
+++ b/packages/fennelhill-core/src/fennelhill_core/rpc.py
@@ -0,0 +1,282 @@
+"""Requests and answers over a stream, matched by id (JSON-RPC 2.0)."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+from loguru import logger
+
+from fennelhill_core.clock import timeout_ms
+from fennelhill_core.streams import Stream, StreamClosed
+from fennelhill_core.tasks import Tasks
+
+JSONRPC = "2.0"
+MAX_FORGOTTEN_IDS = 10_000
+
+
+class Request(msgspec.Struct, omit_defaults=True):
+    """A JSON-RPC request; without an id it is a notification."""
+
+    method: str
+    params: msgspec.Raw = msgspec.Raw(b"{}")
+    id: int | None = None
+    jsonrpc: str = JSONRPC
+
+
+class Response(msgspec.Struct, omit_defaults=True):
+    """A JSON-RPC response."""
+
+    id: int
+    result: msgspec.Raw = msgspec.Raw(b"null")
+    error: dict[str, Any] | None = None
+    jsonrpc: str = JSONRPC
+
+
+class _Frame(msgspec.Struct):
+    """Whatever arrives: a request where a method is named, else a response."""
+
+    id: int | None = None
+    method: str | None = None
+    params: msgspec.Raw = msgspec.Raw(b"{}")
+    result: msgspec.Raw = msgspec.Raw(b"null")
+    error: dict[str, Any] | None = None
+
+
+class ProtocolError(Exception):
+    """The other end broke the protocol; its stream is closed at once."""
+
+
+class NoAnswer(Exception):  # noqa: N818 - a fact about the exchange
+    """No answer came within the limit, or the stream closed after the send."""
+
+
+class NotSent(Exception):  # noqa: N818 - a fact about the exchange
+    """The stream was closed before anything was sent."""
+
+
+_encoder = msgspec.json.Encoder()
+_decode_frame = msgspec.json.Decoder(_Frame).decode
+
+Handler = Callable[[msgspec.Raw], Awaitable[Any]]
+
+
+class RpcError(Exception):
+    """The other end answered with an error object.
+
+    Parameters
+    ----------
+    error : dict
+        The JSON-RPC error object.
+    """
+
+    def __init__(self, error: dict[str, Any]) -> None:
+        super().__init__(str(error.get("message", "")))
+        self.error = error
+
+
+class RpcClient:
+    """Sends requests over one stream and matches the answers by id.
+
+    Ids are never reused on a stream, so a late answer can only meet the request
+    that it belongs to.  An answer to an id that was never issued, or a second
+    answer to the same id, means that the stream can't be trusted: it is closed.
+
+    Parameters
+    ----------
+    stream : Stream
+        The open stream, owned from here on.
+    on_notify : callable, optional
+        Receives ``(method, params)`` of notifications.
+    first_id : int
+        The first request id.
+    """
+
+    __slots__ = (
+        "_forgotten",
+        "_next_id",
+        "_on_notify",
+        "_pending",
+        "_reader",
+        "_stream",
+        "closed",
+    )
+
+    def __init__(
+        self,
+        stream: Stream,
+        on_notify: Callable[[str, msgspec.Raw], None] | None = None,
+        first_id: int = 1,
+    ) -> None:
+        self._stream = stream
+        self._on_notify = on_notify
+        self._pending: dict[int, asyncio.Future[msgspec.Raw]] = {}
+        self._forgotten: dict[int, None] = {}
+        self._next_id = first_id
+        self.closed = False
+        self._reader = asyncio.ensure_future(self._read())
+
+    async def call(self, method: str, params: Any, limit_ms: float) -> msgspec.Raw:
+        """Send a request and wait for its answer.
+
+        Parameters
+        ----------
+        method : str
+            Name of the method.
+        params : object
+            What msgspec can encode.
+        limit_ms : float
+            Limit for the answer in milliseconds.
+
+        Returns
+        -------
+        msgspec.Raw
+            The encoded result.
+
+        Raises
+        ------
+        NotSent
+            If nothing was sent.
+        NoAnswer
+            If the request may have arrived but no answer came.
+        RpcError
+            If the answer is an error object.
+        """
+        if self.closed:
+            raise NotSent
+        request_id = self._next_id
+        self._next_id += 1
+        future = asyncio.get_running_loop().create_future()
+        self._pending[request_id] = future
+        params_json = msgspec.Raw(_encoder.encode(params))
+        message = _encoder.encode(Request(method, params_json, request_id))
+        try:
+            async with timeout_ms(limit_ms):
+                await self._stream.send(message)
+                return await future
+        except TimeoutError:
+            raise NoAnswer(f"{method}: no answer in {limit_ms:.0f} ms") from None
+        except StreamClosed:
+            self.close()
+            raise NoAnswer(f"{method}: stream closed") from None
+        finally:
+            if self._pending.pop(request_id, None) and not future.done():
+                self._forget(request_id)
+            future.cancel()
+
+    async def notify(self, method: str, params: Any) -> None:
+        """Send a notification, which has no answer.
+
+        Parameters
+        ----------
+        method : str
+            Name of the method.
+        params : object
+            What msgspec can encode.
+        """
+        params_json = msgspec.Raw(_encoder.encode(params))
+        await self._stream.send(_encoder.encode(Request(method, params_json)))
+
+    def close(self) -> None:
+        """Close the stream; waiting calls end with `NoAnswer`."""
+        if self.closed:
+            return
+        self.closed = True
+        self._stream.close()
+        self._reader.cancel()
+        for future in self._pending.values():
+            if not future.done():
+                future.set_exception(NoAnswer("stream closed"))
+
+    def _forget(self, request_id: int) -> None:
+        self._forgotten[request_id] = None
+        if len(self._forgotten) > MAX_FORGOTTEN_IDS:
+            # So many late answers mean that the other end is not answering at all.
+            self.close()
+
+    async def _read(self) -> None:
+        try:
+            while True:
+                self._dispatch(await self._stream.receive())
+        except (StreamClosed, ProtocolError, msgspec.DecodeError):
+            self.close()
+
+    def _dispatch(self, message: bytes) -> None:
+        frame = _decode_frame(message)
+        if frame.method is not None:
+            if self._on_notify is not None:
+                self._on_notify(frame.method, frame.params)
+            return
+        if frame.id is None:
+            raise ProtocolError("a response without an id")
+        future = self._pending.get(frame.id)
+        if future is None or future.done():
+            if frame.id not in self._forgotten:
+                raise ProtocolError(f"nobody waits for answer {frame.id}")
+            del self._forgotten[frame.id]
+            return
+        if frame.error is not None:
+            future.set_exception(RpcError(frame.error))
+        else:
+            future.set_result(frame.result)
+
+
+class RpcServer:
+    """Serves the requests of one stream, each in a task of its own.
+
+    Parameters
+    ----------
+    handlers : dict
+        Maps method names to coroutine functions of the raw parameters.
+    """
+
+    __slots__ = ("_handlers",)
+
+    def __init__(self, handlers: dict[str, Handler]) -> None:
+        self._handlers = handlers
+
+    async def serve(self, stream: Stream) -> None:
+        """Serve until the stream ends.
+
+        Requests in progress are not cancelled then: each is bounded by its own
+        deadline, and half a write is worse than one whose answer nobody reads.
+
+        Parameters
+        ----------
+        stream : Stream
+            The accepted stream.
+        """
+        tasks = Tasks()
+        try:
+            while True:
+                frame = _decode_frame(await stream.receive())
+                tasks.spawn(self._answer(stream, frame))
+        except (StreamClosed, msgspec.DecodeError):
+            stream.close()
+
+    async def _answer(self, stream: Stream, frame: _Frame) -> None:
+        handler = self._handlers.get(frame.method or "")
+        try:
+            if handler is None:
+                error = {"code": -32601, "message": f"no method {frame.method!r}"}
+                response = Response(frame.id or 0, error=error)
+            else:
+                result = await handler(frame.params)
+                response = Response(frame.id or 0, msgspec.Raw(_encoder.encode(result)))
+        except msgspec.ValidationError as invalid:
+            error = {"code": -32602, "message": str(invalid)}
+            response = Response(frame.id or 0, error=error)
+        except Exception as bug:
+            # Without an answer the other end would wait for its whole deadline.
+            logger.opt(exception=bug).error("handler of {} failed", frame.method)
+            error = {"code": -32603, "message": repr(bug)}
+            response = Response(frame.id or 0, error=error)
+        if frame.id is None:
+            return
+        try:
+            await stream.send(_encoder.encode(response))
+        except StreamClosed:
+            # The caller is gone and has counted this request as unanswered.
+            return
--- /dev/null
+++ b/packages/fennelhill-core/src/fennelhill_core/settings.py
@@ -0,0 +1,365 @@
+"""The settings file: its format, and the checks it must pass before use."""
+
+from __future__ import annotations
+
+import enum
+import hashlib
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+import yaml
+from msgspec import Meta
+
+Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
+Address = Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$")]
+PositiveMs = Annotated[float, Meta(gt=0)]
+AgeMs = Annotated[float, Meta(ge=0)]
+Count = Annotated[int, Meta(ge=1)]
+
+
+class SettingsError(Exception):
+    """The settings can't be used.
+
+    Parameters
+    ----------
+    problems : list of str
+        Every problem that was found, each with its path.
+    """
+
+    def __init__(self, problems: list[str]) -> None:
+        super().__init__("; ".join(problems))
+        self.problems = problems
+
+
+class Kind(enum.Enum):
+    """Whether a request class reads or writes."""
+
+    READ = "read"
+    WRITE = "write"
+
+
+class Acknowledgement(enum.Enum):
+    """What a write waits for before it is acknowledged."""
+
+    CONFIRMED = "confirmed"
+    PRIMARY = "primary"
+
+
+class Priority(enum.IntEnum):
+    """Which requests yield under overload; lower numbers go first."""
+
+    BOOKING = 0
+    NORMAL = 1
+    POLL = 2
+
+
+class _Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Refuses fields that it does not know, so that a typing error is found."""
+
+
+class EntryHost(_Settings):
+    """A host that runs the daemon.
+
+    Parameters
+    ----------
+    id : str
+        Name of the entry host.
+    zone : str
+        Availability zone of the entry host.
+    address : str
+        ``ip:port`` for callers and for the other entry hosts.
+    """
+
+    id: Name
+    zone: Name
+    address: Address
+
+
+class Target(_Settings):
+    """One database server of a group.
+
+    Parameters
+    ----------
+    id : str
+        Name of the target.
+    zone : str
+        Availability zone of the target.
+    address : str
+        ``ip:port`` of the target.
+    slots : int
+        Statements that the target runs at the same time.
+    connections : int
+        Connections that the target accepts.
+    """
+
+    id: Name
+    zone: Name
+    address: Address
+    slots: Count
+    connections: Annotated[int, Meta(ge=4)]
+
+
+class Group(_Settings):
+    """A database group: one primary at a time, the others replicate from it.
+
+    Parameters
+    ----------
+    targets : list of Target
+        The targets of the group.
+    driver : str
+        Name of the registered target driver.
+    """
+
+    targets: Annotated[list[Target], Meta(min_length=1)]
+    driver: str = "jsonrpc"
+
+
+class RequestClass(_Settings):
+    """What a customer team promises and accepts for a kind of request.
+
+    Parameters
+    ----------
+    kind : Kind
+        Read or write.
+    allowed_age_ms : float
+        Age that a read accepts, in milliseconds; 0 reads the confirmed primary.
+    idempotent : bool
+        Whether running the write twice does no harm.
+    ack : Acknowledgement
+        What a write waits for.
+    deadline_ms : float
+        Time allowed where the caller names none, in milliseconds.
+    priority : str
+        ``booking``, ``normal`` or ``poll``.
+    """
+
+    kind: Kind
+    allowed_age_ms: AgeMs = 0
+    idempotent: bool = False
+    ack: Acknowledgement = Acknowledgement.CONFIRMED
+    deadline_ms: PositiveMs = 1000
+    priority: str = "normal"
+
+    @property
+    def tier(self) -> Priority:
+        """The priority as an ordered value."""
+        return Priority[self.priority.upper()]
+
+
+class Team(_Settings):
+    """A customer team: who may call, what it may reach, and on which terms.
+
+    Parameters
+    ----------
+    token_sha256 : str
+        Hash of the bearer token, in hexadecimal.
+    groups : list of str
+        Database groups that the team may reach.
+    classes : dict
+        Request classes by name.
+    weight : float
+        Share of a target under overload, relative to other teams.
+    """
+
+    token_sha256: Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
+    groups: list[Name]
+    classes: dict[Name, RequestClass]
+    weight: Annotated[float, Meta(gt=0)] = 1.0
+
+
+class Limits(_Settings):
+    """Bounds on sizes, times and retries.  Times are in milliseconds."""
+
+    body_bytes: Count = 256 * 1024
+    answer_rows: Count = 5000
+    deadline_max_ms: PositiveMs = 30_000
+    transaction_idle_ms: PositiveMs = 5_000
+    transaction_total_ms: PositiveMs = 30_000
+    queue_requests: Count = 2_000
+    connect_timeout_ms: PositiveMs = 500
+    connects_at_once: Count = 2
+    connection_check_ms: PositiveMs = 1_000
+    answer_timeout_ms: PositiveMs = 2_000
+    replica_wait_ms: AgeMs = 30
+    sample_ms: PositiveMs = 150
+    sample_timeout_ms: PositiveMs = 450
+    primary_silence_ms: PositiveMs = 700
+    retry_ratio: Annotated[float, Meta(ge=0, le=1)] = 0.2
+    retry_burst: Count = 20
+    key_retention_ms: PositiveMs = 24 * 3600 * 1000
+    shutdown_ms: PositiveMs = 10_000
+    peer_silence_ms: PositiveMs = 1_500
+    host_list_ms: PositiveMs = 1_000
+
+
+class Fleet(_Settings):
+    """What all daemons share.
+
+    Parameters
+    ----------
+    name : str
+        Name of the deployment.
+    secret : str
+        Signs session tokens and transaction ids and admits peers.
+    previous_secret : str
+        Still verifies tokens while the secret is being replaced.
+    """
+
+    name: Name
+    secret: Annotated[str, Meta(min_length=16)]
+    previous_secret: str = ""
+
+
+class Platform(_Settings):
+    """Where the platform's services are.
+
+    Parameters
+    ----------
+    table_service : str
+        ``ip:port`` of the table service; empty where there is none.
+    host_list : str
+        ``ip:port`` of the host list; empty where there is none.
+    object_store : str
+        ``ip:port`` of the object store; empty where there is none.
+    """
+
+    table_service: str = ""
+    host_list: str = ""
+    object_store: str = ""
+
+
+class Settings(_Settings):
+    """The whole settings file."""
+
+    version: Annotated[int, Meta(ge=1, le=1)]
+    fleet: Fleet
+    entry_hosts: Annotated[list[EntryHost], Meta(min_length=1)]
+    groups: dict[Name, Group]
+    teams: dict[Name, Team]
+    platform: Platform = Platform()
+    limits: Limits = Limits()
+    read_policy: str = "least_wait"
+    owner_policy: str = "rendezvous"
+
+    @classmethod
+    def from_yaml(cls, text: str) -> Settings:
+        """Parse and check settings.
+
+        Parameters
+        ----------
+        text : str
+            A YAML document.
+
+        Returns
+        -------
+        Settings
+            The checked settings.
+
+        Raises
+        ------
+        SettingsError
+            With every problem that was found.
+        """
+        try:
+            document = yaml.safe_load(text)
+            settings = msgspec.convert(document, cls)
+        except yaml.YAMLError as error:
+            raise SettingsError([f"not valid YAML: {error}"]) from error
+        except msgspec.ValidationError as error:
+            raise SettingsError([str(error)]) from error
+        problems = list(settings.problems())
+        if problems:
+            raise SettingsError(problems)
+        return settings
+
+    @classmethod
+    def from_file(cls, path: str | Path) -> Settings:
+        """Read and check a settings file.
+
+        Parameters
+        ----------
+        path : str or Path
+            The file.
+
+        Returns
+        -------
+        Settings
+            The checked settings.
+
+        Raises
+        ------
+        SettingsError
+            If the file can't be read or used.
+        """
+        try:
+            text = Path(path).read_text(encoding="utf-8")
+        except OSError as error:
+            raise SettingsError([f"{path}: {error.strerror}"]) from error
+        return cls.from_yaml(text)
+
+    def problems(self) -> list[str]:
+        """List what the types alone can't rule out.
+
+        Returns
+        -------
+        list of str
+            One sentence a problem, with its path; empty where all is well.
+        """
+        found = []
+        found += _repeated("entry_hosts", [host.id for host in self.entry_hosts])
+        targets = [t.id for group in self.groups.values() for t in group.targets]
+        found += _repeated("targets", targets)
+        for team_name, team in self.teams.items():
+            for group in team.groups:
+                if group not in self.groups:
+                    found.append(f"teams.{team_name}.groups: no group {group!r}")
+            for class_name, request_class in team.classes.items():
+                path = f"teams.{team_name}.classes.{class_name}"
+                found += _class_problems(path, request_class)
+        hashes = [team.token_sha256 for team in self.teams.values()]
+        found += _repeated("teams.*.token_sha256", hashes)
+        if self.limits.sample_timeout_ms >= self.limits.primary_silence_ms:
+            found.append("limits.primary_silence_ms must exceed sample_timeout_ms")
+        return found
+
+    def to_yaml(self) -> str:
+        """Write the settings as YAML.
+
+        Returns
+        -------
+        str
+            A document that `from_yaml` accepts.
+        """
+        return yaml.safe_dump(msgspec.to_builtins(self), sort_keys=False)
+
+
+def _repeated(path: str, names: list[str]) -> list[str]:
+    repeated = {name for name in names if names.count(name) > 1}
+    return [f"{path}: {name!r} is there twice" for name in sorted(repeated)]
+
+
+def _class_problems(path: str, request_class: RequestClass) -> list[str]:
+    found = []
+    if request_class.priority.upper() not in Priority.__members__:
+        known = ", ".join(name.lower() for name in Priority.__members__)
+        found.append(f"{path}.priority: must be one of {known}")
+    if request_class.kind is Kind.WRITE and request_class.allowed_age_ms:
+        found.append(f"{path}.allowed_age_ms: only a read accepts an age")
+    return found
+
+
+def hash_token(token: str) -> str:
+    """Hash a bearer token as the settings keep it.
+
+    Parameters
+    ----------
+    token : str
+        The bearer token.
+
+    Returns
+    -------
+    str
+        SHA-256 in hexadecimal.
+    """
+    return hashlib.sha256(token.encode()).hexdigest()
--- /dev/null
+++ b/packages/fennelhill-core/src/fennelhill_core/streams.py
@@ -0,0 +1,274 @@
+"""Ordered message streams between processes, and how to open them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+from tornado.httpclient import HTTPClientError, HTTPRequest
+from tornado.httputil import HTTPHeaders
+from tornado.iostream import StreamClosedError
+from tornado.websocket import (
+    WebSocketClientConnection,
+    WebSocketClosedError,
+    WebSocketHandler,
+    websocket_connect,
+)
+
+from fennelhill_core.clock import MS_PER_S, timeout_ms
+
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+
+
+class DialError(Exception):
+    """No stream could be opened: refused, unreachable or timed out."""
+
+
+class StreamClosed(Exception):  # noqa: N818 - the name states a fact, as in asyncio
+    """The other end is gone; a message just sent may or may not have arrived."""
+
+
+class Stream(Protocol):
+    """An open, ordered, bidirectional stream of whole messages."""
+
+    async def send(self, message: bytes) -> None:
+        """Send one message; raises `StreamClosed` where the stream is gone."""
+
+    async def receive(self) -> bytes:
+        """Return the next message; raises `StreamClosed` at the end."""
+
+    def close(self) -> None:
+        """Close both directions; pending receives end."""
+
+
+StreamHandler = Callable[[Stream], Awaitable[None]]
+
+
+class Dialer(Protocol):
+    """Opens streams to addresses.  Tests and the bench bring their own."""
+
+    async def dial(self, address: str, timeout_ms: float) -> Stream:
+        """Open a stream; raises `DialError`."""
+
+
+class WebSocketDialer:
+    """Opens streams as WebSocket connections (RFC 6455).
+
+    Parameters
+    ----------
+    path : str
+        Path of the WebSocket on the other process.
+    bearer : str
+        Secret that is sent as the ``Authorization`` header; empty for none.
+    """
+
+    __slots__ = ("bearer", "path")
+
+    def __init__(self, path: str, bearer: str = "") -> None:
+        self.path = path
+        self.bearer = bearer
+
+    async def dial(self, address: str, timeout_ms: float) -> Stream:
+        """Open a stream.
+
+        Parameters
+        ----------
+        address : str
+            ``ip:port`` of the other process.
+        timeout_ms : float
+            Limit for the whole handshake in milliseconds.
+
+        Returns
+        -------
+        Stream
+            The open stream.
+
+        Raises
+        ------
+        DialError
+            If the handshake fails or takes longer than the limit.
+        """
+        headers = HTTPHeaders()
+        if self.bearer:
+            headers["Authorization"] = f"Bearer {self.bearer}"
+        request = HTTPRequest(
+            f"ws://{address}{self.path}",
+            headers=headers,
+            connect_timeout=timeout_ms / MS_PER_S,
+            request_timeout=timeout_ms / MS_PER_S,
+        )
+        try:
+            connection = await websocket_connect(
+                request, max_message_size=MAX_MESSAGE_BYTES
+            )
+        except (OSError, HTTPClientError, StreamClosedError) as error:
+            raise DialError(f"{address}: {error}") from error
+        return _ClientStream(connection)
+
+
+class _ClientStream:
+    """The dialling side of a WebSocket."""
+
+    __slots__ = ("_connection",)
+
+    def __init__(self, connection: WebSocketClientConnection) -> None:
+        self._connection = connection
+
+    async def send(self, message: bytes) -> None:
+        try:
+            await self._connection.write_message(message)
+        except (WebSocketClosedError, StreamClosedError) as error:
+            raise StreamClosed from error
+
+    async def receive(self) -> bytes:
+        message = await self._connection.read_message()
+        if message is None:
+            raise StreamClosed
+        return message if isinstance(message, bytes) else message.encode()
+
+    def close(self) -> None:
+        self._connection.close()
+
+
+class StreamEndpoint(WebSocketHandler):
+    """Accepts WebSocket streams and gives each one to a handler task.
+
+    The Tornado application passes ``handler`` and ``bearer``.
+    """
+
+    def initialize(self, handler: StreamHandler, bearer: str = "") -> None:
+        """Keep what the application passes.
+
+        Parameters
+        ----------
+        handler : callable
+            Serves one stream until it ends.
+        bearer : str
+            The secret that the other end must present; empty for none.
+        """
+        self._handler = handler
+        self._bearer = bearer
+        self._inbox: asyncio.Queue[bytes | None] = asyncio.Queue()
+        self._task: asyncio.Task | None = None
+
+    def check_origin(self, origin: str) -> bool:
+        """Accept any origin: only processes with the secret dial this path.
+
+        Parameters
+        ----------
+        origin : str
+            The ``Origin`` header, which processes do not send.
+
+        Returns
+        -------
+        bool
+            Always true.
+        """
+        return True
+
+    @property
+    def max_message_size(self) -> int:
+        """Largest message that is accepted, in bytes."""
+        return MAX_MESSAGE_BYTES
+
+    def prepare(self) -> None:
+        """Refuse a peer that does not present the secret."""
+        expected = f"Bearer {self._bearer}" if self._bearer else ""
+        if self._bearer and self.request.headers.get("Authorization") != expected:
+            self.set_status(401)
+            self.finish()
+
+    def open(self, *args: str, **kwargs: str) -> None:
+        """Start the task that serves this stream.
+
+        Parameters
+        ----------
+        *args : str
+            Unused path arguments.
+        **kwargs : str
+            Unused path arguments.
+        """
+        self.set_nodelay(True)
+        self._task = asyncio.ensure_future(self._handler(self))
+
+    def on_message(self, message: str | bytes) -> None:
+        """Queue a message for the serving task.
+
+        Parameters
+        ----------
+        message : str or bytes
+            The received message.
+        """
+        data = message if isinstance(message, bytes) else message.encode()
+        self._inbox.put_nowait(data)
+
+    def on_close(self) -> None:
+        """Tell the serving task that the stream has ended."""
+        self._inbox.put_nowait(None)
+
+    async def send(self, message: bytes) -> None:
+        """Send one message.
+
+        Parameters
+        ----------
+        message : bytes
+            The message.
+
+        Raises
+        ------
+        StreamClosed
+            If the other end is gone.
+        """
+        try:
+            await self.write_message(message)
+        except (WebSocketClosedError, StreamClosedError) as error:
+            raise StreamClosed from error
+
+    async def receive(self) -> bytes:
+        """Wait for the next message.
+
+        Returns
+        -------
+        bytes
+            The message.
+
+        Raises
+        ------
+        StreamClosed
+            If the other end is gone.
+        """
+        message = await self._inbox.get()
+        if message is None:
+            self._inbox.put_nowait(None)
+            raise StreamClosed
+        return message
+
+
+async def dial_within(dialer: Dialer, address: str, limit_ms: float) -> Stream:
+    """Open a stream and bound the time, whatever the dialer does.
+
+    Parameters
+    ----------
+    dialer : Dialer
+        What opens the stream.
+    address : str
+        ``ip:port`` of the other process.
+    limit_ms : float
+        The bound in milliseconds.
+
+    Returns
+    -------
+    Stream
+        The open stream.
+
+    Raises
+    ------
+    DialError
+        If no stream is open within the bound.
+    """
+    try:
+        async with timeout_ms(limit_ms):
+            return await dialer.dial(address, limit_ms)
+    except TimeoutError:
+        raise DialError(f"{address}: no answer within {limit_ms:.0f} ms") from None
--- /dev/null
+++ b/packages/fennelhill-core/src/fennelhill_core/tasks.py
@@ -0,0 +1,64 @@
+"""Background tasks that are neither forgotten nor fail in silence."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from loguru import logger
+
+
+class Tasks:
+    """Owns the background tasks of one object.
+
+    It keeps them from being collected while they run, logs what they raise, and
+    ends them together.
+    """
+
+    __slots__ = ("_running",)
+
+    def __init__(self) -> None:
+        self._running: set[asyncio.Task] = set()
+
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task:
+        """Start a task.
+
+        Parameters
+        ----------
+        work : coroutine
+            What to run.
+
+        Returns
+        -------
+        asyncio.Task
+            The task.
+        """
+        task = asyncio.ensure_future(work)
+        self._running.add(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    def cancel(self) -> None:
+        """End all tasks that still run."""
+        for task in list(self._running):
+            task.cancel()
+
+    async def wait(self, limit_s: float | None = None) -> None:
+        """Wait until all tasks have ended.
+
+        Parameters
+        ----------
+        limit_s : float or None
+            Longest wait in seconds.
+        """
+        if self._running:
+            await asyncio.wait(set(self._running), timeout=limit_s)
+
+    def __len__(self) -> int:
+        return len(self._running)
+
+    def _ended(self, task: asyncio.Task) -> None:
+        self._running.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logger.opt(exception=task.exception()).error("a background task failed")
--- /dev/null
+++ b/packages/fennelhill-core/src/fennelhill_core/tokens.py
@@ -0,0 +1,244 @@
+"""Signed tokens that travel with callers: session tokens and transaction ids."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import hashlib
+import hmac
+
+import msgspec
+
+from fennelhill_core.settings import Fleet
+
+MAC_BYTES = 12
+MAX_TOKEN_CHARS = 2_048
+MAX_SESSION_GROUPS = 16
+TOKEN_VERSION = 1
+
+
+class Position(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """A place in a group's log, ordered by term, then by index.
+
+    Parameters
+    ----------
+    term : int
+        Term of the primary that wrote the entry.
+    index : int
+        Number of the entry in the log.
+    """
+
+    term: int = 0
+    index: int = 0
+
+
+class Session(msgspec.Struct, array_like=True):
+    """What a session has written: the last position in each group.
+
+    Parameters
+    ----------
+    version : int
+        Version of this format.
+    team : str
+        Customer team that the session belongs to.
+    positions : dict
+        Last written `Position` by group name, the most recent last.
+    complete : bool
+        Whether groups that are not named were certainly never written.
+    """
+
+    version: int
+    team: str
+    positions: dict[str, Position]
+    complete: bool = True
+
+    @classmethod
+    def fresh(cls, team: str, complete: bool = True) -> Session:
+        """Return a session without positions.
+
+        Parameters
+        ----------
+        team : str
+            The customer team.
+        complete : bool
+            Whether the session certainly has written nothing.
+
+        Returns
+        -------
+        Session
+            The session.
+        """
+        return cls(TOKEN_VERSION, team, {}, complete)
+
+    def need(self, group: str) -> Position | None:
+        """Return what a read of this session must see.
+
+        Parameters
+        ----------
+        group : str
+            The database group.
+
+        Returns
+        -------
+        Position or None
+            Nothing where that is unknown, so that only the primary will do.
+        """
+        if group in self.positions:
+            return self.positions[group]
+        return Position() if self.complete else None
+
+    def advance(self, group: str, position: Position) -> None:
+        """Note a write of this session.
+
+        Parameters
+        ----------
+        group : str
+            The database group.
+        position : Position
+            Where the write is in the group's log.
+        """
+        held = self.positions.pop(group, Position())
+        self.positions[group] = max(held, position)
+        if len(self.positions) > MAX_SESSION_GROUPS:
+            # The token stays small; what is dropped is from then on unknown.
+            self.positions.pop(next(iter(self.positions)))
+            self.complete = False
+
+
+class TransactionId(msgspec.Struct, array_like=True, frozen=True):
+    """Names an open transaction and the entry host that holds its connection.
+
+    Parameters
+    ----------
+    team : str
+        Customer team that the transaction belongs to.
+    group : str
+        The database group.
+    host : str
+        Entry host that owns the connection.
+    target : str
+        The target.
+    nonce : int
+        A random number that makes the id unique.
+    """
+
+    team: str
+    group: str
+    host: str
+    target: str
+    nonce: int
+
+
+class Signer:
+    """Seals values into URL-safe strings and opens only what it sealed.
+
+    Parameters
+    ----------
+    secrets : list of str
+        The first one seals; all of them open.
+    """
+
+    __slots__ = ("_secrets",)
+
+    def __init__(self, secrets: list[str]) -> None:
+        self._secrets = [secret.encode() for secret in secrets if secret]
+
+    @classmethod
+    def from_config(cls, fleet: Fleet) -> Signer:
+        """Build a signer with the fleet's secrets.
+
+        Parameters
+        ----------
+        fleet : Fleet
+            The shared part of the settings.
+
+        Returns
+        -------
+        Signer
+            The signer.
+        """
+        return cls([fleet.secret, fleet.previous_secret])
+
+    def seal(self, value: Session | TransactionId) -> str:
+        """Encode and sign a value.
+
+        Parameters
+        ----------
+        value : Session or TransactionId
+            What to seal.
+
+        Returns
+        -------
+        str
+            A URL-safe string.
+        """
+        body = msgspec.json.encode(value)
+        purpose = type(value).__name__.encode()
+        sealed = _mac(self._secrets[0], purpose, body) + body
+        return base64.urlsafe_b64encode(sealed).decode().rstrip("=")
+
+    def open_session(self, text: str, team: str) -> Session | None:
+        """Open a session token.
+
+        Parameters
+        ----------
+        text : str
+            What the caller sent.
+        team : str
+            The team that the caller authenticated as.
+
+        Returns
+        -------
+        Session or None
+            Nothing where the token is forged, garbled, of another version or of
+            another team: the read then goes to the confirmed primary.
+        """
+        session = self._open(text, Session)
+        if session is None or session.version != TOKEN_VERSION:
+            return None
+        return session if session.team == team else None
+
+    def open_transaction(self, text: str, team: str) -> TransactionId | None:
+        """Open a transaction id.
+
+        Parameters
+        ----------
+        text : str
+            What the caller sent.
+        team : str
+            The team that the caller authenticated as.
+
+        Returns
+        -------
+        TransactionId or None
+            Nothing where the id is forged, garbled or of another team.
+        """
+        transaction = self._open(text, TransactionId)
+        if transaction is None or transaction.team != team:
+            return None
+        return transaction
+
+    def _open(self, text: str, kind: type) -> Session | TransactionId | None:
+        if not text or len(text) > MAX_TOKEN_CHARS:
+            return None
+        padding = "=" * (-len(text) % 4)
+        try:
+            sealed = base64.b64decode(text + padding, altchars=b"-_", validate=True)
+        except (binascii.Error, ValueError):
+            return None
+        mac, body = sealed[:MAC_BYTES], sealed[MAC_BYTES:]
+        purpose = kind.__name__.encode()
+        for secret in self._secrets:
+            if hmac.compare_digest(mac, _mac(secret, purpose, body)):
+                try:
+                    return msgspec.json.decode(body, type=kind)
+                except msgspec.DecodeError:
+                    return None
+        return None
+
+
+def _mac(secret: bytes, purpose: bytes, body: bytes) -> bytes:
+    # The purpose keeps a session token from being taken for a transaction id.
+    digest = hashlib.blake2b(body, key=secret[:64], digest_size=MAC_BYTES)
+    digest.update(b"\0" + purpose)
+    return digest.digest()
--- /dev/null
+++ b/packages/fennelhill/src/fennelhill/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line of fennelhill."""
--- /dev/null
+++ b/packages/fennelhill/src/fennelhill/fleet.py
@@ -0,0 +1,107 @@
+"""Asks all daemons of a fleet at the same time."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+from fennelhill_core.events import Event
+from fennelhill_core.settings import EntryHost, Settings
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError
+
+TIMEOUT_S = 3.0
+
+
+class HostReply(msgspec.Struct):
+    """What one daemon answered, or why it did not.
+
+    Parameters
+    ----------
+    host : EntryHost
+        The entry host.
+    body : bytes
+        The answer; empty where there was none.
+    problem : str
+        Why there was none.
+    """
+
+    host: EntryHost
+    body: bytes = b""
+    problem: str = ""
+
+
+async def ask_all(settings: Settings, path: str) -> list[HostReply]:
+    """Ask every daemon for the same path.
+
+    Parameters
+    ----------
+    settings : Settings
+        Names the entry hosts.
+    path : str
+        The path.
+
+    Returns
+    -------
+    list of HostReply
+        In the order of the settings; a silent host holds up nobody.
+    """
+    client = AsyncHTTPClient()
+
+    async def ask(host: EntryHost) -> HostReply:
+        url = f"http://{host.address}{path}"
+        try:
+            response = await client.fetch(
+                url, request_timeout=TIMEOUT_S, raise_error=False
+            )
+        except (HTTPClientError, OSError) as error:
+            return HostReply(host, problem=str(error))
+        if response.error is not None and not response.body:
+            return HostReply(host, problem=str(response.error))
+        return HostReply(host, response.body)
+
+    return list(await asyncio.gather(*(ask(host) for host in settings.entry_hosts)))
+
+
+def merge_events(replies: list[HostReply]) -> list[Event]:
+    """Merge the events of all daemons into one line of time.
+
+    Parameters
+    ----------
+    replies : list of HostReply
+        Answers to ``/events``.
+
+    Returns
+    -------
+    list of Event
+        Ordered by hybrid logical time, so that causes stand before effects.
+    """
+    events = []
+    for reply in replies:
+        if reply.body:
+            events += msgspec.json.decode(reply.body, type=list[Event])
+    return sorted(events, key=lambda event: (event.at_ms, event.seq, event.host))
+
+
+def render_event(event: Event, known: dict[str, Event]) -> str:
+    """Write an event as one line for people.
+
+    Parameters
+    ----------
+    event : Event
+        The event.
+    known : dict
+        All events by id, to name the cause.
+
+    Returns
+    -------
+    str
+        The line; effects are indented under their causes.
+    """
+    depth, cause = 0, known.get(event.cause)
+    while cause is not None and depth < 8:
+        depth, cause = depth + 1, known.get(cause.cause)
+    place = f"{event.group} term {event.term}" if event.group else ""
+    detail = " ".join(f"{name}={value}" for name, value in event.detail.items())
+    words = ["  " * depth + event.kind, place, detail]
+    text = "  ".join(word for word in words if word)
+    return f"{event.at_ms / 1000:.3f} {event.host:<10} {text}"
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/__init__.py
@@ -0,0 +1,1 @@
+"""The fennelhill daemon: one program that plays every role on an entry host."""
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/cli.py
@@ -0,0 +1,89 @@
+"""The command line of the daemon."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+
+import fire
+from fennelhill_core.logs import configure_logs
+from fennelhill_core.settings import Settings, SettingsError
+from loguru import logger
+
+from fennelhilld.daemon import Daemon
+
+EXIT_BAD_SETTINGS = 2
+
+
+class FennelhillDaemon:
+    """The fennelhill daemon.
+
+    Check a settings file first, then run one daemon on each entry host:
+
+        fennelhilld check --settings=fleet.yaml
+        fennelhilld run --settings=fleet.yaml --host-id=bog-a-1
+
+    Stop it with SIGTERM: it leaves the balancer, finishes what runs, and exits.
+    """
+
+    def check(self, settings: str) -> None:
+        """Check a settings file and print every problem.
+
+        Parameters
+        ----------
+        settings : str
+            Path of the YAML file.
+        """
+        loaded = _load(settings)
+        hosts, groups = len(loaded.entry_hosts), len(loaded.groups)
+        print(f"{settings}: valid, {hosts} entry hosts and {groups} database groups")
+
+    def run(self, settings: str, host_id: str, log_level: str = "INFO") -> None:
+        """Run the daemon of an entry host until SIGTERM.
+
+        Parameters
+        ----------
+        settings : str
+            Path of the YAML file.
+        host_id : str
+            Name of this entry host in the settings.
+        log_level : str
+            Least severe level that is logged.
+        """
+        configure_logs(log_level)
+        try:
+            daemon = Daemon.from_config(_load(settings), str(host_id))
+        except SettingsError as error:
+            _fail(error)
+        asyncio.run(_serve(daemon))
+
+
+async def _serve(daemon: Daemon) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    daemon.start()
+    daemon.listen()
+    logger.bind(host=daemon.host.id, address=daemon.host.address).info("listening")
+    await stop.wait()
+    await daemon.shutdown()
+
+
+def _load(path: str) -> Settings:
+    try:
+        return Settings.from_file(path)
+    except SettingsError as error:
+        _fail(error)
+
+
+def _fail(error: SettingsError) -> None:
+    for problem in error.problems:
+        print(f"settings: {problem}", file=sys.stderr)
+    raise SystemExit(EXIT_BAD_SETTINGS)
+
+
+def main() -> None:
+    """Run the command line."""
+    fire.Fire(FennelhillDaemon, name="fennelhilld")
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/daemon.py
@@ -0,0 +1,397 @@
+"""One daemon: all slices, wired together."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import socket
+from typing import Any
+
+import msgspec
+from fennelhill_core.clock import Clock
+from fennelhill_core.events import EventLog
+from fennelhill_core.rpc import RpcServer
+from fennelhill_core.settings import EntryHost, Settings, SettingsError
+from fennelhill_core.streams import (
+    Dialer,
+    Stream,
+    StreamEndpoint,
+    WebSocketDialer,
+)
+from fennelhill_core.tasks import Tasks
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application
+
+from fennelhilld.entry.http import NotFoundHandler, caller_routes
+from fennelhilld.entry.service import EntryService
+from fennelhilld.membership.view import LiveView
+from fennelhilld.peers.messages import (
+    PeerHello,
+    PrimarySeen,
+    PrimarySeenReply,
+    Work,
+    WorkReply,
+)
+from fennelhilld.peers.streams import PeerStreams
+from fennelhilld.platform.clients import HttpHostList, HttpTableService
+from fennelhilld.platform.messages import (
+    HostList,
+    StoreUnavailableError,
+    TableService,
+)
+from fennelhilld.pooling.duties import Duties
+from fennelhilld.routing.router import Router
+from fennelhilld.targets.driver import TARGET_DRIVERS
+from fennelhilld.timeline.http import (
+    EventsHandler,
+    HealthHandler,
+    MetricsHandler,
+    StatusHandler,
+)
+from fennelhilld.timeline.metrics import Metrics
+
+PEER_PATH = "/peer"
+TARGET_PATH = "/target"
+ASK_PEER_MS = 300.0
+DRAIN_STEP_MS = 20.0
+HARD_BODY_FACTOR = 4
+
+
+class Outside:
+    """What connects a daemon to the rest of the world; tests bring their own.
+
+    Parameters
+    ----------
+    peer_dialer : Dialer
+        Opens streams to other entry hosts.
+    target_dialer : Dialer
+        Opens streams to targets.
+    table : TableService or None
+        The platform's table service.
+    host_list : HostList or None
+        The platform's host list.
+    """
+
+    __slots__ = ("host_list", "peer_dialer", "table", "target_dialer")
+
+    def __init__(
+        self,
+        peer_dialer: Dialer,
+        target_dialer: Dialer,
+        table: TableService | None = None,
+        host_list: HostList | None = None,
+    ) -> None:
+        self.peer_dialer = peer_dialer
+        self.target_dialer = target_dialer
+        self.table = table
+        self.host_list = host_list
+
+    @classmethod
+    def from_config(cls, settings: Settings) -> Outside:
+        """Connect over TCP as the settings say.
+
+        Parameters
+        ----------
+        settings : Settings
+            The settings.
+
+        Returns
+        -------
+        Outside
+            Real connections.
+        """
+        platform = settings.platform
+        table = HttpTableService(platform.table_service)
+        host_list = HttpHostList(platform.host_list)
+        return cls(
+            WebSocketDialer(PEER_PATH, settings.fleet.secret),
+            WebSocketDialer(TARGET_PATH),
+            table if platform.table_service else None,
+            host_list if platform.host_list else None,
+        )
+
+
+class Daemon:
+    """Plays every role of the fleet on one entry host.
+
+    Parameters
+    ----------
+    host : EntryHost
+        This entry host.
+    settings : Settings
+        The checked settings.
+    outside : Outside
+        Connections to the rest of the world.
+    clock : Clock
+        Source of time.
+    random_state : random.Random
+        Source of randomness.
+    """
+
+    def __init__(
+        self,
+        host: EntryHost,
+        settings: Settings,
+        outside: Outside,
+        clock: Clock,
+        random_state: random.Random,
+    ) -> None:
+        self.host = host
+        self.settings = settings
+        self.clock = clock
+        self.closing = False
+        self.events = EventLog(host.id, host.zone, clock)
+        self.metrics = Metrics(host.id, host.zone, clock)
+        self.view = LiveView(host, settings, clock, self.events)
+        self.peers = PeerStreams(self.view, outside.peer_dialer, settings.limits, clock)
+        drivers = {
+            name: TARGET_DRIVERS.get(name)(outside.target_dialer, random_state)
+            for name in {group.driver for group in settings.groups.values()}
+        }
+        self.duties = Duties(
+            settings,
+            self.view,
+            drivers,
+            outside.table,
+            self._ask_peer,
+            clock,
+            random_state,
+            self.events,
+        )
+        self.router = Router(self.view, settings, self.peers, self.duties.serve, clock)
+        self.entry = EntryService(host.id, settings, self.router, clock, random_state)
+        self._host_list = outside.host_list
+        self._tasks = Tasks()
+        self._server: HTTPServer | None = None
+        self._peer_server = RpcServer(
+            {
+                "hello": self._hello,
+                "work": self._work,
+                "primary_seen": self._primary_seen,
+            }
+        )
+        self._register_gauges()
+
+    @classmethod
+    def from_config(cls, settings: Settings, host_id: str) -> Daemon:
+        """Build the daemon of an entry host.
+
+        Parameters
+        ----------
+        settings : Settings
+            The checked settings.
+        host_id : str
+            Name of this entry host in the settings.
+
+        Returns
+        -------
+        Daemon
+            The daemon, not started.
+
+        Raises
+        ------
+        SettingsError
+            If the settings name no such host.
+        """
+        for host in settings.entry_hosts:
+            if host.id == host_id:
+                outside = Outside.from_config(settings)
+                return cls(host, settings, outside, Clock(), random.SystemRandom())
+        known = ", ".join(host.id for host in settings.entry_hosts)
+        raise SettingsError([f"entry_hosts: no {host_id!r}; there are {known}"])
+
+    def start(self) -> None:
+        """Start all tasks; callers and peers are served once `listen` was called."""
+        self.duties.start()
+        if self._host_list is not None:
+            self._tasks.spawn(self._follow_host_list())
+        self.events.record("daemon.started")
+
+    def listen(self, sockets: list[socket.socket] | None = None) -> None:
+        """Serve callers, peers and operators on this host's address.
+
+        Parameters
+        ----------
+        sockets : list of socket.socket
+            Sockets that listen already; nothing to open the address itself.
+        """
+        if sockets is None:
+            ip, _, port = self.host.address.rpartition(":")
+            sockets = bind_sockets(int(port), ip.strip("[]"))
+        # A body a little over the limit gets its code; a huge one is not read.
+        hard_bytes = HARD_BODY_FACTOR * self.settings.limits.body_bytes
+        self._server = HTTPServer(self.application(), max_body_size=hard_bytes)
+        self._server.add_sockets(sockets)
+
+    def application(self) -> Application:
+        """Return the routes of this daemon.
+
+        Returns
+        -------
+        tornado.web.Application
+            Callers', operators' and peers' routes.
+        """
+        mine = {"daemon": self}
+        peer = {"handler": self.serve_peer, "bearer": self.settings.fleet.secret}
+        routes = caller_routes(
+            self.entry,
+            self.metrics,
+            lambda: self.closing,
+            self.settings.limits.body_bytes,
+        )
+        routes += [
+            ("/healthz", HealthHandler, mine),
+            ("/metrics", MetricsHandler, mine),
+            ("/status", StatusHandler, mine),
+            ("/events", EventsHandler, mine),
+            (PEER_PATH, StreamEndpoint, peer),
+        ]
+        return Application(
+            routes, default_handler_class=NotFoundHandler, log_function=_no_access_log
+        )
+
+    async def shutdown(self) -> None:
+        """Leave without cutting a request: hand over, finish, stop.
+
+        Work in progress and open transactions get ``limits.shutdown_ms``.
+        """
+        self.closing = True
+        self.duties.closing = True
+        self.view.leave()
+        self.events.record("daemon.leaving")
+        limit_ms = self.settings.limits.shutdown_ms
+        give_up_ms = self.clock.now_ms() + limit_ms
+        cut = await self.duties.transactions.drain(limit_ms)
+        while self._busy() and self.clock.now_ms() < give_up_ms:
+            await self.clock.sleep_ms(DRAIN_STEP_MS)
+        self.events.record("daemon.stopped", transactions_cut=cut)
+        self.close()
+
+    def close(self) -> None:
+        """Stop at once, as a crash would."""
+        if self._server is not None:
+            self._server.stop()
+        self._tasks.cancel()
+        self.duties.close()
+        self.router.close()
+        self.peers.close()
+
+    async def serve_peer(self, stream: Stream) -> None:
+        """Serve the stream of another entry host.
+
+        Parameters
+        ----------
+        stream : Stream
+            The accepted stream.
+        """
+        await self._peer_server.serve(stream)
+
+    def status(self) -> dict[str, Any]:
+        """Describe what this daemon believes.
+
+        Returns
+        -------
+        dict
+            For ``GET /status``.
+        """
+        groups = {}
+        for name, watch in self.duties.watches.items():
+            primary = watch.primary()
+            groups[name] = {
+                "term": watch.term,
+                "primary": primary.target.id if primary else None,
+                "targets": msgspec.to_builtins(watch.view().targets),
+            }
+        owners = {
+            name: {
+                "connections": owner.pool.open,
+                "idle": owner.pool.idle,
+                "busy_slots": owner.queue.busy,
+                "waiting": owner.queue.waiting,
+            }
+            for name, owner in self.duties.owners.items()
+        }
+        return {
+            "host": self.host.id,
+            "zone": self.host.zone,
+            "closing": self.closing,
+            "usable_hosts": [h for h in self.view.hosts if self.view.usable(h)],
+            "groups": groups,
+            "owns": owners,
+            "open_transactions": self.duties.transactions.open,
+        }
+
+    def _busy(self) -> bool:
+        return bool(self.metrics.in_progress or self.duties.in_progress)
+
+    async def _hello(self, params: msgspec.Raw) -> PeerHello:
+        hello = msgspec.json.decode(params, type=PeerHello)
+        if hello.host in self.view.hosts:
+            self.view.heard(hello.host, hello.leaving)
+        self.events.witness(hello.at_ms)
+        return PeerHello(self.host.id, self.closing, self.clock.wall_ms())
+
+    async def _work(self, params: msgspec.Raw) -> WorkReply:
+        return await self.duties.serve(msgspec.json.decode(params, type=Work))
+
+    async def _primary_seen(self, params: msgspec.Raw) -> PrimarySeenReply:
+        question = msgspec.json.decode(params, type=PrimarySeen)
+        return self.duties.primary_seen(question)
+
+    async def _ask_peer(
+        self, host: EntryHost, question: PrimarySeen
+    ) -> PrimarySeenReply:
+        return await self.peers.call(
+            host, "primary_seen", question, ASK_PEER_MS, PrimarySeenReply
+        )
+
+    async def _follow_host_list(self) -> None:
+        while True:
+            # An old list is still the best hint there is.
+            with contextlib.suppress(StoreUnavailableError):
+                self.view.listed(await self._host_list.hosts())
+            await self.clock.sleep_ms(self.settings.limits.host_list_ms)
+
+    def _register_gauges(self) -> None:
+        def by_target(read: Any) -> Any:
+            return lambda: {
+                (("target", name),): read(owner)
+                for name, owner in self.duties.owners.items()
+            }
+
+        gauges = [
+            ("connections", "Open connections.", lambda o: o.pool.open),
+            ("connects", "Connections set up.", lambda o: o.pool.counters.connects),
+            ("refused", "Connections refused.", lambda o: o.pool.counters.refused),
+            ("silent", "Silent connections found.", lambda o: o.pool.counters.silent),
+            ("waiting", "Requests in the queue.", lambda o: o.queue.waiting),
+            ("shed", "Requests shed as not run.", lambda o: o.queue.shed),
+            (
+                "service_ms",
+                "Time a request holds a slot.",
+                lambda o: o.queue.service_ms,
+            ),
+            ("wait_ms", "Expected wait for a slot.", lambda o: o.queue.wait_ms()),
+        ]
+        for name, doc, read in gauges:
+            self.metrics.gauge(f"fennelhill_pool_{name}", doc, by_target(read))
+        self.metrics.gauge(
+            "fennelhill_open_transactions",
+            "Transactions that pin a connection.",
+            lambda: {(): self.duties.transactions.open},
+        )
+        self.metrics.gauge(
+            "fennelhill_hops",
+            "Requests sent to other entry hosts.",
+            lambda: {(): self.router.hops},
+        )
+        self.metrics.gauge(
+            "fennelhill_retries",
+            "Requests sent again.",
+            lambda: {(): self.router.retries},
+        )
+
+
+def _no_access_log(_: object) -> None:
+    """Log nothing for each request: decisions are events, counts are metrics."""
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Entry: the interface for callers."""
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/entry/http.py
@@ -0,0 +1,351 @@
+"""The callers' interface over HTTP."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
+
+import msgspec
+from fennelhill_core.clock import MS_PER_S
+from fennelhill_core.codes import (
+    BODY_TOO_LARGE,
+    CODES,
+    INTERNAL,
+    INVALID_FIELD,
+    MALFORMED_JSON,
+    NOT_FOUND,
+    Refusal,
+)
+from result import Err, Ok, Result
+from tornado.web import RequestHandler
+
+from fennelhilld.entry.messages import (
+    Caller,
+    EmptyBody,
+    ErrorBody,
+    StatementBody,
+)
+from fennelhilld.entry.service import EntryService, Reply
+
+if TYPE_CHECKING:
+    from fennelhilld.timeline.metrics import Metrics
+
+SESSION_HEADER = "Fennelhill-Session"
+SESSION_STATE_HEADER = "Fennelhill-Session-State"
+SESSION_COOKIE = "fennelhill_session"
+DEADLINE_HEADER = "Fennelhill-Deadline-Ms"
+CLASS_HEADER = "Fennelhill-Class"
+KEY_HEADER = "Idempotency-Key"
+
+_encode = msgspec.json.encode
+
+
+class JsonHandler(RequestHandler):
+    """Answers in JSON, also where Tornado itself refuses."""
+
+    def set_default_headers(self) -> None:
+        """Set what every answer carries."""
+        self.set_header("Content-Type", "application/json")
+
+    def write_error(self, status_code: int, **kwargs: object) -> None:
+        """Answer a failure that no handler has named.
+
+        Parameters
+        ----------
+        status_code : int
+            The status that Tornado chose.
+        **kwargs : object
+            Unused details.
+        """
+        code = NOT_FOUND if status_code in (404, 405) else INVALID_FIELD
+        if status_code >= 500:
+            # Whatever broke here broke at an unknown point of the request.
+            code = INTERNAL
+        self.refuse(Refusal.of(code, self._reason), status_code)
+
+    def refuse(self, refusal: Refusal, status: int = 0, key: str = "") -> None:
+        """Answer with a numbered code.
+
+        Parameters
+        ----------
+        refusal : Refusal
+            The refusal.
+        status : int
+            Status in place of the code's own.
+        key : str
+            The idempotency key under which an outcome can be asked for.
+        """
+        self.set_status(status or CODES[refusal.code].http_status)
+        if refusal.retry_after_ms:
+            seconds = math.ceil(refusal.retry_after_ms / MS_PER_S)
+            self.set_header("Retry-After", str(seconds))
+        self.finish(_encode({"error": ErrorBody.from_refusal(refusal, key)}))
+
+
+class NotFoundHandler(JsonHandler):
+    """Answers for paths that do not exist."""
+
+    def prepare(self) -> None:
+        """Refuse whatever the method."""
+        self.refuse(Refusal.of(NOT_FOUND, self.request.path[:80]))
+
+
+class CallerHandler(JsonHandler):
+    """Base of the calls: headers in, session token and codes out."""
+
+    def initialize(
+        self,
+        service: EntryService,
+        metrics: Metrics,
+        closing: Callable[[], bool],
+        body_bytes: int,
+    ) -> None:
+        """Keep what the application passes.
+
+        Parameters
+        ----------
+        service : EntryService
+            Serves the calls.
+        metrics : Metrics
+            Counts them.
+        closing : callable
+            Whether this host is shutting down.
+        body_bytes : int
+            Largest body that is accepted.
+        """
+        self._service = service
+        self._metrics = metrics
+        self._closing = closing
+        self._body_bytes = body_bytes
+
+    async def respond(
+        self, call: Callable[[Caller], Awaitable[Reply]] | None, operation: str
+    ) -> None:
+        """Authenticate, serve and answer.
+
+        Parameters
+        ----------
+        call : callable
+            Serves the authenticated caller.
+        operation : str
+            Name of the call, for the metrics.
+        """
+        with self._metrics.request(operation) as outcome:
+            authenticated = self._authenticate()
+            if authenticated.is_err():
+                outcome.refused(authenticated.unwrap_err())
+                self.refuse(authenticated.unwrap_err())
+                return
+            caller = authenticated.unwrap()
+            reply = await call(caller)
+            if reply.is_err():
+                outcome.refused(reply.unwrap_err())
+        if self._closing():
+            # The balancer will open the next connection to another host.
+            self.set_header("Connection", "close")
+        if reply.is_err():
+            refusal = reply.unwrap_err()
+            self.refuse(refusal, key="" if refusal.not_run else caller.key)
+            return
+        answered = reply.unwrap()
+        if answered.session:
+            self.set_header(SESSION_HEADER, answered.session)
+            self.set_cookie(SESSION_COOKIE, answered.session, httponly=True)
+        if not answered.session_usable:
+            self.set_header(SESSION_STATE_HEADER, "unusable")
+        if answered.key:
+            self.set_header(KEY_HEADER, answered.key)
+        self.finish(_encode(answered.answer))
+
+    def body(self, kind: type) -> Result[object, Refusal]:
+        """Decode and check the body.
+
+        Parameters
+        ----------
+        kind : type
+            What it must be.
+
+        Returns
+        -------
+        Result
+            The body, or a refusal that names the field.
+        """
+        raw = self.request.body or b"{}"
+        if len(raw) > self._body_bytes:
+            detail = f"{len(raw)} bytes, where {self._body_bytes} are allowed"
+            return Err(Refusal.of(BODY_TOO_LARGE, detail))
+        try:
+            return Ok(msgspec.json.decode(raw, type=kind))
+        except msgspec.ValidationError as error:
+            return Err(Refusal.of(INVALID_FIELD, str(error)))
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return Err(Refusal.of(MALFORMED_JSON, str(error)))
+
+    def _authenticate(self) -> Result[Caller, Refusal]:
+        headers = self.request.headers
+        scheme, _, token = headers.get("Authorization", "").partition(" ")
+        session = headers.get(SESSION_HEADER) or self.get_cookie(SESSION_COOKIE) or ""
+        return self._service.authenticate(
+            token if scheme.lower() == "bearer" else "",
+            session,
+            headers.get(DEADLINE_HEADER, ""),
+            headers.get(CLASS_HEADER, ""),
+            headers.get(KEY_HEADER, ""),
+        )
+
+
+class SessionsHandler(CallerHandler):
+    """``POST /v1/sessions``."""
+
+    async def post(self) -> None:
+        """Mint a session token."""
+
+        async def call(caller: Caller) -> Reply:
+            return self._service.open_session(caller)
+
+        await self.respond(call, "session")
+
+
+class ExecuteHandler(CallerHandler):
+    """``POST /v1/groups/{group}/execute``."""
+
+    async def post(self, group: str) -> None:
+        """Run one statement.
+
+        Parameters
+        ----------
+        group : str
+            The database group.
+        """
+        body = self.body(StatementBody)
+
+        async def call(caller: Caller) -> Reply:
+            if body.is_err():
+                return Err(body.unwrap_err())
+            return await self._service.execute(caller, group, body.unwrap())
+
+        await self.respond(call, "execute")
+
+
+class BeginHandler(CallerHandler):
+    """``POST /v1/groups/{group}/transactions``."""
+
+    async def post(self, group: str) -> None:
+        """Open a transaction.
+
+        Parameters
+        ----------
+        group : str
+            The database group.
+        """
+        body = self.body(EmptyBody)
+
+        async def call(caller: Caller) -> Reply:
+            if body.is_err():
+                return Err(body.unwrap_err())
+            return await self._service.begin(caller, group)
+
+        await self.respond(call, "begin")
+
+
+class StatementHandler(CallerHandler):
+    """``POST /v1/transactions/{transaction}/execute``."""
+
+    async def post(self, transaction: str) -> None:
+        """Run a statement in a transaction.
+
+        Parameters
+        ----------
+        transaction : str
+            Id of the transaction.
+        """
+        body = self.body(StatementBody)
+
+        async def call(caller: Caller) -> Reply:
+            if body.is_err():
+                return Err(body.unwrap_err())
+            return await self._service.statement(caller, transaction, body.unwrap())
+
+        await self.respond(call, "statement")
+
+
+class EndHandler(CallerHandler):
+    """``POST /v1/transactions/{transaction}/commit`` and ``/rollback``."""
+
+    async def post(self, transaction: str, how: str) -> None:
+        """End a transaction.
+
+        Parameters
+        ----------
+        transaction : str
+            Id of the transaction.
+        how : str
+            ``commit`` or ``rollback``.
+        """
+        body = self.body(EmptyBody)
+        end = getattr(self._service, how)
+
+        async def call(caller: Caller) -> Reply:
+            if body.is_err():
+                return Err(body.unwrap_err())
+            return await end(caller, transaction)
+
+        await self.respond(call, how)
+
+
+class OutcomeHandler(CallerHandler):
+    """``POST /v1/groups/{group}/keys/{key}/outcome``."""
+
+    async def post(self, group: str, key: str) -> None:
+        """Settle what became of a key.
+
+        Parameters
+        ----------
+        group : str
+            The database group.
+        key : str
+            The idempotency key.
+        """
+
+        async def call(caller: Caller) -> Reply:
+            return await self._service.outcome(caller, group, key)
+
+        await self.respond(call, "outcome")
+
+
+def caller_routes(
+    service: EntryService,
+    metrics: Metrics,
+    closing: Callable[[], bool],
+    body_bytes: int,
+) -> list[tuple]:
+    """Return the routes of the callers' interface.
+
+    Parameters
+    ----------
+    service : EntryService
+        Serves the calls.
+    metrics : Metrics
+        Counts them.
+    closing : callable
+        Whether this host is shutting down.
+    body_bytes : int
+        Largest body that is accepted.
+
+    Returns
+    -------
+    list of tuple
+        For a Tornado application.
+    """
+    shared = {"service": service, "metrics": metrics, "closing": closing}
+    shared["body_bytes"] = body_bytes
+    name, sealed = r"([^/]{1,64})", r"([A-Za-z0-9_-]{1,2048})"
+    return [
+        (r"/v1/sessions", SessionsHandler, shared),
+        (rf"/v1/groups/{name}/execute", ExecuteHandler, shared),
+        (rf"/v1/groups/{name}/transactions", BeginHandler, shared),
+        (rf"/v1/groups/{name}/keys/([^/]{{1,400}})/outcome", OutcomeHandler, shared),
+        (rf"/v1/transactions/{sealed}/execute", StatementHandler, shared),
+        (rf"/v1/transactions/{sealed}/(commit|rollback)", EndHandler, shared),
+    ]
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/entry/messages.py
@@ -0,0 +1,152 @@
+"""What callers send and get, apart from HTTP."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+from fennelhill_core.codes import CODES, Refusal
+from fennelhill_core.settings import RequestClass, Team
+
+
+class StatementBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of an execute call.
+
+    Parameters
+    ----------
+    sql : str
+        One statement, with ``?`` for parameters.
+    params : list
+        One string, number, boolean or null for each parameter.
+    """
+
+    sql: str
+    params: list[str | int | float | bool | None] = []
+
+
+class EmptyBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of the calls that take no fields."""
+
+
+class Caller(msgspec.Struct):
+    """Who calls, and what travels with each call.
+
+    Parameters
+    ----------
+    team_name : str
+        Name of the customer team.
+    team : Team
+        Its settings.
+    session : str
+        The session token as sent; empty for none.
+    deadline_ms : float or None
+        Time that the caller gives, in milliseconds.
+    class_name : str
+        The request class; empty for none.
+    key : str
+        The idempotency key; empty for none.
+    """
+
+    team_name: str
+    team: Team
+    session: str = ""
+    deadline_ms: float | None = None
+    class_name: str = ""
+    key: str = ""
+
+
+class ClassChoice(msgspec.Struct):
+    """A request class that the caller may use."""
+
+    name: str
+    settings: RequestClass
+
+
+class CallerAnswer(msgspec.Struct, omit_defaults=True):
+    """Body of an answered call.
+
+    Parameters
+    ----------
+    columns : list of str
+        Column names.
+    rows : list of list
+        The rows.
+    changed : int
+        Rows that were changed.
+    served_by : str
+        ``primary`` or ``replica``.
+    replayed : bool
+        Whether this is the stored answer of an earlier call with the same key.
+    outcome : str
+        For an outcome query: ``ran`` or ``not run``.
+    transaction : str
+        Id of the transaction that was begun.
+    """
+
+    columns: list[str] = []
+    rows: list[list[Any]] = []
+    changed: int = 0
+    served_by: str = ""
+    replayed: bool = False
+    outcome: str = ""
+    transaction: str = ""
+
+
+class CallerReply(msgspec.Struct):
+    """An answered call with what goes into its headers.
+
+    Parameters
+    ----------
+    answer : CallerAnswer
+        The body.
+    session : str
+        The session token from now on; empty where it did not change.
+    session_usable : bool
+        Whether the token that was sent could be used.
+    key : str
+        The idempotency key under which the request ran.
+    """
+
+    answer: CallerAnswer
+    session: str = ""
+    session_usable: bool = True
+    key: str = ""
+
+
+class ErrorBody(msgspec.Struct):
+    """Body of a refused call."""
+
+    code: int
+    name: str
+    outcome: str
+    message: str
+    detail: str
+    retry_after_ms: int
+    key: str = ""
+
+    @classmethod
+    def from_refusal(cls, refusal: Refusal, key: str = "") -> ErrorBody:
+        """Describe a refusal to the caller.
+
+        Parameters
+        ----------
+        refusal : Refusal
+            The refusal.
+        key : str
+            The idempotency key under which an outcome can be asked for.
+
+        Returns
+        -------
+        ErrorBody
+            The body.
+        """
+        code = CODES[refusal.code]
+        return cls(
+            code.number,
+            code.name,
+            code.outcome.value,
+            code.caller,
+            refusal.detail,
+            refusal.retry_after_ms,
+            key,
+        )
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/failover/__init__.py
@@ -0,0 +1,1 @@
+"""Failover: detects a lost primary and orders the promotion of another."""
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/membership/view.py
@@ -0,0 +1,259 @@
+"""The live view: which entry hosts may be asked, and who owns which target."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import xxhash
+from fennelhill_core.clock import Clock
+from fennelhill_core.events import EventLog
+from fennelhill_core.registry import Registry
+from fennelhill_core.settings import EntryHost, Settings, Target
+
+from fennelhilld.platform.messages import HostEntry, HostState
+
+
+class LiveView:
+    """What this entry host believes of the others.
+
+    It needs no agreement: two hosts with different views make two owners for a
+    target, which costs connections but breaks no promise.
+
+    Parameters
+    ----------
+    host : EntryHost
+        This entry host.
+    settings : Settings
+        Names all entry hosts.
+    clock : Clock
+        Source of time.
+    events : EventLog
+        Where findings go.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_events",
+        "_leaving",
+        "_listed",
+        "_suspects",
+        "host",
+        "hosts",
+    )
+
+    def __init__(
+        self, host: EntryHost, settings: Settings, clock: Clock, events: EventLog
+    ) -> None:
+        self.host = host
+        self.hosts = {entry.id: entry for entry in settings.entry_hosts}
+        self._clock = clock
+        self._events = events
+        self._suspects: dict[str, float] = {}
+        self._leaving: set[str] = set()
+        self._listed: dict[str, HostState] = {}
+
+    def suspect(self, host: str, for_ms: float, reason: str) -> None:
+        """Leave a host out of the view for a while.
+
+        Parameters
+        ----------
+        host : str
+            The entry host that did not answer.
+        for_ms : float
+            How long, in milliseconds.
+        reason : str
+            What was seen, for the time line.
+        """
+        if host == self.host.id:
+            return
+        if not self.is_suspect(host):
+            self._events.record("membership.suspected", peer=host, reason=reason)
+        self._suspects[host] = self._clock.now_ms() + for_ms
+
+    def heard(self, host: str, leaving: bool) -> None:
+        """Note a heartbeat.
+
+        Parameters
+        ----------
+        host : str
+            The entry host that answered.
+        leaving : bool
+            Whether it is shutting down.
+        """
+        if self._suspects.pop(host, None) is not None:
+            self._events.record("membership.returned", peer=host)
+        if leaving and host not in self._leaving:
+            self._events.record("membership.leaving", peer=host)
+            self._leaving.add(host)
+        elif not leaving:
+            self._leaving.discard(host)
+
+    def listed(self, hosts: list[HostEntry]) -> None:
+        """Take the platform's list, which lags and is only a hint.
+
+        Parameters
+        ----------
+        hosts : list of HostEntry
+            The list.
+        """
+        self._listed = {entry.id: entry.state for entry in hosts}
+
+    def leave(self) -> None:
+        """Take this entry host out of its own view."""
+        self._leaving.add(self.host.id)
+
+    def is_suspect(self, host: str) -> bool:
+        """Tell whether a host is left out because it did not answer.
+
+        Parameters
+        ----------
+        host : str
+            The entry host.
+
+        Returns
+        -------
+        bool
+            Whether it is.
+        """
+        return self._suspects.get(host, 0.0) > self._clock.now_ms()
+
+    def usable(self, host: str) -> bool:
+        """Tell whether new work may go to a host.
+
+        Parameters
+        ----------
+        host : str
+            The entry host.
+
+        Returns
+        -------
+        bool
+            Whether it may.
+        """
+        if host in self._leaving or self.is_suspect(host):
+            return False
+        return self._listed.get(host, HostState.LIVE) is HostState.LIVE
+
+    def candidates(self, target: Target) -> list[EntryHost]:
+        """Order the hosts that may own a target, the owner first.
+
+        Hosts in the target's availability zone come first; within a zone the
+        order is by rendezvous hash (Thaler and Ravishankar, 1998), so that a host
+        that comes or goes moves only its own targets.
+
+        Parameters
+        ----------
+        target : Target
+            The target.
+
+        Returns
+        -------
+        list of EntryHost
+            Usable hosts.
+        """
+        usable = [entry for entry in self.hosts.values() if self.usable(entry.id)]
+        return sorted(
+            usable,
+            key=lambda entry: (
+                entry.zone != target.zone,
+                -xxhash.xxh64_intdigest(f"{entry.id}/{target.id}".encode()),
+            ),
+        )
+
+
+class OwnerPolicy(Protocol):
+    """Decides which entry host holds the connections to a target."""
+
+    def order(self, view: LiveView, target: Target) -> list[EntryHost]:
+        """Return the hosts to ask, the best first."""
+
+    def connections(self, view: LiveView, target: Target) -> int:
+        """Return how many connections an owner may hold; 0 for the default."""
+
+
+OWNER_POLICIES: Registry[OwnerPolicy] = Registry("owner policy")
+
+
+@OWNER_POLICIES.register("rendezvous")
+class RendezvousOwner:
+    """One owner a target, near it: exact admission, few connections, one hop."""
+
+    __slots__ = ()
+
+    def order(self, view: LiveView, target: Target) -> list[EntryHost]:
+        """Return the hosts to ask.
+
+        Parameters
+        ----------
+        view : LiveView
+            The live view.
+        target : Target
+            The target.
+
+        Returns
+        -------
+        list of EntryHost
+            The owner, then those who take over if it does not answer.
+        """
+        return view.candidates(target)
+
+    def connections(self, view: LiveView, target: Target) -> int:
+        """Return how many connections an owner may hold.
+
+        Parameters
+        ----------
+        view : LiveView
+            The live view.
+        target : Target
+            The target.
+
+        Returns
+        -------
+        int
+            0, for the pool's default.
+        """
+        return 0
+
+
+@OWNER_POLICIES.register("split")
+class SplitOwner:
+    """Every entry host holds its share of the connections: no hop, no common queue.
+
+    The baseline for ``make measure ROUND=pooling``.
+    """
+
+    __slots__ = ()
+
+    def order(self, view: LiveView, target: Target) -> list[EntryHost]:
+        """Return this host alone.
+
+        Parameters
+        ----------
+        view : LiveView
+            The live view.
+        target : Target
+            The target.
+
+        Returns
+        -------
+        list of EntryHost
+            This entry host.
+        """
+        return [view.host]
+
+    def connections(self, view: LiveView, target: Target) -> int:
+        """Return this host's share of the target's connections.
+
+        Parameters
+        ----------
+        view : LiveView
+            The live view.
+        target : Target
+            The target.
+
+        Returns
+        -------
+        int
+            At least one; the control connections of the hosts come off first.
+        """
+        return max(1, target.connections // len(view.hosts) - 1)
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Peers: requests between entry hosts."""
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/peers/messages.py
@@ -0,0 +1,181 @@
+"""Messages between the entry host of a caller and the owner of a target's pool."""
+
+from __future__ import annotations
+
+import enum
+from typing import Any
+
+import msgspec
+from fennelhill_core.codes import Refusal
+from fennelhill_core.settings import Acknowledgement, Priority
+from fennelhill_core.tokens import Position
+
+
+class Operation(enum.Enum):
+    """What an owner is asked to do at its target; ``LOOK`` asks for its view only."""
+
+    READ = "read"
+    WRITE = "write"
+    BEGIN = "begin"
+    STATEMENT = "statement"
+    COMMIT = "commit"
+    ROLLBACK = "rollback"
+    OUTCOME = "outcome"
+    LOOK = "look"
+
+
+class Work(msgspec.Struct, omit_defaults=True):
+    """One request to the owner of a target's pool.
+
+    It carries what the owner needs of the team's settings, so that entry host and
+    owner need not have the same revision.
+
+    Parameters
+    ----------
+    operation : Operation
+        What to do.
+    group : str
+        The database group.
+    target : str
+        The target.
+    team : str
+        The customer team.
+    weight : float
+        The team's share under overload.
+    tier : Priority
+        Which requests yield under overload.
+    remaining_ms : float
+        Time left until the caller's deadline, at the time of sending.
+    sql : str
+        The statement.
+    params : list
+        Its parameters.
+    need : Position
+        What the session has written and so must see.
+    allowed_age_ms : float
+        Age that a read accepts; 0 asks for the confirmed primary.
+    ack : Acknowledgement
+        What a write waits for.
+    key : str
+        Idempotency key; empty for an idempotent write without one.
+    digest : str
+        Digest of the request that the key stands for.
+    transaction : int
+        Nonce of the open transaction.
+    """
+
+    operation: Operation
+    group: str
+    target: str
+    team: str
+    weight: float = 1.0
+    tier: Priority = Priority.NORMAL
+    remaining_ms: float = 1000.0
+    sql: str = ""
+    params: list[Any] = []
+    need: Position = Position()
+    allowed_age_ms: float = 0.0
+    ack: Acknowledgement = Acknowledgement.CONFIRMED
+    key: str = ""
+    digest: str = ""
+    transaction: int = 0
+
+
+class TargetView(msgspec.Struct, omit_defaults=True):
+    """What an owner knows of a target.
+
+    Parameters
+    ----------
+    primary : bool
+        Whether it leads its term.
+    term : int
+        Highest term that it has granted.
+    position : Position
+        Its applied log.
+    age_ms : float
+        Proven age of its data; -1 where nothing is proven.
+    wait_ms : float
+        Expected wait for a slot; -1 where the sender does not own its pool.
+    leaving : bool
+        Whether it must receive no new work.
+    """
+
+    primary: bool = False
+    term: int = 0
+    position: Position = Position()
+    age_ms: float = -1.0
+    wait_ms: float = -1.0
+    leaving: bool = False
+
+
+class GroupView(msgspec.Struct):
+    """What an owner knows of a group's targets, by name."""
+
+    targets: dict[str, TargetView]
+
+
+class Answer(msgspec.Struct, omit_defaults=True):
+    """What a caller asked for.
+
+    Parameters
+    ----------
+    columns : list of str
+        Column names.
+    rows : list of list
+        The rows.
+    changed : int
+        Rows that were changed.
+    position : Position
+        Position of the write; zero for a read.
+    replica : bool
+        Whether a replica served a read.
+    replayed : bool
+        Whether this is the stored answer of an earlier request with the same key.
+    transaction : int
+        Nonce of the transaction that was begun.
+    host : str
+        Entry host that holds the transaction that was begun.
+    cancelled : bool
+        For an outcome query: the request did not run and never will.
+    """
+
+    columns: list[str] = []
+    rows: list[list[Any]] = []
+    changed: int = 0
+    position: Position = Position()
+    replica: bool = False
+    replayed: bool = False
+    transaction: int = 0
+    host: str = ""
+    cancelled: bool = False
+
+
+class WorkReply(msgspec.Struct, omit_defaults=True):
+    """An answer or a refusal, or neither for a look, with knowledge of the group."""
+
+    answer: Answer | None = None
+    refusal: Refusal | None = None
+    view: GroupView | None = None
+
+
+class PeerHello(msgspec.Struct):
+    """A heartbeat between entry hosts."""
+
+    host: str
+    leaving: bool = False
+    at_ms: int = 0
+
+
+class PrimarySeen(msgspec.Struct):
+    """Asks another entry host when it last heard a group's primary."""
+
+    group: str
+    term: int
+
+
+class PrimarySeenReply(msgspec.Struct):
+    """Silence of the primary as another entry host sees it; -1 for unknown."""
+
+    zone: str
+    silence_ms: float
+    term: int
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/pooling/__init__.py
@@ -0,0 +1,1 @@
+"""Pooling: connections to a target and admission to its slots."""
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/pooling/admission.py
@@ -0,0 +1,297 @@
+"""Admission to a target's slots: tiers, fair shares and deadlines."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import sys
+
+from fennelhill_core.clock import MS_PER_S, Clock
+from fennelhill_core.codes import DEADLINE_PASSED, OVERLOADED, Refusal
+from fennelhill_core.settings import Priority
+from result import Err, Ok, Result
+from sortedcontainers import SortedKeyList
+
+FIRST_SERVICE_MS = 5.0
+SMOOTHING = 0.1
+RETRY_AFTER_MAX_MS = 5_000.0
+RETRY_AFTER_MIN_MS = 20.0
+
+
+class _Waiter:
+    """A request in the queue."""
+
+    __slots__ = ("deadline_ms", "future", "order", "timer")
+
+    def __init__(self, deadline_ms: float, order: int) -> None:
+        self.deadline_ms = deadline_ms
+        self.order = order
+        self.future: asyncio.Future = asyncio.get_running_loop().create_future()
+        self.timer: asyncio.TimerHandle | None = None
+
+    @property
+    def rank(self) -> tuple[float, int]:
+        """Where it stands among the requests of its team."""
+        return (self.deadline_ms, self.order)
+
+
+class _Line:
+    """The requests of one team in one tier, the earliest deadline first."""
+
+    __slots__ = ("_waiters", "weight")
+
+    def __init__(self) -> None:
+        self._waiters: SortedKeyList = SortedKeyList(key=lambda waiter: waiter.rank)
+        self.weight = 1.0
+
+    def __len__(self) -> int:
+        return len(self._waiters)
+
+    def push(self, waiter: _Waiter) -> None:
+        self._waiters.add(waiter)
+
+    def pop(self) -> _Waiter:
+        return self._waiters.pop(0)
+
+    def remove(self, waiter: _Waiter) -> None:
+        self._waiters.discard(waiter)
+
+    def before(self, deadline_ms: float) -> int:
+        return self._waiters.bisect_key_right((deadline_ms, sys.maxsize))
+
+    def last(self) -> _Waiter:
+        return self._waiters[-1]
+
+
+class Permit:
+    """The right to occupy one slot, until it is released.
+
+    Parameters
+    ----------
+    queue : AdmissionQueue
+        Where it came from.
+    started_ms : float
+        When it was granted.
+    """
+
+    __slots__ = ("_queue", "_started_ms")
+
+    def __init__(self, queue: AdmissionQueue, started_ms: float) -> None:
+        self._queue: AdmissionQueue | None = queue
+        self._started_ms = started_ms
+
+    def release(self) -> None:
+        """Give the slot to the next request.  Releasing twice does nothing."""
+        queue, self._queue = self._queue, None
+        if queue is not None:
+            queue._released(self._started_ms)
+
+
+class AdmissionQueue:
+    """Decides which request gets a slot of a target next, and which get none.
+
+    A higher tier goes first.  Within a tier the teams share the slots by weight
+    (start-time fair queueing, Goyal and others, 1996), and within a team the
+    earliest deadline goes first.  A request that can't be served in time is told
+    so at once, as *not run*, with the time after which it may come back.
+
+    Parameters
+    ----------
+    slots : int
+        Requests that may be at the target at the same time.
+    capacity : int
+        Requests that may wait.
+    clock : Clock
+        Source of time.
+    """
+
+    __slots__ = (
+        "_busy",
+        "_capacity",
+        "_clock",
+        "_lines",
+        "_order",
+        "_service_ms",
+        "_tags",
+        "_virtual_ms",
+        "shed",
+        "slots",
+    )
+
+    def __init__(self, slots: int, capacity: int, clock: Clock) -> None:
+        self.slots = slots
+        self.shed = 0
+        self._capacity = capacity
+        self._clock = clock
+        self._busy = 0
+        self._service_ms = FIRST_SERVICE_MS
+        self._lines: dict[Priority, dict[str, _Line]] = {tier: {} for tier in Priority}
+        self._order = itertools.count()
+        self._tags: dict[str, float] = {}
+        self._virtual_ms = 0.0
+
+    @property
+    def service_ms(self) -> float:
+        """Smoothed time that a request holds a slot, in milliseconds."""
+        return self._service_ms
+
+    @property
+    def waiting(self) -> int:
+        """Requests in the queue."""
+        return sum(len(line) for tier in self._lines.values() for line in tier.values())
+
+    @property
+    def busy(self) -> int:
+        """Slots in use."""
+        return self._busy
+
+    def wait_ms(self, tier: Priority = Priority.NORMAL) -> float:
+        """Estimate the wait of a request that comes now.
+
+        Parameters
+        ----------
+        tier : Priority
+            Its tier.
+
+        Returns
+        -------
+        float
+            Milliseconds until it would get a slot.
+        """
+        if self._busy < self.slots:
+            return 0.0
+        ahead = sum(
+            len(line)
+            for other, lines in self._lines.items()
+            if other <= tier
+            for line in lines.values()
+        )
+        return (ahead + 1) * self._service_ms / self.slots
+
+    async def acquire(
+        self, team: str, weight: float, tier: Priority, deadline_ms: float
+    ) -> Result[Permit, Refusal]:
+        """Wait for a slot.
+
+        Parameters
+        ----------
+        team : str
+            The customer team.
+        weight : float
+            Its share.
+        tier : Priority
+            Which requests go first.
+        deadline_ms : float
+            When the answer must be ready, on this host's clock.
+
+        Returns
+        -------
+        Result
+            A permit, or a refusal of class *not run*.
+        """
+        now_ms = self._clock.now_ms()
+        if deadline_ms <= now_ms:
+            return Err(Refusal.of(DEADLINE_PASSED, "passed before admission"))
+        if self._busy < self.slots and not self.waiting:
+            self._charge(team, weight)
+            self._busy += 1
+            return Ok(Permit(self, now_ms))
+        wait_ms = self._wait_of(team, weight, tier, deadline_ms)
+        if now_ms + wait_ms + self._service_ms > deadline_ms:
+            return Err(self._refuse(wait_ms))
+        if self.waiting >= self._capacity and not self._evict(tier):
+            return Err(self._refuse(wait_ms))
+        return await self._enqueue(team, weight, tier, deadline_ms)
+
+    async def _enqueue(
+        self, team: str, weight: float, tier: Priority, deadline_ms: float
+    ) -> Result[Permit, Refusal]:
+        waiter = _Waiter(deadline_ms, next(self._order))
+        line = self._lines[tier].setdefault(team, _Line())
+        line.weight = weight
+        line.push(waiter)
+        # The wait ends when the rest no longer suffices for the work itself.
+        give_up_ms = deadline_ms - self._service_ms - self._clock.now_ms()
+        waiter.timer = asyncio.get_running_loop().call_later(
+            max(0.0, give_up_ms) / MS_PER_S, self._expire, line, waiter
+        )
+        try:
+            return await waiter.future
+        except asyncio.CancelledError:
+            line.remove(waiter)
+            if not waiter.future.cancelled():
+                # The slot was granted in the same moment; hand it on.
+                waiter.future.result().map(Permit.release)
+            raise
+        finally:
+            waiter.timer.cancel()
+
+    def _expire(self, line: _Line, waiter: _Waiter) -> None:
+        if not waiter.future.done():
+            line.remove(waiter)
+            waiter.future.set_result(Err(self._refuse(self._service_ms)))
+
+    def _refuse(self, wait_ms: float) -> Refusal:
+        self.shed += 1
+        retry_ms = min(max(wait_ms, RETRY_AFTER_MIN_MS), RETRY_AFTER_MAX_MS)
+        detail = f"{self.waiting} requests wait for {self.slots} slots"
+        return Refusal.of(OVERLOADED, detail, retry_ms)
+
+    def _wait_of(
+        self, team: str, weight: float, tier: Priority, deadline_ms: float
+    ) -> float:
+        """Estimate the wait, given who would go first."""
+        ahead = sum(
+            len(line)
+            for other, lines in self._lines.items()
+            if other < tier
+            for line in lines.values()
+        )
+        lines = self._lines[tier]
+        own = lines[team].before(deadline_ms) if team in lines else 0
+        for other, line in lines.items():
+            if other != team:
+                ahead += min(len(line), int((own + 1) * line.weight / weight))
+        return (ahead + own + 1) * self._service_ms / self.slots
+
+    def _evict(self, tier: Priority) -> bool:
+        """Make room by giving up the last request of the lowest lower tier."""
+        for lower in sorted(Priority, reverse=True):
+            if lower <= tier:
+                return False
+            lines = [line for line in self._lines[lower].values() if len(line)]
+            if lines:
+                line = max(lines, key=len)
+                self._expire(line, line.last())
+                return True
+        return False
+
+    def _released(self, started_ms: float) -> None:
+        held_ms = self._clock.now_ms() - started_ms
+        self._service_ms += SMOOTHING * (held_ms - self._service_ms)
+        self._busy -= 1
+        self._grant_next()
+
+    def _grant_next(self) -> None:
+        while self._busy < self.slots:
+            waiter = self._next()
+            if waiter is None:
+                return
+            self._busy += 1
+            waiter.future.set_result(Ok(Permit(self, self._clock.now_ms())))
+
+    def _next(self) -> _Waiter | None:
+        for tier in Priority:
+            lines = {t: line for t, line in self._lines[tier].items() if len(line)}
+            if not lines:
+                continue
+            team = min(lines, key=lambda t: self._tags.get(t, 0.0))
+            self._charge(team, lines[team].weight)
+            return lines[team].pop()
+        return None
+
+    def _charge(self, team: str, weight: float) -> None:
+        # A team that was idle starts from now: it can't save up its share.
+        start_ms = max(self._tags.get(team, 0.0), self._virtual_ms)
+        self._virtual_ms = start_ms
+        self._tags[team] = start_ms + self._service_ms / weight
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/pooling/connections.py
@@ -0,0 +1,287 @@
+"""Connections to one target: few, warm, checked, and opened without a storm."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+
+from fennelhill_core.clock import Clock, timeout_ms
+from fennelhill_core.codes import (
+    CONNECTIONS_EXHAUSTED,
+    TARGET_UNREACHABLE,
+    Refusal,
+)
+from fennelhill_core.rpc import NoAnswer, NotSent
+from fennelhill_core.settings import Limits, Target
+from fennelhill_core.streams import DialError
+from fennelhill_core.tasks import Tasks
+from result import Err, Ok, Result
+
+from fennelhilld.targets.driver import (
+    TargetConnection,
+    TargetDriver,
+    TooManyConnectionsError,
+)
+
+CONTROL_CONNECTIONS = 4
+BACKOFF_FIRST_MS = 50.0
+BACKOFF_MAX_MS = 1_000.0
+
+
+class PoolCounters:
+    """What the pool has seen; read by the metrics."""
+
+    __slots__ = ("connects", "refused", "silent")
+
+    def __init__(self) -> None:
+        self.connects = 0
+        self.refused = 0
+        self.silent = 0
+
+
+class ConnectionPool:
+    """Holds the connections of one owner to one target.
+
+    A connection is either idle here, or with exactly one user.  What comes back
+    with any doubt is closed.  At most ``connects_at_once`` connections are being
+    opened at any time, however many requests wait.
+
+    Parameters
+    ----------
+    target : Target
+        The target.
+    driver : TargetDriver
+        Opens connections.
+    limits : Limits
+        Times and bounds.
+    clock : Clock
+        Source of time.
+    maximum : int
+        Connections that this owner may hold.
+    """
+
+    __slots__ = (
+        "_backoff_ms",
+        "_clock",
+        "_connecting",
+        "_driver",
+        "_idle",
+        "_limits",
+        "_maximum",
+        "_open",
+        "_retry_at_ms",
+        "_started",
+        "_target",
+        "_tasks",
+        "_waiters",
+        "counters",
+    )
+
+    def __init__(
+        self,
+        target: Target,
+        driver: TargetDriver,
+        limits: Limits,
+        clock: Clock,
+        maximum: int | None = None,
+    ) -> None:
+        self._target = target
+        self._driver = driver
+        self._limits = limits
+        self._clock = clock
+        # Each owner in the group keeps a control connection to every target.
+        self._maximum = maximum or max(1, target.connections - CONTROL_CONNECTIONS)
+        self._idle: deque[TargetConnection] = deque()
+        self._waiters: deque[asyncio.Future[TargetConnection | None]] = deque()
+        self._open = 0
+        self._connecting = 0
+        self._tasks = Tasks()
+        self._backoff_ms = 0.0
+        self._retry_at_ms = 0.0
+        self._started = False
+        self.counters = PoolCounters()
+
+    @property
+    def open(self) -> int:
+        """Connections that are open, idle or in use."""
+        return self._open
+
+    @property
+    def idle(self) -> int:
+        """Connections that wait for use."""
+        return len(self._idle)
+
+    def start(self) -> None:
+        """Warm the pool up and begin to check idle connections."""
+        if not self._started:
+            self._started = True
+            self._tasks.spawn(self._check_idle())
+            for _ in range(min(self._target.slots, self._maximum)):
+                self._open_one()
+
+    def close(self) -> None:
+        """Close all idle connections and stop."""
+        self._tasks.cancel()
+        while self._idle:
+            self._idle.pop().close()
+        for waiter in self._waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+
+    async def acquire(self, deadline_ms: float) -> Result[TargetConnection, Refusal]:
+        """Take a connection for exclusive use.
+
+        Parameters
+        ----------
+        deadline_ms : float
+            Latest time to wait until, on this host's clock.
+
+        Returns
+        -------
+        Result
+            A connection, or a refusal of class *not run*.
+        """
+        while self._idle:
+            connection = self._idle.pop()
+            if not connection.closed:
+                return Ok(connection)
+            self._open -= 1
+        now_ms = self._clock.now_ms()
+        if now_ms < self._retry_at_ms and self._open == 0:
+            return Err(self._unreachable())
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters.append(waiter)
+        self._open_for_waiters()
+        try:
+            async with timeout_ms(deadline_ms - now_ms):
+                connection = await waiter
+        except TimeoutError:
+            return Err(self._exhausted())
+        except asyncio.CancelledError:
+            if waiter.done() and not waiter.cancelled() and waiter.result():
+                self.release(waiter.result())
+            raise
+        finally:
+            if waiter in self._waiters:
+                self._waiters.remove(waiter)
+        return Ok(connection) if connection else Err(self._unreachable())
+
+    def release(self, connection: TargetConnection) -> None:
+        """Give back a connection that was reset by the target.
+
+        Parameters
+        ----------
+        connection : TargetConnection
+            What `acquire` returned.
+        """
+        if connection.closed:
+            self._lost_one()
+            return
+        waiter = self._next_waiter()
+        if waiter is not None:
+            waiter.set_result(connection)
+        else:
+            self._idle.append(connection)
+
+    def discard(self, connection: TargetConnection) -> None:
+        """Close a connection whose state is in doubt.
+
+        Parameters
+        ----------
+        connection : TargetConnection
+            What `acquire` returned.
+        """
+        connection.close()
+        self._lost_one()
+
+    def found_silent(self) -> None:
+        """Check all idle connections now, since one turned out to be silent."""
+        self.counters.silent += 1
+        for _ in range(len(self._idle)):
+            self._tasks.spawn(self._check(self._idle.popleft()))
+
+    def _lost_one(self) -> None:
+        self._open -= 1
+        self._open_for_waiters()
+
+    def _next_waiter(self) -> asyncio.Future | None:
+        while self._waiters:
+            waiter = self._waiters.popleft()
+            if not waiter.done():
+                return waiter
+        return None
+
+    def _open_for_waiters(self) -> None:
+        while self._connecting < len(self._waiters) and self._open_one():
+            pass
+
+    def _open_one(self) -> bool:
+        if self._connecting >= self._limits.connects_at_once:
+            return False
+        if self._open >= self._maximum:
+            return False
+        self._open += 1
+        self._connecting += 1
+        self._tasks.spawn(self._connect())
+        return True
+
+    async def _connect(self) -> None:
+        wait_ms = self._retry_at_ms - self._clock.now_ms()
+        if wait_ms > 0:
+            await self._clock.sleep_ms(wait_ms)
+        self.counters.connects += 1
+        limit_ms = self._limits.connect_timeout_ms
+        try:
+            connection = await self._driver.connect(self._target.address, limit_ms)
+        except TooManyConnectionsError:
+            # Another owner holds them: its share comes free, or ours must do.
+            self.counters.refused += 1
+            self._failed(wake=False)
+        except DialError:
+            self._failed(wake=True)
+        else:
+            self._connecting -= 1
+            self._backoff_ms = 0.0
+            self.release(connection)
+        self._open_for_waiters()
+
+    def _failed(self, wake: bool) -> None:
+        self._open -= 1
+        self._connecting -= 1
+        doubled_ms = max(2 * self._backoff_ms, BACKOFF_FIRST_MS)
+        self._backoff_ms = min(doubled_ms, BACKOFF_MAX_MS)
+        self._retry_at_ms = self._clock.now_ms() + self._backoff_ms
+        if wake and self._open <= 0:
+            while (waiter := self._next_waiter()) is not None:
+                waiter.set_result(None)
+
+    async def _check_idle(self) -> None:
+        """Ping idle connections in turn, so that silence is found before use."""
+        while True:
+            await self._clock.sleep_ms(self._limits.connection_check_ms)
+            for _ in range(len(self._idle)):
+                # Requests take idle connections while a check waits.
+                if self._idle:
+                    await self._check(self._idle.popleft())
+            if self._open < self._target.slots:
+                self._open_one()
+
+    async def _check(self, connection: TargetConnection) -> None:
+        try:
+            await connection.ping(self._limits.sample_timeout_ms)
+        except (NoAnswer, NotSent):
+            self.counters.silent += 1
+            self.discard(connection)
+        except asyncio.CancelledError:
+            self.discard(connection)
+            raise
+        else:
+            self.release(connection)
+
+    def _unreachable(self) -> Refusal:
+        detail = f"{self._target.id} accepts no connection"
+        return Refusal.of(TARGET_UNREACHABLE, detail, max(self._backoff_ms, 50))
+
+    def _exhausted(self) -> Refusal:
+        detail = f"{self._open} connections of {self._target.id} are in use"
+        return Refusal.of(CONNECTIONS_EXHAUSTED, detail, 100)
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/pooling/owner.py
@@ -0,0 +1,209 @@
+"""The owner of a target's pool: one queue and one set of connections."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from fennelhill_core.clock import Clock
+from fennelhill_core.codes import (
+    ANSWER_TOO_LARGE,
+    NOT_PRIMARY,
+    SQL_ERROR,
+    TARGET_BUSY,
+    UNKNOWN_TRANSACTION,
+    Refusal,
+)
+from fennelhill_core.settings import Limits, Target
+from result import Err, Ok, Result
+
+from fennelhilld.peers.messages import Work
+from fennelhilld.pooling.admission import AdmissionQueue
+from fennelhilld.pooling.connections import ConnectionPool
+from fennelhilld.targets.driver import TargetConnection, TargetDriver
+from fennelhilld.targets.messages import Batch, BatchReply, End, Fault
+
+LOCK_RETRY_MS = 200
+
+_CODE_OF_FAULT = {
+    Fault.SQL: SQL_ERROR,
+    Fault.ANSWER_TOO_LARGE: ANSWER_TOO_LARGE,
+    Fault.NOT_PRIMARY: NOT_PRIMARY,
+    Fault.LOCK_TIMEOUT: TARGET_BUSY,
+    Fault.NO_TRANSACTION: UNKNOWN_TRANSACTION,
+}
+
+
+class Lease:
+    """A slot and a connection, for one request.
+
+    A connection goes back to the pool only if the last batch on it ended with a
+    reset that the target acknowledged; otherwise it is closed.
+    """
+
+    __slots__ = ("clean", "commit_sent", "connection")
+
+    def __init__(self, connection: TargetConnection) -> None:
+        self.connection = connection
+        self.clean = True
+        # Until a commit is sent, closing the connection undoes everything.
+        self.commit_sent = False
+
+    async def run(self, batch: Batch, limit_ms: float) -> BatchReply:
+        """Run a batch.
+
+        Parameters
+        ----------
+        batch : Batch
+            What to run.
+        limit_ms : float
+            Limit for the answer in milliseconds.
+
+        Returns
+        -------
+        BatchReply
+            The target's answer.
+
+        Raises
+        ------
+        NotSent
+            If nothing was sent.
+        NoAnswer
+            If the batch may have run.
+        """
+        self.clean = False
+        self.commit_sent = batch.end is End.COMMIT
+        reply = await self.connection.run(batch, limit_ms)
+        # The target resets a connection by itself where a batch fails.
+        self.clean = batch.reset or reply.fault is not Fault.NONE
+        return reply
+
+
+class TargetOwner:
+    """Admits requests to a target's slots and lends them its connections.
+
+    Parameters
+    ----------
+    target : Target
+        The target.
+    driver : TargetDriver
+        Opens connections.
+    limits : Limits
+        Times and bounds.
+    clock : Clock
+        Source of time.
+    maximum : int
+        Connections that this owner may hold; 0 for all but the control ones.
+    """
+
+    __slots__ = (
+        "clock",
+        "key_table_term",
+        "limits",
+        "pool",
+        "queue",
+        "target",
+        "used_ms",
+    )
+
+    def __init__(
+        self,
+        target: Target,
+        driver: TargetDriver,
+        limits: Limits,
+        clock: Clock,
+        maximum: int = 0,
+    ) -> None:
+        self.target = target
+        self.limits = limits
+        self.clock = clock
+        self.pool = ConnectionPool(target, driver, limits, clock, maximum)
+        self.queue = AdmissionQueue(target.slots, limits.queue_requests, clock)
+        self.used_ms = clock.now_ms()
+        # The last term in which the table of idempotency keys was seen to exist.
+        self.key_table_term = 0
+
+    def start(self) -> None:
+        """Warm up."""
+        self.pool.start()
+
+    def close(self) -> None:
+        """Close idle connections; those in use close when they come back."""
+        self.pool.close()
+
+    @asynccontextmanager
+    async def slot(
+        self, work: Work, deadline_ms: float
+    ) -> AsyncIterator[Result[None, Refusal]]:
+        """Hold a slot while the block runs.
+
+        Parameters
+        ----------
+        work : Work
+            Names the team, its weight and the tier.
+        deadline_ms : float
+            When the answer must be ready, on this host's clock.
+
+        Yields
+        ------
+        Result
+            Whether the slot was granted.
+        """
+        self.used_ms = self.clock.now_ms()
+        granted = await self.queue.acquire(
+            work.team, work.weight, work.tier, deadline_ms
+        )
+        if granted.is_err():
+            yield Err(granted.unwrap_err())
+            return
+        try:
+            yield Ok(None)
+        finally:
+            granted.unwrap().release()
+
+    @asynccontextmanager
+    async def connection(
+        self, deadline_ms: float
+    ) -> AsyncIterator[Result[Lease, Refusal]]:
+        """Lend a connection while the block runs.
+
+        Parameters
+        ----------
+        deadline_ms : float
+            Latest time to wait until, on this host's clock.
+
+        Yields
+        ------
+        Result
+            The connection, or a refusal of class *not run*.
+        """
+        acquired = await self.pool.acquire(deadline_ms)
+        if acquired.is_err():
+            yield Err(acquired.unwrap_err())
+            return
+        lease = Lease(acquired.unwrap())
+        try:
+            yield Ok(lease)
+        finally:
+            if lease.clean and not lease.connection.closed:
+                self.pool.release(lease.connection)
+            else:
+                self.pool.discard(lease.connection)
+
+
+def refuse_fault(reply: BatchReply) -> Refusal:
+    """Translate a target's fault into a result code.
+
+    Parameters
+    ----------
+    reply : BatchReply
+        An answer with a fault; the target rolled back.
+
+    Returns
+    -------
+    Refusal
+        Of class *not run* or *run and failed*, never *outcome unknown*.
+    """
+    code = _CODE_OF_FAULT[reply.fault]
+    retry_ms = LOCK_RETRY_MS if code is TARGET_BUSY else 0
+    return Refusal.of(code, reply.detail, retry_ms)
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/reads/__init__.py
@@ -0,0 +1,1 @@
+"""Reads: from a replica that is fresh enough, or from the confirmed primary."""
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/reads/serve.py
@@ -0,0 +1,155 @@
+"""Serves reads at the owner of a target's pool."""
+
+from __future__ import annotations
+
+from fennelhill_core.codes import (
+    ANSWER_TIMEOUT,
+    DEADLINE_PASSED,
+    NOT_PRIMARY,
+    REPLICA_BEHIND,
+    UNCONFIRMED_TERM,
+    Refusal,
+)
+from fennelhill_core.rpc import NoAnswer, NotSent
+from fennelhill_core.tokens import Position
+from result import Err, Ok, Result
+
+from fennelhilld.peers.messages import Answer, Work
+from fennelhilld.pooling.owner import TargetOwner, refuse_fault
+from fennelhilld.targets.messages import Batch, BatchReply, Begin, End, Fault, Statement
+from fennelhilld.watching.samples import covers
+from fennelhilld.watching.watch import GroupWatch
+
+MIN_ATTEMPT_MS = 40.0
+SERVICES_PER_ATTEMPT = 8.0
+
+
+async def serve_read(
+    owner: TargetOwner, watch: GroupWatch, work: Work
+) -> Result[Answer, Refusal]:
+    """Serve a read that its caller's settings and session allow here.
+
+    Parameters
+    ----------
+    owner : TargetOwner
+        Owner of the target's pool.
+    watch : GroupWatch
+        What is known of the group.
+    work : Work
+        The read.
+
+    Returns
+    -------
+    Result
+        The answer, or a refusal.  `REPLICA_BEHIND` and `NOT_PRIMARY` tell the
+        entry host to ask another target.
+    """
+    deadline_ms = owner.clock.now_ms() + work.remaining_ms
+    primary = watch.primary()
+    at_primary = primary is not None and primary.target.id == owner.target.id
+    if not at_primary:
+        refusal = await _wait_for_replica(owner, watch, work, deadline_ms)
+        if refusal is not None:
+            return Err(refusal)
+    async with owner.slot(work, deadline_ms) as granted:
+        if granted.is_err():
+            return Err(granted.unwrap_err())
+        ran = await _run_with_retry(owner, work, deadline_ms)
+    if ran.is_err():
+        return Err(ran.unwrap_err())
+    reply = ran.unwrap()
+    if reply.fault is not Fault.NONE:
+        return Err(refuse_fault(reply))
+    refusal = await _prove(watch, work, reply, at_primary, deadline_ms, owner)
+    if refusal is not None:
+        return Err(refusal)
+    rows = reply.results[0]
+    return Ok(Answer(rows.columns, rows.rows, rows.changed, replica=not at_primary))
+
+
+async def _wait_for_replica(
+    owner: TargetOwner, watch: GroupWatch, work: Work, deadline_ms: float
+) -> Refusal | None:
+    """Let a nearly fresh replica catch up, if that is expected within the bound."""
+    if not work.allowed_age_ms:
+        return Refusal.of(NOT_PRIMARY, f"{owner.target.id} is a replica")
+    name = owner.target.id
+    have = watch.members[name].status.position
+    if not covers(have, work.need):
+        bound_ms = owner.limits.replica_wait_ms
+        bound_ms = min(bound_ms, (deadline_ms - owner.clock.now_ms()) / 2)
+        if _expected_wait_ms(owner, watch, work.need) > bound_ms:
+            return Refusal.of(REPLICA_BEHIND, f"{name} is at {have.index}")
+        if not await watch.wait_covered(name, work.need, bound_ms):
+            return Refusal.of(REPLICA_BEHIND, f"{name} is at {have.index}")
+    age_ms = watch.age_ms(name)
+    if not 0 <= age_ms <= work.allowed_age_ms:
+        return Refusal.of(REPLICA_BEHIND, f"{name} is proven {age_ms:.0f} ms old")
+    return None
+
+
+def _expected_wait_ms(owner: TargetOwner, watch: GroupWatch, need: Position) -> float:
+    """Estimate when the replica holds a position, from its usual delay."""
+    lag_ms = max(0.0, watch.age_ms(owner.target.id) - owner.limits.sample_ms)
+    reached = watch.samples.first_at(need)
+    # A position that no sample has reached yet was written after the newest one.
+    if reached is None:
+        return lag_ms
+    return lag_ms - (owner.clock.now_ms() - reached.at_ms)
+
+
+async def _run_with_retry(
+    owner: TargetOwner, work: Work, deadline_ms: float
+) -> Result[BatchReply, Refusal]:
+    """Run a read; a connection that goes silent costs one retry on another."""
+    statement = Statement(work.sql, work.params)
+    batch = Batch(
+        [statement],
+        begin=Begin.READ,
+        end=End.COMMIT,
+        reset=True,
+        max_rows=owner.limits.answer_rows,
+    )
+    for last in (False, True):
+        remaining_ms = deadline_ms - owner.clock.now_ms()
+        if remaining_ms <= 0:
+            break
+        limit_ms = min(remaining_ms, owner.limits.answer_timeout_ms)
+        if not last:
+            attempt_ms = SERVICES_PER_ATTEMPT * owner.queue.service_ms
+            limit_ms = min(limit_ms / 2, max(MIN_ATTEMPT_MS, attempt_ms))
+        try:
+            async with owner.connection(deadline_ms) as lent:
+                if lent.is_err():
+                    return Err(lent.unwrap_err())
+                return Ok(await lent.unwrap().run(batch, limit_ms))
+        except (NoAnswer, NotSent) as error:
+            # One silent connection casts doubt on its siblings, not on the target.
+            owner.pool.found_silent()
+            if last:
+                return Err(Refusal.of(ANSWER_TIMEOUT, str(error)))
+    return Err(Refusal.of(DEADLINE_PASSED, "no time is left for the read"))
+
+
+async def _prove(
+    watch: GroupWatch,
+    work: Work,
+    reply: BatchReply,
+    at_primary: bool,
+    deadline_ms: float,
+    owner: TargetOwner,
+) -> Refusal | None:
+    """Check after the read that what it saw keeps the promises."""
+    if not covers(reply.position, work.need):
+        return Refusal.of(REPLICA_BEHIND, f"the read saw {reply.position.index}")
+    if work.allowed_age_ms:
+        age_ms = watch.age_of_ms(reply.position)
+        if 0 <= age_ms <= work.allowed_age_ms:
+            return None
+        if not at_primary:
+            return Refusal.of(REPLICA_BEHIND, f"proven {age_ms:.0f} ms old")
+    # A primary that is cut off does not know that it was replaced.
+    limit_ms = deadline_ms - owner.clock.now_ms()
+    if await watch.confirm_term(reply.position.term, limit_ms):
+        return None
+    return Refusal.of(UNCONFIRMED_TERM, f"term {reply.position.term}", 200)
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing: which target serves a request."""
