--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/routing/router.py
@@ -0,0 +1,441 @@
+"""Routes requests from the entry to the owner of a target that may serve them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from fennelhill_core.clock import MS_PER_S, Clock
+from fennelhill_core.codes import (
+    CONNECTION_LOST,
+    DEADLINE_PASSED,
+    KEY_CANCELLED,
+    KEY_REUSED,
+    LEAVING,
+    NO_PRIMARY,
+    NOT_PRIMARY,
+    OWNER_UNREACHABLE,
+    REPLICA_BEHIND,
+    RETRY_BUDGET_SPENT,
+    TARGET_UNREACHABLE,
+    UNKNOWN_TRANSACTION,
+    Outcome,
+    Refusal,
+)
+from fennelhill_core.rpc import NoAnswer, NotSent
+from fennelhill_core.settings import EntryHost, Settings, Target
+from fennelhill_core.tasks import Tasks
+from fennelhill_core.tokens import TransactionId
+from result import Err, Ok, Result
+
+from fennelhilld.membership.view import OWNER_POLICIES, LiveView
+from fennelhilld.peers.messages import (
+    Answer,
+    GroupView,
+    Operation,
+    TargetView,
+    Work,
+    WorkReply,
+)
+from fennelhilld.peers.streams import PeerStreams
+from fennelhilld.routing.budget import RetryBudget
+from fennelhilld.routing.policies import (
+    READ_POLICIES,
+    Candidate,
+    ReadRequest,
+)
+
+PRIMARY_POLL_MS = 40.0
+DOUBT_MS = 150.0
+HOP_MARGIN_MS = 2.0
+READ_ATTEMPT_SHARE = 0.5
+UNKNOWN_SEEN_MS = 1e9
+
+ServeLocally = Callable[[Work], Awaitable[WorkReply]]
+
+
+class GroupKnowledge:
+    """What this entry host has learnt of a group from its owners' answers."""
+
+    __slots__ = ("_doubted", "look", "seen_ms", "targets")
+
+    def __init__(self) -> None:
+        self.targets: dict[str, TargetView] = {}
+        self.seen_ms: dict[str, float] = {}
+        self.look: asyncio.Task | None = None
+        self._doubted: dict[str, tuple[int, float]] = {}
+
+    def learn(self, view: GroupView, now_ms: float) -> None:
+        """Take a newer view.
+
+        Parameters
+        ----------
+        view : GroupView
+            What an owner said.
+        now_ms : float
+            Time on this host's clock.
+        """
+        for name, new in view.targets.items():
+            old = self.targets.get(name)
+            if old is not None and new.term < old.term:
+                continue
+            if old is not None and new.wait_ms < 0:
+                # Only the owner of a target knows its queue.
+                new.wait_ms = old.wait_ms
+            term, until_ms = self._doubted.get(name, (0, 0.0))
+            if new.term <= term and now_ms < until_ms:
+                new.primary = False
+            self.targets[name] = new
+            self.seen_ms[name] = now_ms
+
+    def primary(self) -> str | None:
+        """Return the primary of the highest term that is known to be led.
+
+        Returns
+        -------
+        str or None
+            Name of the target.
+        """
+        leading = [name for name, view in self.targets.items() if view.primary]
+        return max(leading, key=lambda name: self.targets[name].term, default=None)
+
+    def doubt_primary(self, target: str, now_ms: float) -> None:
+        """Send no requests to a primary for a short while.
+
+        Requests are then held here and find the next primary, or try this one
+        again, instead of hammering a target that does not answer.
+
+        Parameters
+        ----------
+        target : str
+            The target that said it does not lead, or does not answer.
+        now_ms : float
+            Time on this host's clock.
+        """
+        if target in self.targets:
+            known = self.targets[target]
+            known.primary = False
+            self._doubted[target] = (known.term, now_ms + DOUBT_MS)
+
+
+class Router:
+    """Finds a target for each request, and the owner of its pool.
+
+    It sends a request again only where that can't run it twice: after *not run*,
+    or where the request reads or carries a key; and only within the team's retry
+    budget.
+
+    Parameters
+    ----------
+    view : LiveView
+        The live view.
+    settings : Settings
+        The settings.
+    peers : PeerStreams
+        Streams to other entry hosts.
+    serve_locally : callable
+        Serves work whose owner is this entry host.
+    clock : Clock
+        Source of time.
+    """
+
+    __slots__ = (
+        "_budgets",
+        "_clock",
+        "_knowledge",
+        "_owner_policy",
+        "_peers",
+        "_read_policy",
+        "_serve_locally",
+        "_settings",
+        "_targets",
+        "_tasks",
+        "_view",
+        "hops",
+        "retries",
+    )
+
+    def __init__(
+        self,
+        view: LiveView,
+        settings: Settings,
+        peers: PeerStreams,
+        serve_locally: ServeLocally,
+        clock: Clock,
+    ) -> None:
+        self._view = view
+        self._settings = settings
+        self._peers = peers
+        self._serve_locally = serve_locally
+        self._clock = clock
+        self._read_policy = READ_POLICIES.get(settings.read_policy)()
+        self._owner_policy = OWNER_POLICIES.get(settings.owner_policy)()
+        self._knowledge: dict[str, GroupKnowledge] = {}
+        self._budgets: dict[str, RetryBudget] = {}
+        self._targets: dict[str, dict[str, Target]] = {
+            name: {target.id: target for target in group.targets}
+            for name, group in settings.groups.items()
+        }
+        self._tasks = Tasks()
+        self.hops = 0
+        self.retries = 0
+
+    def close(self) -> None:
+        """Stop looking for primaries."""
+        self._tasks.cancel()
+
+    def knowledge(self, group: str) -> GroupKnowledge:
+        """Return what is known of a group.
+
+        Parameters
+        ----------
+        group : str
+            The database group.
+
+        Returns
+        -------
+        GroupKnowledge
+            Empty at first.
+        """
+        return self._knowledge.setdefault(group, GroupKnowledge())
+
+    async def route(self, work: Work) -> Result[Answer, Refusal]:
+        """Serve a read, a write, a begin or an outcome query.
+
+        Parameters
+        ----------
+        work : Work
+            The request, without a target.
+
+        Returns
+        -------
+        Result
+            The answer or the refusal for the caller.
+        """
+        deadline_ms = self._clock.now_ms() + work.remaining_ms
+        budget = self._budget(work.team)
+        routed = await self._route_to_replica(work, deadline_ms)
+        # A refusal after which the request may have run: later ones can't undo it.
+        unknown: Refusal | None = None
+        while routed is None or routed.is_err():
+            if routed is not None:
+                refusal = routed.unwrap_err()
+                if not _may_ask_again(work, refusal):
+                    break
+                if refusal.outcome is Outcome.UNKNOWN:
+                    unknown = refusal
+                # Held requests are paced by the doubt about the primary; the budget
+                # bounds those that may have cost a target something.
+                if refusal.outcome is Outcome.UNKNOWN and not budget.spend():
+                    routed = Err(_budget_spent(refusal))
+                    break
+                self.retries += 1
+            target = await self._primary(work, deadline_ms)
+            if target is None:
+                break
+            routed = await self._ask(work, target, deadline_ms)
+        if routed is not None and routed.is_ok():
+            budget.earn()
+            return routed
+        refusal = routed.unwrap_err() if routed is not None else None
+        return Err(_final(refusal, unknown, work.group))
+
+    async def _route_to_replica(
+        self, work: Work, deadline_ms: float
+    ) -> Result[Answer, Refusal] | None:
+        """Try the replicas, if the read's class accepts an age."""
+        routed = None
+        if work.operation is Operation.READ and work.allowed_age_ms:
+            if not self.knowledge(work.group).targets:
+                await self._primary(work, deadline_ms)
+            for target in self._replicas(work):
+                routed = await self._ask(work, target, deadline_ms, READ_ATTEMPT_SHARE)
+                if routed.is_ok() or not _may_ask_again(work, routed.unwrap_err()):
+                    return routed
+        return routed
+
+    async def route_transaction(
+        self, transaction: TransactionId, work: Work
+    ) -> Result[Answer, Refusal]:
+        """Serve a request of an open transaction at the host that holds it.
+
+        Parameters
+        ----------
+        transaction : TransactionId
+            Names the host.
+        work : Work
+            The request.
+
+        Returns
+        -------
+        Result
+            The answer or the refusal for the caller.
+        """
+        host = self._view.hosts.get(transaction.host)
+        if host is None:
+            return Err(Refusal.of(UNKNOWN_TRANSACTION))
+        deadline_ms = self._clock.now_ms() + work.remaining_ms
+        work.target = transaction.target
+        try:
+            reply = await self._send(host, work, deadline_ms)
+        except NotSent:
+            # Its host is gone, and the target rolled back with the connection.
+            return Err(Refusal.of(UNKNOWN_TRANSACTION, f"{host.id} was lost"))
+        except NoAnswer as error:
+            if work.operation is Operation.COMMIT:
+                return Err(Refusal.of(CONNECTION_LOST, str(error), 200))
+            return Err(Refusal.of(UNKNOWN_TRANSACTION, str(error)))
+        return self._take(work, reply)
+
+    def _budget(self, team: str) -> RetryBudget:
+        if team not in self._budgets:
+            limits = self._settings.limits
+            self._budgets[team] = RetryBudget(limits.retry_ratio, limits.retry_burst)
+        return self._budgets[team]
+
+    def _replicas(self, work: Work) -> list[Target]:
+        """Order the replicas that may serve a read."""
+        targets = self._targets[work.group]
+        knowledge = self.knowledge(work.group)
+        now_ms = self._clock.now_ms()
+        candidates = [
+            Candidate(
+                name,
+                targets[name].zone,
+                view,
+                now_ms - knowledge.seen_ms.get(name, now_ms - UNKNOWN_SEEN_MS),
+            )
+            for name, view in knowledge.targets.items()
+            if not view.primary and not view.leaving and name in targets
+        ]
+        request = ReadRequest(
+            work.need,
+            work.allowed_age_ms,
+            self._view.host.zone,
+            self._settings.limits.replica_wait_ms,
+        )
+        return [targets[name] for name in self._read_policy.order(request, candidates)]
+
+    async def _primary(self, work: Work, deadline_ms: float) -> Target | None:
+        """Find the primary; hold the request while there is none."""
+        knowledge = self.knowledge(work.group)
+        targets = self._targets[work.group]
+        while self._clock.now_ms() < deadline_ms - HOP_MARGIN_MS:
+            name = knowledge.primary()
+            if name is not None:
+                return targets[name]
+            if knowledge.look is None or knowledge.look.done():
+                look = self._look_for_primary(work.group, work.team)
+                knowledge.look = self._tasks.spawn(look)
+            # All requests that are held for this group share one look.
+            limit_ms = deadline_ms - self._clock.now_ms() - HOP_MARGIN_MS
+            await asyncio.wait({knowledge.look}, timeout=limit_ms / MS_PER_S)
+        return None
+
+    async def _look_for_primary(self, group: str, team: str) -> None:
+        """Ask the owners of the group's targets, the nearest first."""
+        knowledge = self.knowledge(group)
+        zone = self._view.host.zone
+        targets = sorted(
+            self._targets[group].values(), key=lambda t: (t.zone != zone, t.id)
+        )
+        for target in targets:
+            for host in self._owner_policy.order(self._view, target)[:1]:
+                limit_ms = self._settings.limits.sample_timeout_ms
+                question = Work(Operation.LOOK, group, target.id, team)
+                try:
+                    reply = await self._send(
+                        host, question, self._clock.now_ms() + limit_ms
+                    )
+                except (NoAnswer, NotSent):
+                    continue
+                if reply.view is not None:
+                    knowledge.learn(reply.view, self._clock.now_ms())
+                if knowledge.primary() is not None:
+                    return
+        await self._clock.sleep_ms(PRIMARY_POLL_MS)
+
+    async def _ask(
+        self, work: Work, target: Target, deadline_ms: float, share: float = 1.0
+    ) -> Result[Answer, Refusal]:
+        """Send work to the owner of a target, and to the next if it is gone."""
+        knowledge = self.knowledge(work.group)
+        work.target = target.id
+        refusal = Refusal.of(OWNER_UNREACHABLE, target.id, 200)
+        for host in self._owner_policy.order(self._view, target)[:2]:
+            left_ms = deadline_ms - self._clock.now_ms()
+            if left_ms <= HOP_MARGIN_MS:
+                return Err(Refusal.of(DEADLINE_PASSED, "passed while routing"))
+            try:
+                reply = await self._send(
+                    host, work, self._clock.now_ms() + share * left_ms
+                )
+            except NotSent:
+                continue
+            except NoAnswer as error:
+                if work.operation is Operation.BEGIN:
+                    # What was begun there ends by its idle limit, uncommitted.
+                    refusal = Refusal.of(OWNER_UNREACHABLE, str(error), 200)
+                else:
+                    refusal = Refusal.of(CONNECTION_LOST, str(error), 200)
+                break
+            taken = self._take(work, reply)
+            if taken.is_err() and taken.unwrap_err().code == LEAVING.number:
+                self._view.heard(host.id, leaving=True)
+                refusal = taken.unwrap_err()
+                continue
+            if taken.is_err() and taken.unwrap_err().code == NOT_PRIMARY.number:
+                said = reply.view.targets.get(target.id) if reply.view else None
+                if said is None or not said.primary:
+                    knowledge.doubt_primary(target.id, self._clock.now_ms())
+            elif taken.is_err() and taken.unwrap_err().code in _UNREACHABLE:
+                knowledge.doubt_primary(target.id, self._clock.now_ms())
+            return taken
+        knowledge.doubt_primary(target.id, self._clock.now_ms())
+        return Err(refusal)
+
+    async def _send(self, host: EntryHost, work: Work, deadline_ms: float) -> WorkReply:
+        left_ms = deadline_ms - self._clock.now_ms()
+        if host.id == self._view.host.id:
+            work.remaining_ms = left_ms
+            return await self._serve_locally(work)
+        self.hops += 1
+        # The owner gives up a little earlier, so that its answer arrives in time.
+        work.remaining_ms = max(0.0, left_ms - HOP_MARGIN_MS)
+        return await self._peers.call(host, "work", work, left_ms, WorkReply)
+
+    def _take(self, work: Work, reply: WorkReply) -> Result[Answer, Refusal]:
+        if reply.view is not None:
+            self.knowledge(work.group).learn(reply.view, self._clock.now_ms())
+        if reply.answer is not None:
+            return Ok(reply.answer)
+        return Err(reply.refusal or Refusal.of(CONNECTION_LOST, "an empty reply"))
+
+
+_SAID_BY_KEY = {KEY_CANCELLED.number, KEY_REUSED.number}
+_REDIRECTS = {NOT_PRIMARY.number, REPLICA_BEHIND.number, LEAVING.number}
+_UNREACHABLE = {OWNER_UNREACHABLE.number, TARGET_UNREACHABLE.number}
+
+
+def _may_ask_again(work: Work, refusal: Refusal) -> bool:
+    """Tell whether sending again can't run a request twice and may help."""
+    if refusal.code in _REDIRECTS | _UNREACHABLE:
+        return True
+    repeatable = work.operation is Operation.READ or bool(work.key)
+    return repeatable and refusal.outcome is Outcome.UNKNOWN
+
+
+def _budget_spent(refusal: Refusal) -> Refusal:
+    """Refuse a retry; where the first attempt may have run, that stays unknown."""
+    if refusal.not_run:
+        return Refusal.of(RETRY_BUDGET_SPENT, refusal.detail, 1_000)
+    return refusal
+
+
+def _final(refusal: Refusal | None, unknown: Refusal | None, group: str) -> Refusal:
+    """Choose the refusal that is true of all attempts together."""
+    if refusal is None or refusal.code in _REDIRECTS:
+        refusal = Refusal.of(NO_PRIMARY, group, 200)
+    if unknown is not None and refusal.not_run and refusal.code not in _SAID_BY_KEY:
+        return unknown
+    return refusal
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Targets: the protocol spoken to them and the drivers that speak it."""
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/targets/driver.py
@@ -0,0 +1,251 @@
+"""Drivers: how the daemon speaks to a kind of target."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Protocol, TypeVar
+
+import msgspec
+from fennelhill_core.registry import Registry
+from fennelhill_core.rpc import NoAnswer, NotSent, RpcClient, RpcError
+from fennelhill_core.streams import Dialer, DialError, dial_within
+
+from fennelhilld.targets.messages import (
+    Batch,
+    BatchReply,
+    ControlReply,
+    Fault,
+    Fence,
+    Follow,
+    Hello,
+    HelloReply,
+    Promote,
+    Status,
+)
+
+MAX_FIRST_ID = 2**48
+
+T = TypeVar("T")
+
+
+class TooManyConnectionsError(Exception):
+    """The target is at its limit of connections: back-pressure, not a failure."""
+
+
+class TargetConnection(Protocol):
+    """One connection to a target; one batch at a time."""
+
+    closed: bool
+
+    async def run(self, batch: Batch, limit_ms: float) -> BatchReply:
+        """Run a batch; raises `NotSent` or `NoAnswer`."""
+
+    async def ping(self, limit_ms: float) -> None:
+        """Prove that the connection works; raises `NotSent` or `NoAnswer`."""
+
+    def close(self) -> None:
+        """Close the connection; the target rolls back what is open on it."""
+
+
+class TargetControl(Protocol):
+    """A control connection: status at any time, and orders."""
+
+    closed: bool
+
+    async def status(self, limit_ms: float) -> Status:
+        """Ask for the status."""
+
+    async def fence(self, order: Fence, limit_ms: float) -> ControlReply:
+        """Order a fence."""
+
+    async def promote(self, order: Promote, limit_ms: float) -> ControlReply:
+        """Order a promotion."""
+
+    async def follow(self, order: Follow, limit_ms: float) -> ControlReply:
+        """Order a target to follow."""
+
+    def close(self) -> None:
+        """Close the connection."""
+
+
+class TargetDriver(Protocol):
+    """Opens connections to one kind of target."""
+
+    async def connect(self, address: str, limit_ms: float) -> TargetConnection:
+        """Open a data connection; raises `DialError` or `TooManyConnections`."""
+
+    async def control(
+        self, address: str, limit_ms: float, on_status: Callable[[Status], None]
+    ) -> TargetControl:
+        """Open a control connection that also reports progress by itself."""
+
+
+TARGET_DRIVERS: Registry[TargetDriver] = Registry("target driver")
+
+
+@TARGET_DRIVERS.register("jsonrpc")
+class JsonRpcDriver:
+    """Speaks JSON-RPC 2.0 over WebSocket.
+
+    Request ids start at a random number on each connection.  An answer that
+    something between the ends moved to another connection then meets no request
+    there and closes that connection, rather than reaching the wrong caller.
+
+    Parameters
+    ----------
+    dialer : Dialer
+        Opens streams to targets.
+    random_state : random.Random
+        Chooses the first request ids.
+    """
+
+    __slots__ = ("_dialer", "_random")
+
+    def __init__(self, dialer: Dialer, random_state: random.Random) -> None:
+        self._dialer = dialer
+        self._random = random_state
+
+    async def connect(self, address: str, limit_ms: float) -> TargetConnection:
+        """Open a data connection.
+
+        Parameters
+        ----------
+        address : str
+            ``ip:port`` of the target.
+        limit_ms : float
+            Limit for the whole set-up in milliseconds.
+
+        Returns
+        -------
+        TargetConnection
+            The connection, ready for batches.
+
+        Raises
+        ------
+        DialError
+            If the target can't be reached.
+        TooManyConnectionsError
+            If the target refuses for lack of connections.
+        """
+        return _JsonRpcConnection(await self._open(address, limit_ms, False, None))
+
+    async def control(
+        self, address: str, limit_ms: float, on_status: Callable[[Status], None]
+    ) -> TargetControl:
+        """Open a control connection.
+
+        Parameters
+        ----------
+        address : str
+            ``ip:port`` of the target.
+        limit_ms : float
+            Limit for the whole set-up in milliseconds.
+        on_status : callable
+            Receives each status that the target reports by itself.
+
+        Returns
+        -------
+        TargetControl
+            The connection, ready for orders.
+
+        Raises
+        ------
+        DialError
+            If the target can't be reached.
+        TooManyConnectionsError
+            If the target refuses for lack of connections.
+        """
+
+        def notified(method: str, params: msgspec.Raw) -> None:
+            if method == "status":
+                on_status(msgspec.json.decode(params, type=Status))
+
+        return _JsonRpcControl(await self._open(address, limit_ms, True, notified))
+
+    async def _open(
+        self,
+        address: str,
+        limit_ms: float,
+        control: bool,
+        notified: Callable[[str, msgspec.Raw], None] | None,
+    ) -> RpcClient:
+        stream = await dial_within(self._dialer, address, limit_ms)
+        client = RpcClient(stream, notified, self._random.randrange(MAX_FIRST_ID))
+        try:
+            reply = await _call(client, "hello", Hello(control), limit_ms, HelloReply)
+        except (NoAnswer, NotSent) as error:
+            client.close()
+            raise DialError(f"{address}: {error}") from error
+        except BaseException:
+            client.close()
+            raise
+        if reply.fault is Fault.TOO_MANY_CONNECTIONS:
+            client.close()
+            raise TooManyConnectionsError(address)
+        return client
+
+
+async def _call(
+    client: RpcClient, method: str, params: object, limit_ms: float, kind: type[T]
+) -> T:
+    """Call a method; any doubt about the answer closes the connection."""
+    try:
+        raw = await client.call(method, params, limit_ms)
+        return msgspec.json.decode(raw, type=kind)
+    except (RpcError, msgspec.DecodeError) as error:
+        client.close()
+        raise NoAnswer(str(error)) from error
+    except BaseException:
+        client.close()
+        raise
+
+
+class _JsonRpcConnection:
+    """A data connection.  A connection that missed an answer is never used again."""
+
+    __slots__ = ("_client",)
+
+    def __init__(self, client: RpcClient) -> None:
+        self._client = client
+
+    @property
+    def closed(self) -> bool:
+        return self._client.closed
+
+    async def run(self, batch: Batch, limit_ms: float) -> BatchReply:
+        return await _call(self._client, "batch", batch, limit_ms, BatchReply)
+
+    async def ping(self, limit_ms: float) -> None:
+        await _call(self._client, "ping", {}, limit_ms, dict)
+
+    def close(self) -> None:
+        self._client.close()
+
+
+class _JsonRpcControl:
+    """A control connection."""
+
+    __slots__ = ("_client",)
+
+    def __init__(self, client: RpcClient) -> None:
+        self._client = client
+
+    @property
+    def closed(self) -> bool:
+        return self._client.closed
+
+    async def status(self, limit_ms: float) -> Status:
+        return await _call(self._client, "status", {}, limit_ms, Status)
+
+    async def fence(self, order: Fence, limit_ms: float) -> ControlReply:
+        return await _call(self._client, "fence", order, limit_ms, ControlReply)
+
+    async def promote(self, order: Promote, limit_ms: float) -> ControlReply:
+        return await _call(self._client, "promote", order, limit_ms, ControlReply)
+
+    async def follow(self, order: Follow, limit_ms: float) -> ControlReply:
+        return await _call(self._client, "follow", order, limit_ms, ControlReply)
+
+    def close(self) -> None:
+        self._client.close()
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/targets/messages.py
@@ -0,0 +1,205 @@
+"""Messages to and from a target."""
+
+from __future__ import annotations
+
+import enum
+from typing import Any
+
+import msgspec
+from fennelhill_core.tokens import Position
+
+
+class Begin(enum.Enum):
+    """How a batch opens a transaction."""
+
+    NONE = "none"
+    READ = "read"
+    WRITE = "write"
+
+
+class End(enum.Enum):
+    """How a batch ends the transaction on its connection."""
+
+    NONE = "none"
+    COMMIT = "commit"
+    ROLLBACK = "rollback"
+
+
+class Statement(msgspec.Struct, omit_defaults=True):
+    """One SQL statement.
+
+    Parameters
+    ----------
+    sql : str
+        The statement, with ``?`` for parameters.
+    params : list
+        One JSON value for each parameter.
+    require_rows : int
+        Rows that the statement must change, else the batch rolls back; -1 for any.
+    """
+
+    sql: str
+    params: list[Any] = []
+    require_rows: int = -1
+
+
+class Batch(msgspec.Struct, omit_defaults=True):
+    """Statements that run in order on one connection, in one transaction.
+
+    Any failure rolls the transaction back and skips the rest of the batch.
+
+    Parameters
+    ----------
+    statements : list of Statement
+        What to run.
+    term : int
+        Term in which the sender believes; a target of a higher term refuses.
+        0 stands for a read that any role may serve.
+    begin : Begin
+        Transaction to open first.
+    end : End
+        How to end the transaction after the statements.
+    reset : bool
+        Whether to return the connection to its first state afterwards.
+    max_rows : int
+        Rows that an answer may hold; more are a failure.
+    """
+
+    statements: list[Statement]
+    term: int = 0
+    begin: Begin = Begin.NONE
+    end: End = End.NONE
+    reset: bool = False
+    max_rows: int = 5000
+
+
+class Rows(msgspec.Struct, omit_defaults=True):
+    """The result of one statement.
+
+    Parameters
+    ----------
+    columns : list of str
+        Column names; empty for a statement without rows.
+    rows : list of list
+        The rows.
+    changed : int
+        Rows that the statement changed.
+    """
+
+    columns: list[str] = []
+    rows: list[list[Any]] = []
+    changed: int = 0
+
+
+class Fault(enum.Enum):
+    """Why a target did not do what it was asked."""
+
+    NONE = ""
+    SQL = "sql"
+    ANSWER_TOO_LARGE = "answer_too_large"
+    NOT_PRIMARY = "not_primary"
+    REQUIREMENT = "requirement"
+    LOCK_TIMEOUT = "lock_timeout"
+    NO_TRANSACTION = "no_transaction"
+    TOO_MANY_CONNECTIONS = "too_many_connections"
+
+
+class BatchReply(msgspec.Struct, omit_defaults=True):
+    """The answer to a batch.
+
+    Parameters
+    ----------
+    results : list of Rows
+        One for each statement that ran.
+    position : Position
+        The committed entry, or the log position that a read saw.  Its term is
+        the term of the primary that the target's log is reconciled with.
+    fault : Fault
+        Why the batch was rolled back.
+    detail : str
+        The target's message.
+    """
+
+    results: list[Rows] = []
+    position: Position = Position()
+    fault: Fault = Fault.NONE
+    detail: str = ""
+
+
+class Hello(msgspec.Struct, omit_defaults=True):
+    """Opens a connection; ``control`` ones may fence and promote."""
+
+    control: bool = False
+
+
+class HelloReply(msgspec.Struct, omit_defaults=True):
+    """Whether the connection is accepted."""
+
+    fault: Fault = Fault.NONE
+
+
+class Status(msgspec.Struct, omit_defaults=True):
+    """What a target says of itself.
+
+    Parameters
+    ----------
+    target : str
+        Name of the target.
+    term : int
+        Highest term that it has granted.
+    primary : bool
+        Whether it leads that term.
+    position : Position
+        Its applied log: the term of the primary it is reconciled with, and the
+        index of the last entry.
+    last_entry_term : int
+        Term of the last entry in its log.
+    leader : str
+        The target that it follows; empty for none.
+    leaving : bool
+        Whether it is about to be taken out of service.
+    """
+
+    target: str
+    term: int
+    primary: bool
+    position: Position
+    last_entry_term: int = 0
+    leader: str = ""
+    leaving: bool = False
+
+
+class Fence(msgspec.Struct):
+    """Grant a term to one attempt: refuse everything of lower terms.
+
+    Parameters
+    ----------
+    term : int
+        The new term.
+    attempt : str
+        Unique name of the promotion attempt; a term is granted to one only.
+    """
+
+    term: int
+    attempt: str
+
+
+class Promote(msgspec.Struct):
+    """Lead a term that was granted to this attempt."""
+
+    term: int
+    attempt: str
+
+
+class Follow(msgspec.Struct):
+    """Replicate from the primary of a term."""
+
+    term: int
+    leader: str
+
+
+class ControlReply(msgspec.Struct):
+    """Whether an order was obeyed, and the status after it."""
+
+    obeyed: bool
+    status: Status
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""Time line: events and metrics for the people who run the fleet."""
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/timeline/metrics.py
@@ -0,0 +1,146 @@
+"""Metrics in the Prometheus format."""
+
+from __future__ import annotations
+
+from collections import Counter as Tally
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+from fennelhill_core.clock import Clock
+from fennelhill_core.codes import CODES, Refusal
+
+LATENCY_BUCKETS_MS = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000]
+
+
+class RequestOutcome:
+    """Collects how a request ended."""
+
+    __slots__ = ("code",)
+
+    def __init__(self) -> None:
+        self.code = "ok"
+
+    def refused(self, refusal: Refusal) -> None:
+        """Note a refusal.
+
+        Parameters
+        ----------
+        refusal : Refusal
+            The refusal.
+        """
+        self.code = CODES[refusal.code].name
+
+
+class Metrics:
+    """Counts on the path of requests, and renders when asked.
+
+    Requests only touch plain counters; the metrics library works at the scrape.
+
+    Parameters
+    ----------
+    host : str
+        This entry host.
+    zone : str
+        Its availability zone.
+    clock : Clock
+        Source of time.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_collectors",
+        "_labels",
+        "_latency",
+        "_latency_seen",
+        "_registry",
+        "_requests",
+        "_requests_total",
+        "in_progress",
+    )
+
+    def __init__(self, host: str, zone: str, clock: Clock) -> None:
+        self._clock = clock
+        self._labels = {"host": host, "zone": zone}
+        self._registry = Registry()
+        self._requests: Tally[tuple[str, str]] = Tally()
+        self._latency_seen: list[float] = []
+        self._collectors: list[tuple[Gauge, Callable[[], dict]]] = []
+        self.in_progress = 0
+        self._requests_total = Counter(
+            "fennelhill_requests_total",
+            "Requests of callers by operation and result.",
+            const_labels=self._labels,
+            registry=self._registry,
+        )
+        self._latency = Histogram(
+            "fennelhill_request_ms",
+            "Time to answer a caller in milliseconds.",
+            const_labels=self._labels,
+            buckets=LATENCY_BUCKETS_MS,
+            registry=self._registry,
+        )
+
+    @contextmanager
+    def request(self, operation: str) -> Iterator[RequestOutcome]:
+        """Count and time a request.
+
+        Parameters
+        ----------
+        operation : str
+            Name of the call.
+
+        Yields
+        ------
+        RequestOutcome
+            Takes the refusal, if there is one.
+        """
+        outcome = RequestOutcome()
+        started_ms = self._clock.now_ms()
+        self.in_progress += 1
+        try:
+            yield outcome
+        finally:
+            self.in_progress -= 1
+            self._requests[operation, outcome.code] += 1
+            self._latency_seen.append(self._clock.now_ms() - started_ms)
+            if len(self._latency_seen) >= 10_000:
+                self._flush_latency()
+
+    def gauge(self, name: str, doc: str, read: Callable[[], dict]) -> None:
+        """Register values that are read at each scrape.
+
+        Parameters
+        ----------
+        name : str
+            Name of the metric.
+        doc : str
+            What it means.
+        read : callable
+            Returns values by label, as ``{(("target", "a"),): 1}``.
+        """
+        gauge = Gauge(name, doc, const_labels=self._labels, registry=self._registry)
+        self._collectors.append((gauge, read))
+
+    def render(self) -> bytes:
+        """Render all metrics as text.
+
+        Returns
+        -------
+        bytes
+            The Prometheus text format.
+        """
+        for (operation, code), count in self._requests.items():
+            self._requests_total.set({"operation": operation, "result": code}, count)
+        self._flush_latency()
+        for gauge, read in self._collectors:
+            for labels, value in read().items():
+                gauge.set(dict(labels), value)
+        content, _ = render(self._registry, [])
+        return content
+
+    def _flush_latency(self) -> None:
+        for value_ms in self._latency_seen:
+            self._latency.observe({}, value_ms)
+        self._latency_seen.clear()
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/transactions/__init__.py
@@ -0,0 +1,1 @@
+"""Transactions: several statements on one pinned connection."""
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/transactions/serve.py
@@ -0,0 +1,433 @@
+"""Serves open transactions at the owner of the primary's pool."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import random
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import msgspec
+from fennelhill_core.clock import MS_PER_S, Clock, timeout_ms
+from fennelhill_core.codes import (
+    ANSWER_TIMEOUT,
+    KEY_REUSED,
+    NOT_PRIMARY,
+    TARGET_UNREACHABLE,
+    TRANSACTION_BUSY,
+    UNKNOWN_TRANSACTION,
+    Refusal,
+)
+from fennelhill_core.events import EventLog
+from fennelhill_core.rpc import NoAnswer, NotSent
+from fennelhill_core.settings import Limits, Priority
+from fennelhill_core.tasks import Tasks
+from result import Err, Ok, Result
+
+from fennelhilld.peers.messages import Answer, Work
+from fennelhilld.pooling.owner import Lease, TargetOwner, refuse_fault
+from fennelhilld.targets.messages import Batch, BatchReply, Begin, End, Fault, Statement
+from fennelhilld.watching.watch import GroupWatch
+from fennelhilld.writes import keys
+from fennelhilld.writes.serve import acknowledge, ensure_key_table
+
+MAX_NONCE = 2**53
+
+
+class OpenTransaction:
+    """A transaction and the connection that is pinned to it.
+
+    Parameters
+    ----------
+    nonce : int
+        Its number on this host.
+    team : str
+        The customer team.
+    owner : TargetOwner
+        Owner of the target's pool.
+    watch : GroupWatch
+        What is known of the group.
+    lease : Lease
+        The pinned connection.
+    term : int
+        Term of the primary at the beginning.
+    now_ms : float
+        When it began.
+    """
+
+    __slots__ = (
+        "began_ms",
+        "busy",
+        "digest",
+        "ended",
+        "lease",
+        "nonce",
+        "owner",
+        "team",
+        "term",
+        "used_ms",
+        "watch",
+    )
+
+    def __init__(
+        self,
+        nonce: int,
+        team: str,
+        owner: TargetOwner,
+        watch: GroupWatch,
+        lease: Lease,
+        term: int,
+        now_ms: float,
+    ) -> None:
+        self.nonce = nonce
+        self.team = team
+        self.owner = owner
+        self.watch = watch
+        self.lease = lease
+        self.term = term
+        self.began_ms = now_ms
+        self.used_ms = now_ms
+        self.busy = False
+        self.ended = asyncio.Event()
+        # Tells a repeat of the whole transaction from another use of its key.
+        self.digest = hashlib.blake2b(digest_size=16)
+
+
+class TransactionTable:
+    """The open transactions of this entry host.
+
+    Each one keeps a task that holds its connection until it ends, so that no
+    path can hand the connection to anybody else in between.
+
+    Parameters
+    ----------
+    limits : Limits
+        Idle and total times.
+    clock : Clock
+        Source of time.
+    random_state : random.Random
+        Chooses the numbers.
+    events : EventLog
+        Where findings go.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_events",
+        "_limits",
+        "_open",
+        "_random",
+        "_tasks",
+        "expired",
+    )
+
+    def __init__(
+        self,
+        limits: Limits,
+        clock: Clock,
+        random_state: random.Random,
+        events: EventLog,
+    ) -> None:
+        self._limits = limits
+        self._clock = clock
+        self._random = random_state
+        self._events = events
+        self._open: dict[int, OpenTransaction] = {}
+        self._tasks = Tasks()
+        self.expired = 0
+
+    @property
+    def open(self) -> int:
+        """How many are open."""
+        return len(self._open)
+
+    async def begin(
+        self, owner: TargetOwner, watch: GroupWatch, work: Work
+    ) -> Result[Answer, Refusal]:
+        """Open a transaction on a connection of its own.
+
+        Parameters
+        ----------
+        owner : TargetOwner
+            Owner of the target's pool.
+        watch : GroupWatch
+            What is known of the group.
+        work : Work
+            Names team, weight and tier.
+
+        Returns
+        -------
+        Result
+            An answer with the transaction's number.
+        """
+        deadline_ms = self._clock.now_ms() + work.remaining_ms
+        primary = watch.primary()
+        if primary is None or primary.target.id != owner.target.id:
+            return Err(Refusal.of(NOT_PRIMARY, f"{owner.target.id} does not lead"))
+        began: asyncio.Future = asyncio.get_running_loop().create_future()
+        term = primary.status.term
+        self._tasks.spawn(self._hold(owner, watch, work, term, deadline_ms, began))
+        return await asyncio.shield(began)
+
+    async def statement(self, work: Work) -> Result[Answer, Refusal]:
+        """Run a statement in an open transaction.
+
+        Parameters
+        ----------
+        work : Work
+            The statement and the transaction's number.
+
+        Returns
+        -------
+        Result
+            The answer.  Any refusal but `TRANSACTION_BUSY` and an overload ends
+            the transaction.
+        """
+        deadline_ms = self._clock.now_ms() + work.remaining_ms
+        found = self._find(work)
+        if found.is_err():
+            return found
+        transaction = found.unwrap()
+        batch = Batch([Statement(work.sql, work.params)], transaction.term)
+        batch.max_rows = self._limits.answer_rows
+        async with self._exclusive(transaction):
+            ran = await self._run(transaction, batch, work, deadline_ms)
+        if ran.is_err():
+            return ran
+        transaction.digest.update(msgspec.json.encode([work.sql, work.params]))
+        rows = ran.unwrap().results[0]
+        return Ok(Answer(rows.columns, rows.rows, rows.changed))
+
+    async def commit(self, work: Work) -> Result[Answer, Refusal]:
+        """Commit, with the idempotency key in the same transaction.
+
+        Parameters
+        ----------
+        work : Work
+            The transaction's number, the key and what to wait for.
+
+        Returns
+        -------
+        Result
+            An answer with the position, or a refusal.
+        """
+        deadline_ms = self._clock.now_ms() + work.remaining_ms
+        found = self._find(work)
+        if found.is_err():
+            return found
+        transaction = found.unwrap()
+        async with self._exclusive(transaction):
+            committed = await self._commit(transaction, work, deadline_ms)
+            transaction.ended.set()
+        if committed.is_err():
+            return committed
+        return await acknowledge(
+            transaction.owner,
+            transaction.watch,
+            work,
+            committed.unwrap(),
+            deadline_ms,
+        )
+
+    async def rollback(self, work: Work) -> Result[Answer, Refusal]:
+        """Roll back.
+
+        Parameters
+        ----------
+        work : Work
+            The transaction's number.
+
+        Returns
+        -------
+        Result
+            An empty answer.
+        """
+        found = self._find(work)
+        if found.is_err():
+            return found
+        transaction = found.unwrap()
+        deadline_ms = self._clock.now_ms() + work.remaining_ms
+        batch = Batch([], transaction.term, end=End.ROLLBACK, reset=True)
+        async with self._exclusive(transaction):
+            await self._run(transaction, batch, work, deadline_ms)
+            transaction.ended.set()
+        # Whether or not the target heard it, nothing of it was committed.
+        return Ok(Answer())
+
+    async def drain(self, limit_ms: float) -> int:
+        """Wait for open transactions to end, then end those that are left.
+
+        Parameters
+        ----------
+        limit_ms : float
+            Longest wait in milliseconds.
+
+        Returns
+        -------
+        int
+            How many had to be ended.
+        """
+        await self._tasks.wait(limit_ms / MS_PER_S)
+        left = len(self._open)
+        for transaction in list(self._open.values()):
+            transaction.ended.set()
+        await self._tasks.wait()
+        return left
+
+    def _find(self, work: Work) -> Result[OpenTransaction, Refusal]:
+        transaction = self._open.get(work.transaction)
+        if transaction is None or transaction.team != work.team:
+            return Err(Refusal.of(UNKNOWN_TRANSACTION))
+        if transaction.ended.is_set():
+            return Err(Refusal.of(UNKNOWN_TRANSACTION))
+        if transaction.busy:
+            return Err(Refusal.of(TRANSACTION_BUSY))
+        return Ok(transaction)
+
+    @asynccontextmanager
+    async def _exclusive(self, transaction: OpenTransaction) -> AsyncIterator[None]:
+        transaction.busy = True
+        try:
+            yield
+        except BaseException:
+            # A request that was cut short leaves the connection in doubt.
+            transaction.ended.set()
+            raise
+        finally:
+            transaction.busy = False
+            transaction.used_ms = self._clock.now_ms()
+
+    async def _run(
+        self,
+        transaction: OpenTransaction,
+        batch: Batch,
+        work: Work,
+        deadline_ms: float,
+    ) -> Result[BatchReply, Refusal]:
+        """Run a batch on the pinned connection, which holds a slot meanwhile."""
+        # An open transaction holds locks that others wait for, so it goes first.
+        work.tier = Priority.BOOKING
+        async with transaction.owner.slot(work, deadline_ms) as granted:
+            if granted.is_err():
+                return Err(granted.unwrap_err())
+            limit_ms = deadline_ms - self._clock.now_ms()
+            limit_ms = min(limit_ms, self._limits.answer_timeout_ms)
+            try:
+                reply = await transaction.lease.run(batch, limit_ms)
+            except (NoAnswer, NotSent) as error:
+                transaction.ended.set()
+                transaction.owner.pool.found_silent()
+                sent = transaction.lease.commit_sent and isinstance(error, NoAnswer)
+                code = ANSWER_TIMEOUT if sent else TARGET_UNREACHABLE
+                return Err(Refusal.of(code, str(error), 200))
+        if reply.fault in (Fault.NONE, Fault.REQUIREMENT):
+            return Ok(reply)
+        transaction.ended.set()
+        return Err(refuse_fault(reply))
+
+    async def _commit(
+        self, transaction: OpenTransaction, work: Work, deadline_ms: float
+    ) -> Result[Answer, Refusal]:
+        batch = Batch([], transaction.term, end=End.COMMIT, reset=True)
+        work.digest = transaction.digest.hexdigest()
+        if work.key:
+            stored = msgspec.json.encode(keys.StoredAnswer()).decode()
+            now_ms = self._clock.wall_ms()
+            claim = keys.claim(work.team, work.key, work.digest, now_ms, stored)
+            batch.statements = [claim]
+        ran = await self._run(transaction, batch, work, deadline_ms)
+        if ran.is_err():
+            return Err(ran.unwrap_err())
+        reply = ran.unwrap()
+        if reply.fault is Fault.REQUIREMENT:
+            return await self._replay(transaction, work, deadline_ms)
+        return Ok(Answer(position=reply.position))
+
+    async def _replay(
+        self, transaction: OpenTransaction, work: Work, deadline_ms: float
+    ) -> Result[Answer, Refusal]:
+        """Answer a repeated commit; the target has rolled this one back."""
+        look_up = Batch([keys.look_up(work.team, work.key)], transaction.term)
+        look_up.begin, look_up.end, look_up.reset = Begin.READ, End.COMMIT, True
+        ran = await self._run(transaction, look_up, work, deadline_ms)
+        if ran.is_err():
+            return Err(ran.unwrap_err())
+        reply = ran.unwrap()
+        found = keys.answer_from(reply.results[0], work.digest)
+        if found is None:
+            return Err(Refusal.of(KEY_REUSED, "the key was released; ask again"))
+        if found.is_ok():
+            found.unwrap().position = reply.position
+        return found
+
+    async def _hold(
+        self,
+        owner: TargetOwner,
+        watch: GroupWatch,
+        work: Work,
+        term: int,
+        deadline_ms: float,
+        began: asyncio.Future,
+    ) -> None:
+        """Keep a connection pinned from the beginning to the end."""
+        async with owner.connection(deadline_ms) as lent:
+            if lent.is_err():
+                began.set_result(Err(lent.unwrap_err()))
+                return
+            nonce = self._random.randrange(1, MAX_NONCE)
+            now_ms = self._clock.now_ms()
+            transaction = OpenTransaction(
+                nonce, work.team, owner, watch, lent.unwrap(), term, now_ms
+            )
+            refusal = await self._open_on_target(transaction, work, deadline_ms)
+            if refusal is not None:
+                began.set_result(Err(refusal))
+                return
+            self._open[nonce] = transaction
+            began.set_result(Ok(Answer(transaction=nonce)))
+            try:
+                await self._wait_for_end(transaction)
+            finally:
+                del self._open[nonce]
+
+    async def _open_on_target(
+        self, transaction: OpenTransaction, work: Work, deadline_ms: float
+    ) -> Refusal | None:
+        limit_ms = deadline_ms - self._clock.now_ms()
+        try:
+            refusal = await ensure_key_table(
+                transaction.lease, transaction.owner, transaction.term, limit_ms
+            )
+        except (NoAnswer, NotSent) as error:
+            return Refusal.of(TARGET_UNREACHABLE, str(error), 200)
+        if refusal is not None:
+            return refusal
+        batch = Batch([], transaction.term, Begin.WRITE)
+        ran = await self._run(transaction, batch, work, deadline_ms)
+        return ran.unwrap_err() if ran.is_err() else None
+
+    async def _wait_for_end(self, transaction: OpenTransaction) -> None:
+        """Wait until the transaction ends, or passes one of its limits."""
+        while not transaction.ended.is_set():
+            now_ms = self._clock.now_ms()
+            total_ms = transaction.began_ms + self._limits.transaction_total_ms
+            idle_ms = transaction.used_ms + self._limits.transaction_idle_ms
+            if transaction.busy:
+                idle_ms = now_ms + self._limits.transaction_idle_ms
+            if now_ms >= min(total_ms, idle_ms):
+                self.expired += 1
+                self._events.record(
+                    "transactions.expired",
+                    transaction.watch.name,
+                    transaction.term,
+                    team=transaction.team,
+                )
+                # The pool closes the connection: its last batch ended no transaction.
+                transaction.ended.set()
+                return
+            try:
+                async with timeout_ms(min(total_ms, idle_ms) - now_ms):
+                    await transaction.ended.wait()
+            except TimeoutError:
+                continue
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/watching/watch.py
@@ -0,0 +1,490 @@
+"""Watches the targets of a database group: roles, positions, proofs of currency."""
+
+from __future__ import annotations
+
+import asyncio
+
+from fennelhill_core.clock import Clock, timeout_ms
+from fennelhill_core.events import EventLog
+from fennelhill_core.rpc import NoAnswer, NotSent
+from fennelhill_core.settings import Group, Limits, Target
+from fennelhill_core.streams import DialError
+from fennelhill_core.tasks import Tasks
+from fennelhill_core.tokens import Position
+
+from fennelhilld.peers.messages import GroupView, TargetView
+from fennelhilld.targets.driver import (
+    TargetControl,
+    TargetDriver,
+    TooManyConnectionsError,
+)
+from fennelhilld.targets.messages import Status
+from fennelhilld.watching.samples import Sample, Samples, covers
+
+RECONNECT_MS = 200.0
+LOOP_LAG_MS = 250.0
+
+
+class Member:
+    """What is known of one target of the group."""
+
+    __slots__ = ("control", "heard_ms", "status", "target")
+
+    def __init__(self, target: Target, now_ms: float) -> None:
+        self.target = target
+        self.control: TargetControl | None = None
+        self.status = Status(target.id, 0, False, Position())
+        # When the question was sent that the target last answered.
+        self.heard_ms = now_ms
+
+
+class _Round:
+    """One question to all targets at the same time.
+
+    Parameters
+    ----------
+    started_ms : float
+        When the question was sent.
+    """
+
+    __slots__ = ("done", "replies", "started_ms")
+
+    def __init__(self, started_ms: float) -> None:
+        self.started_ms = started_ms
+        self.replies: dict[str, Status] = {}
+        self.done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+    def finish(self) -> None:
+        if not self.done.done():
+            self.done.set_result(None)
+
+
+class _WriteWaiter:
+    """A write that waits for its confirmation."""
+
+    __slots__ = ("future", "position", "target")
+
+    def __init__(self, target: str, position: Position) -> None:
+        self.target = target
+        self.position = position
+        self.future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+
+
+class GroupWatch:
+    """Follows a group through control connections to all of its targets.
+
+    It proves three things, none of which needs the platform:
+
+    * a write is confirmed once enough other targets hold it in its term;
+    * a read of the primary is current if enough other targets are still in its
+      term after the read (ReadIndex in Ongaro's "Consensus", 2014, section 6.4);
+    * a replica's data is as fresh as the newest confirmed sample that it covers.
+
+    Parameters
+    ----------
+    name : str
+        Name of the group.
+    group : Group
+        Its settings.
+    driver : TargetDriver
+        Opens control connections.
+    limits : Limits
+        Times and bounds.
+    clock : Clock
+        Source of time.
+    events : EventLog
+        Where findings go.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_demanded",
+        "_driver",
+        "_events",
+        "_limits",
+        "_next_round",
+        "_progress",
+        "_tasks",
+        "_writes",
+        "group",
+        "lagged_ms",
+        "members",
+        "name",
+        "rounds_run",
+        "samples",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        group: Group,
+        driver: TargetDriver,
+        limits: Limits,
+        clock: Clock,
+        events: EventLog,
+    ) -> None:
+        self.name = name
+        self.group = group
+        now_ms = clock.now_ms()
+        self.members = {t.id: Member(t, now_ms) for t in group.targets}
+        self.samples = Samples()
+        self.rounds_run = 0
+        self.lagged_ms = now_ms
+        self._driver = driver
+        self._limits = limits
+        self._clock = clock
+        self._events = events
+        self._next_round: asyncio.Future[_Round] | None = None
+        self._demanded: _Round | None = None
+        self._writes: list[_WriteWaiter] = []
+        self._progress = asyncio.Event()
+        self._tasks = Tasks()
+
+    @property
+    def others_needed(self) -> int:
+        """Targets besides the primary that make a majority with it."""
+        return len(self.members) // 2
+
+    def start(self) -> None:
+        """Begin to watch."""
+        for member in self.members.values():
+            self._tasks.spawn(self._keep_control(member))
+        self._tasks.spawn(self._sample())
+
+    def close(self) -> None:
+        """Stop watching; whoever waits for a proof gets none."""
+        self._tasks.cancel()
+        for member in self.members.values():
+            if member.control is not None:
+                member.control.close()
+        for waiter in self._writes:
+            _settle(waiter.future, False)
+
+    # What is known.
+
+    @property
+    def term(self) -> int:
+        """Highest term that any target is known to have granted."""
+        return max(member.status.term for member in self.members.values())
+
+    def primary(self) -> Member | None:
+        """Return the primary of the highest term that is known to be led.
+
+        Returns
+        -------
+        Member or None
+            Nothing where no target claims to lead.
+        """
+        leading = [m for m in self.members.values() if m.status.primary]
+        return max(leading, key=lambda m: m.status.term, default=None)
+
+    def age_ms(self, target: str) -> float:
+        """Return the proven age of a target's data.
+
+        Parameters
+        ----------
+        target : str
+            Name of the target.
+
+        Returns
+        -------
+        float
+            Milliseconds, or -1 where nothing is proven.
+        """
+        return self.age_of_ms(self.members[target].status.position)
+
+    def age_of_ms(self, position: Position) -> float:
+        """Return the proven age of a log that ends at a position.
+
+        Parameters
+        ----------
+        position : Position
+            End of the log.
+
+        Returns
+        -------
+        float
+            Milliseconds, or -1 where nothing is proven.
+        """
+        as_of_ms = self.samples.fresh_as_of_ms(position)
+        return -1.0 if as_of_ms is None else self._clock.now_ms() - as_of_ms
+
+    def view(self) -> GroupView:
+        """Summarize for an entry host.
+
+        Returns
+        -------
+        GroupView
+            What is known of every target.
+        """
+        primary = self.primary()
+        if primary is not None and self._is_silent(primary):
+            primary = None
+        targets = {
+            name: TargetView(
+                member is primary,
+                member.status.term,
+                member.status.position,
+                self.age_ms(name),
+                leaving=member.status.leaving,
+            )
+            for name, member in self.members.items()
+        }
+        return GroupView(targets)
+
+    def _is_silent(self, member: Member) -> bool:
+        """Tell whether a target misses answers, so that callers had better wait."""
+        return self.silence_ms(member.target.id) > self._limits.sample_timeout_ms
+
+    def silence_ms(self, target: str) -> float:
+        """Return how long a target has answered no question.
+
+        Parameters
+        ----------
+        target : str
+            Name of the target.
+
+        Returns
+        -------
+        float
+            Milliseconds.  Time in which this process itself was held up does not
+            count: its own pause is no reason to suspect anybody.
+        """
+        since_ms = max(self.members[target].heard_ms, self.lagged_ms)
+        return self._clock.now_ms() - since_ms
+
+    def heard_status(self, target: str, status: Status) -> None:
+        """Take a status that came with the answer to an order.
+
+        Parameters
+        ----------
+        target : str
+            Name of the target.
+        status : Status
+            What it said.
+        """
+        self._heard(self.members[target], status, None)
+
+    # Proofs.
+
+    async def confirm_write(
+        self, target: str, position: Position, limit_ms: float
+    ) -> bool:
+        """Wait until enough other targets hold a write of this term.
+
+        Parameters
+        ----------
+        target : str
+            The target that ran the write; its own copy proves nothing.
+        position : Position
+            Where the write is in the log of its term.
+        limit_ms : float
+            Longest wait in milliseconds.
+
+        Returns
+        -------
+        bool
+            Whether it is confirmed.  If not, its outcome is unknown.
+        """
+        waiter = _WriteWaiter(target, position)
+        self._writes.append(waiter)
+        self._settle_writes()
+        try:
+            async with timeout_ms(limit_ms):
+                return await waiter.future
+        except TimeoutError:
+            return False
+        finally:
+            if waiter in self._writes:
+                self._writes.remove(waiter)
+
+    async def confirm_term(self, term: int, limit_ms: float) -> bool:
+        """Prove that a term still held when this call was made.
+
+        Parameters
+        ----------
+        term : int
+            Term of a read that has just been executed.
+        limit_ms : float
+            Longest wait in milliseconds.
+
+        Returns
+        -------
+        bool
+            Whether enough other targets were still in this term afterwards.
+        """
+        if self.others_needed == 0:
+            return True
+        try:
+            async with timeout_ms(limit_ms):
+                # The round must start after the read, so one in flight won't do.
+                # One round serves every read that waits for it.
+                this_round = await asyncio.shield(self._joined_round())
+                await asyncio.shield(this_round.done)
+        except TimeoutError:
+            return False
+        return self._others_in_term(this_round, term) >= self.others_needed
+
+    async def wait_covered(self, target: str, need: Position, limit_ms: float) -> bool:
+        """Wait until a target's log holds a position.
+
+        Parameters
+        ----------
+        target : str
+            Name of the target.
+        need : Position
+            The position.
+        limit_ms : float
+            Longest wait in milliseconds.
+
+        Returns
+        -------
+        bool
+            Whether it holds it now.
+        """
+        member = self.members[target]
+        try:
+            async with timeout_ms(limit_ms):
+                while not covers(member.status.position, need):
+                    await self._progress.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def ask_now(self) -> None:
+        """Ask all targets for their status and wait until enough have answered."""
+        this_round = await asyncio.shield(self._joined_round())
+        await asyncio.shield(this_round.done)
+
+    # Tasks.
+
+    async def _keep_control(self, member: Member) -> None:
+        """Keep a control connection to one target open."""
+
+        def on_status(status: Status) -> None:
+            self._heard(member, status, None)
+
+        while True:
+            try:
+                member.control = await self._driver.control(
+                    member.target.address, self._limits.connect_timeout_ms, on_status
+                )
+            except (DialError, TooManyConnectionsError):
+                await self._clock.sleep_ms(RECONNECT_MS)
+                continue
+            while not member.control.closed:
+                await self._clock.sleep_ms(RECONNECT_MS / 4)
+
+    async def _sample(self) -> None:
+        """Ask all targets at regular times, and at once when a proof is awaited."""
+        while True:
+            before_ms = self._clock.now_ms()
+            await self._clock.sleep_ms(self._limits.sample_ms)
+            now_ms = self._clock.now_ms()
+            if now_ms - before_ms > self._limits.sample_ms + LOOP_LAG_MS:
+                self.lagged_ms = now_ms
+            self._start_round()
+
+    def _joined_round(self) -> asyncio.Future[_Round]:
+        """Return the next round to start, for a proof that must begin after now."""
+        if self._next_round is None:
+            self._next_round = asyncio.get_running_loop().create_future()
+            if self._demanded is None:
+                # Reads that end in the same pass of the loop share the round.
+                asyncio.get_running_loop().call_soon(self._start_demanded)
+        return self._next_round
+
+    def _start_demanded(self, _: object = None) -> None:
+        # One demanded round at a time: under load the proofs gather in the next.
+        self._demanded = None
+        if self._next_round is not None:
+            self._demanded = self._start_round()
+            self._demanded.done.add_done_callback(self._start_demanded)
+
+    def _start_round(self) -> _Round:
+        this_round = _Round(self._clock.now_ms())
+        self.rounds_run += 1
+        if self._next_round is not None:
+            self._next_round.set_result(this_round)
+            self._next_round = None
+        self._tasks.spawn(self._run_round(this_round))
+        return this_round
+
+    async def _run_round(self, this_round: _Round) -> None:
+        questions = [self._ask(m, this_round) for m in self.members.values()]
+        await asyncio.gather(*questions)
+        this_round.finish()
+
+    async def _ask(self, member: Member, this_round: _Round) -> None:
+        control = member.control
+        if control is None or control.closed:
+            return
+        try:
+            status = await control.status(self._limits.sample_timeout_ms)
+        except (NoAnswer, NotSent):
+            return
+        this_round.replies[member.target.id] = status
+        self._heard(member, status, this_round.started_ms)
+        self._evaluate(this_round)
+
+    def _evaluate(self, this_round: _Round) -> None:
+        """Take what a round has proven so far."""
+        leading = [s for s in this_round.replies.values() if s.primary]
+        primary = max(leading, key=lambda status: status.term, default=None)
+        if primary is None:
+            return
+        if self._others_in_term(this_round, primary.term) >= self.others_needed:
+            self.samples.add(Sample(this_round.started_ms, primary.position))
+            this_round.finish()
+
+    def _others_in_term(self, this_round: _Round, term: int) -> int:
+        return sum(
+            1
+            for status in this_round.replies.values()
+            if status.term == term and not status.primary
+        )
+
+    # Findings.
+
+    def _heard(self, member: Member, status: Status, asked_ms: float | None) -> None:
+        if asked_ms is not None:
+            member.heard_ms = max(member.heard_ms, asked_ms)
+        known = member.status
+        if status.term < known.term:
+            return
+        if status.primary and not known.primary:
+            self._events.record(
+                "watching.primary_found", self.name, status.term, target=status.target
+            )
+        member.status = status
+        if status.position != known.position or status.term != known.term:
+            progress, self._progress = self._progress, asyncio.Event()
+            progress.set()
+            self._settle_writes()
+
+    def _settle_writes(self) -> None:
+        for waiter in self._writes:
+            if self._confirmed(waiter.target, waiter.position):
+                _settle(waiter.future, True)
+            elif self._replaced(waiter.position.term):
+                _settle(waiter.future, False)
+
+    def _confirmed(self, target: str, position: Position) -> bool:
+        holding = sum(
+            1
+            for name, member in self.members.items()
+            if name != target
+            and member.status.position.term == position.term
+            and member.status.position.index >= position.index
+        )
+        return holding >= self.others_needed
+
+    def _replaced(self, term: int) -> bool:
+        """Tell whether so many targets have left a term that it can't confirm."""
+        gone = sum(1 for m in self.members.values() if m.status.term > term)
+        return len(self.members) - gone <= self.others_needed
+
+
+def _settle(future: asyncio.Future[bool], value: bool) -> None:
+    if not future.done():
+        future.set_result(value)
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/writes/__init__.py
@@ -0,0 +1,1 @@
+"""Writes: at most once, confirmed, and outcomes that can be asked for."""
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/writes/serve.py
@@ -0,0 +1,359 @@
+"""Serves writes and outcome queries at the owner of the primary's pool."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from functools import partial
+
+from fennelhill_core.clock import Clock
+from fennelhill_core.codes import (
+    ANSWER_TIMEOUT,
+    CONNECTION_LOST,
+    KEY_CANCELLED,
+    KEY_REUSED,
+    NOT_PRIMARY,
+    TARGET_BUSY,
+    TARGET_UNREACHABLE,
+    UNCONFIRMED,
+    Refusal,
+)
+from fennelhill_core.rpc import NoAnswer, NotSent
+from fennelhill_core.settings import Acknowledgement
+from fennelhill_core.tokens import Position
+from result import Err, Ok, Result
+
+from fennelhilld.peers.messages import Answer, Work
+from fennelhilld.pooling.owner import Lease, TargetOwner, refuse_fault
+from fennelhilld.targets.messages import Batch, BatchReply, Begin, End, Fault, Statement
+from fennelhilld.watching.watch import GroupWatch
+from fennelhilld.writes import keys
+
+SERVICES_PER_ATTEMPT = 12.0
+MIN_ATTEMPT_MS = 150.0
+RETRY_AFTER_MS = 200
+
+Step = Callable[
+    [Lease, TargetOwner, Work, int, float], Awaitable[Result[Answer, Refusal]]
+]
+
+_SAID_BY_KEY = {KEY_CANCELLED.number, KEY_REUSED.number}
+
+
+async def serve_write(
+    owner: TargetOwner, watch: GroupWatch, work: Work
+) -> Result[Answer, Refusal]:
+    """Run a write once and acknowledge it when it can't be lost any more.
+
+    Parameters
+    ----------
+    owner : TargetOwner
+        Owner of the target's pool.
+    watch : GroupWatch
+        What is known of the group.
+    work : Work
+        The write.
+
+    Returns
+    -------
+    Result
+        The answer, or a refusal of any class.
+    """
+    return await _at_primary(owner, watch, work, _write_once)
+
+
+async def serve_outcome(
+    owner: TargetOwner, watch: GroupWatch, work: Work
+) -> Result[Answer, Refusal]:
+    """Settle what became of a key.
+
+    A key that is not taken is taken here, so that its request can't run later:
+    the answer stays true.
+
+    Parameters
+    ----------
+    owner : TargetOwner
+        Owner of the target's pool.
+    watch : GroupWatch
+        What is known of the group.
+    work : Work
+        Names team and key.
+
+    Returns
+    -------
+    Result
+        The stored answer, or an answer that says ``cancelled``.
+    """
+    return await _at_primary(owner, watch, work, _settle_key)
+
+
+async def _at_primary(
+    owner: TargetOwner, watch: GroupWatch, work: Work, run: Step
+) -> Result[Answer, Refusal]:
+    deadline_ms = owner.clock.now_ms() + work.remaining_ms
+    primary = watch.primary()
+    if primary is None or primary.target.id != owner.target.id:
+        return Err(Refusal.of(NOT_PRIMARY, f"{owner.target.id} does not lead"))
+    term = primary.status.term
+    async with owner.slot(work, deadline_ms) as granted:
+        if granted.is_err():
+            return Err(granted.unwrap_err())
+        ran = await _run_with_retry(owner, work, term, deadline_ms, run)
+    if ran.is_err():
+        return ran
+    return await acknowledge(owner, watch, work, ran.unwrap(), deadline_ms)
+
+
+async def acknowledge(
+    owner: TargetOwner,
+    watch: GroupWatch,
+    work: Work,
+    answer: Answer,
+    deadline_ms: float,
+) -> Result[Answer, Refusal]:
+    """Hold a committed write's answer back until the write is confirmed.
+
+    Parameters
+    ----------
+    owner : TargetOwner
+        Owner of the target's pool.
+    watch : GroupWatch
+        What is known of the group.
+    work : Work
+        The write.
+    answer : Answer
+        Its answer, with the position of the commit.
+    deadline_ms : float
+        When the answer must be ready, on this host's clock.
+
+    Returns
+    -------
+    Result
+        The answer, or `UNCONFIRMED`.
+    """
+    if work.ack is Acknowledgement.PRIMARY:
+        return Ok(answer)
+    limit_ms = deadline_ms - owner.clock.now_ms()
+    if await watch.confirm_write(owner.target.id, answer.position, limit_ms):
+        return Ok(answer)
+    detail = f"entry {answer.position.index} of term {answer.position.term}"
+    return Err(Refusal.of(UNCONFIRMED, detail, 500))
+
+
+async def _run_with_retry(
+    owner: TargetOwner, work: Work, term: int, deadline_ms: float, run: Step
+) -> Result[Answer, Refusal]:
+    """Run at the primary; where an answer is lost, the key makes asking again safe.
+
+    A request without a key is idempotent by its settings.  Until its commit was
+    sent, a lost connection leaves nothing behind.
+    """
+    committing = False
+    detail = "no time is left for the write"
+    for last in (False, True):
+        remaining_ms = deadline_ms - owner.clock.now_ms()
+        if remaining_ms <= 0:
+            break
+        limit_ms = min(remaining_ms, owner.limits.answer_timeout_ms)
+        if not last:
+            attempt_ms = SERVICES_PER_ATTEMPT * owner.queue.service_ms
+            limit_ms = min(limit_ms / 2, max(MIN_ATTEMPT_MS, attempt_ms))
+        async with owner.connection(deadline_ms) as lent:
+            if lent.is_err():
+                return Err(_after(committing, lent.unwrap_err()))
+            lease = lent.unwrap()
+            try:
+                ran = await run(lease, owner, work, term, limit_ms)
+                return ran.map_err(partial(_after, committing))
+            except (NoAnswer, NotSent) as error:
+                # One silent connection casts doubt on its siblings, not on the target.
+                owner.pool.found_silent()
+                committing |= lease.commit_sent and isinstance(error, NoAnswer)
+                detail = str(error)
+    code = ANSWER_TIMEOUT if committing else TARGET_UNREACHABLE
+    return Err(Refusal.of(code, detail, RETRY_AFTER_MS))
+
+
+def _after(committing: bool, refusal: Refusal) -> Refusal:
+    """Keep a refusal true where an earlier attempt may have committed.
+
+    That the second attempt did not run says nothing of the first, except where
+    the key itself answered.
+    """
+    if not committing or not refusal.not_run or refusal.code in _SAID_BY_KEY:
+        return refusal
+    return Refusal.of(CONNECTION_LOST, refusal.detail, refusal.retry_after_ms)
+
+
+async def _write_once(
+    lease: Lease, owner: TargetOwner, work: Work, term: int, limit_ms: float
+) -> Result[Answer, Refusal]:
+    statement = Statement(work.sql, work.params)
+    if not work.key:
+        batch = _write_batch(owner, term, [statement])
+        reply = await lease.run(batch, limit_ms)
+        return _answer(reply, 0)
+    started_ms = owner.clock.now_ms()
+    refusal = await ensure_key_table(lease, owner, term, limit_ms)
+    if refusal is not None:
+        return Err(refusal)
+    claim = keys.claim(
+        work.team, work.key, work.digest, owner.clock.wall_ms(), keys.PENDING
+    )
+    first = _write_batch(owner, term, [claim, statement])
+    first.end, first.reset = End.NONE, False
+    reply = await lease.run(first, limit_ms)
+    if reply.fault is Fault.REQUIREMENT:
+        return await replay(lease, owner, work, term, limit_ms)
+    if reply.fault is not Fault.NONE:
+        return Err(refuse_fault(reply))
+    kept = keys.StoredAnswer.from_rows(reply.results[1])
+    second = Batch([keys.store(work.team, work.key, kept)], term)
+    second.end, second.reset = End.COMMIT, True
+    left_ms = limit_ms - (owner.clock.now_ms() - started_ms)
+    committed = await lease.run(second, left_ms)
+    if committed.fault is not Fault.NONE:
+        return Err(refuse_fault(committed))
+    return Ok(Answer(kept.columns, kept.rows, kept.changed, committed.position))
+
+
+async def replay(
+    lease: Lease, owner: TargetOwner, work: Work, term: int, limit_ms: float
+) -> Result[Answer, Refusal]:
+    """Answer from what an earlier request with the same key has left.
+
+    Parameters
+    ----------
+    lease : Lease
+        A connection to the primary.
+    owner : TargetOwner
+        Owner of the target's pool.
+    work : Work
+        The request.
+    term : int
+        The primary's term.
+    limit_ms : float
+        Limit for the answer in milliseconds.
+
+    Returns
+    -------
+    Result
+        The stored answer.  Its position is the end of the log as read, so the
+        earlier request's commit is confirmed along with it.
+    """
+    batch = Batch([keys.look_up(work.team, work.key)], term, Begin.READ, End.COMMIT)
+    batch.reset = True
+    reply = await lease.run(batch, limit_ms)
+    if reply.fault is not Fault.NONE:
+        return Err(refuse_fault(reply))
+    found = keys.answer_from(reply.results[0], work.digest)
+    if found is None:
+        # The earlier request was rolled back between the two batches.
+        return Err(Refusal.of(TARGET_BUSY, "the key was released; ask again", 20))
+    return found.map(lambda answer: _at(answer, reply.position))
+
+
+async def _settle_key(
+    lease: Lease, owner: TargetOwner, work: Work, term: int, limit_ms: float
+) -> Result[Answer, Refusal]:
+    refusal = await ensure_key_table(lease, owner, term, limit_ms)
+    if refusal is not None:
+        return Err(refusal)
+    cancel = keys.cancel(work.team, work.key, owner.clock.wall_ms())
+    look_up = keys.look_up(work.team, work.key)
+    reply = await lease.run(_write_batch(owner, term, [cancel, look_up]), limit_ms)
+    if reply.fault is not Fault.NONE:
+        return Err(refuse_fault(reply))
+    found = keys.answer_from(reply.results[1], None)
+    if found is not None and found.is_ok():
+        return found.map(lambda answer: _at(answer, reply.position))
+    return Ok(Answer(position=reply.position, cancelled=True))
+
+
+async def ensure_key_table(
+    lease: Lease, owner: TargetOwner, term: int, limit_ms: float
+) -> Refusal | None:
+    """Create the table of idempotency keys, once for each term.
+
+    Parameters
+    ----------
+    lease : Lease
+        A connection to the primary.
+    owner : TargetOwner
+        Owner of the target's pool.
+    term : int
+        The primary's term.
+    limit_ms : float
+        Limit for the answer in milliseconds.
+
+    Returns
+    -------
+    Refusal or None
+        Why there is no such table; nothing where it exists.
+    """
+    if owner.key_table_term == term:
+        return None
+    statements = [Statement(keys.CREATE_TABLE), Statement(keys.CREATE_INDEX)]
+    reply = await lease.run(_write_batch(owner, term, statements), limit_ms)
+    lease.commit_sent = False
+    if reply.fault is not Fault.NONE:
+        return refuse_fault(reply)
+    owner.key_table_term = term
+    return None
+
+
+def _write_batch(owner: TargetOwner, term: int, statements: list[Statement]) -> Batch:
+    return Batch(
+        statements,
+        term,
+        Begin.WRITE,
+        End.COMMIT,
+        reset=True,
+        max_rows=owner.limits.answer_rows,
+    )
+
+
+def _answer(reply: BatchReply, index: int) -> Result[Answer, Refusal]:
+    if reply.fault is not Fault.NONE:
+        return Err(refuse_fault(reply))
+    rows = reply.results[index]
+    return Ok(Answer(rows.columns, rows.rows, rows.changed, reply.position))
+
+
+def _at(answer: Answer, position: Position) -> Answer:
+    answer.position = position
+    return answer
+
+
+async def forget_keys(
+    owner: TargetOwner, watch: GroupWatch, clock: Clock
+) -> int | None:
+    """Delete keys that are past their retention, a bounded number at a time.
+
+    Parameters
+    ----------
+    owner : TargetOwner
+        Owner of the primary's pool.
+    watch : GroupWatch
+        What is known of the group.
+    clock : Clock
+        Source of wall time.
+
+    Returns
+    -------
+    int or None
+        How many were deleted; nothing where the target could not be asked.
+    """
+    primary = watch.primary()
+    if primary is None or primary.target.id != owner.target.id:
+        return None
+    before_ms = clock.wall_ms() - int(owner.limits.key_retention_ms)
+    batch = _write_batch(owner, primary.status.term, [keys.expire(before_ms)])
+    limit_ms = owner.limits.answer_timeout_ms
+    try:
+        async with owner.connection(owner.clock.now_ms() + limit_ms) as lent:
+            if lent.is_err():
+                return None
+            reply = await lent.unwrap().run(batch, limit_ms)
+    except (NoAnswer, NotSent):
+        return None
+    return reply.results[0].changed if reply.fault is Fault.NONE else None
