Admit statements of open transactions without a slot

Cause: under the demo's load all slots of a primary were held by writers that waited for the locks of an open transaction, while its next statement waited for a slot; both ended by the target's 400 ms lock timeout. Ruled out: the pool's connections (2 of 12 in use) and the hop (the same without sockets).

--- a/packages/fennelhilld/src/fennelhilld/pooling/admission.py
+++ b/packages/fennelhilld/src/fennelhilld/pooling/admission.py
@@ -203,6 +203,20 @@
             return Err(self._refuse(wait_ms))
         return await self._enqueue(team, weight, tier, deadline_ms)
 
+    def admit_pinned(self) -> Permit:
+        """Admit a statement of an open transaction at once, even beyond the slots.
+
+        The transaction holds locks.  If its next statement waited for a slot, the
+        slots could all be held by writers that wait for those very locks.
+
+        Returns
+        -------
+        Permit
+            Counts against the slots, so that new requests wait until it is released.
+        """
+        self._busy += 1
+        return Permit(self, self._clock.now_ms())
+
     async def _enqueue(
         self, team: str, weight: float, tier: Priority, deadline_ms: float
     ) -> Result[Permit, Refusal]:
--- a/packages/fennelhilld/src/fennelhilld/pooling/owner.py
+++ b/packages/fennelhilld/src/fennelhilld/pooling/owner.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
 
 from fennelhill_core.clock import Clock
 from fennelhill_core.codes import (
@@ -161,6 +161,22 @@
         finally:
             granted.unwrap().release()
 
+    @contextmanager
+    def pinned_slot(self) -> Iterator[None]:
+        """Hold a slot for a statement of an open transaction, without a wait.
+
+        Yields
+        ------
+        None
+            The statement may run.
+        """
+        self.used_ms = self.clock.now_ms()
+        permit = self.queue.admit_pinned()
+        try:
+            yield
+        finally:
+            permit.release()
+
     @asynccontextmanager
     async def connection(
         self, deadline_ms: float
--- a/packages/fennelhilld/src/fennelhilld/transactions/serve.py
+++ b/packages/fennelhilld/src/fennelhilld/transactions/serve.py
@@ -21,7 +21,7 @@
 )
 from fennelhill_core.events import EventLog
 from fennelhill_core.rpc import NoAnswer, NotSent
-from fennelhill_core.settings import Limits, Priority
+from fennelhill_core.settings import Limits
 from fennelhill_core.tasks import Tasks
 from result import Err, Ok, Result
 
@@ -192,7 +192,7 @@
         batch = Batch([Statement(work.sql, work.params)], transaction.term)
         batch.max_rows = self._limits.answer_rows
         async with self._exclusive(transaction):
-            ran = await self._run(transaction, batch, work, deadline_ms)
+            ran = await self._run(transaction, batch, deadline_ms)
         if ran.is_err():
             return ran
         transaction.digest.update(msgspec.json.encode([work.sql, work.params]))
@@ -250,7 +250,7 @@
         deadline_ms = self._clock.now_ms() + work.remaining_ms
         batch = Batch([], transaction.term, end=End.ROLLBACK, reset=True)
         async with self._exclusive(transaction):
-            await self._run(transaction, batch, work, deadline_ms)
+            await self._run(transaction, batch, deadline_ms)
             transaction.ended.set()
         # Whether or not the target heard it, nothing of it was committed.
         return Ok(Answer())
@@ -299,28 +299,26 @@
             transaction.used_ms = self._clock.now_ms()
 
     async def _run(
-        self,
-        transaction: OpenTransaction,
-        batch: Batch,
-        work: Work,
-        deadline_ms: float,
+        self, transaction: OpenTransaction, batch: Batch, deadline_ms: float
     ) -> Result[BatchReply, Refusal]:
-        """Run a batch on the pinned connection, which holds a slot meanwhile."""
-        # An open transaction holds locks that others wait for, so it goes first.
-        work.tier = Priority.BOOKING
-        async with transaction.owner.slot(work, deadline_ms) as granted:
-            if granted.is_err():
-                return Err(granted.unwrap_err())
-            limit_ms = deadline_ms - self._clock.now_ms()
-            limit_ms = min(limit_ms, self._limits.answer_timeout_ms)
-            try:
-                reply = await transaction.lease.run(batch, limit_ms)
-            except (NoAnswer, NotSent) as error:
-                transaction.ended.set()
-                transaction.owner.pool.found_silent()
-                sent = transaction.lease.commit_sent and isinstance(error, NoAnswer)
-                code = ANSWER_TIMEOUT if sent else TARGET_UNREACHABLE
-                return Err(Refusal.of(code, str(error), 200))
+        """Run a batch of a transaction that holds locks."""
+        with transaction.owner.pinned_slot():
+            return await self._send(transaction, batch, deadline_ms)
+
+    async def _send(
+        self, transaction: OpenTransaction, batch: Batch, deadline_ms: float
+    ) -> Result[BatchReply, Refusal]:
+        """Run a batch on the pinned connection; whatever goes wrong ends it."""
+        limit_ms = deadline_ms - self._clock.now_ms()
+        limit_ms = min(limit_ms, self._limits.answer_timeout_ms)
+        try:
+            reply = await transaction.lease.run(batch, limit_ms)
+        except (NoAnswer, NotSent) as error:
+            transaction.ended.set()
+            transaction.owner.pool.found_silent()
+            sent = transaction.lease.commit_sent and isinstance(error, NoAnswer)
+            code = ANSWER_TIMEOUT if sent else TARGET_UNREACHABLE
+            return Err(Refusal.of(code, str(error), 200))
         if reply.fault in (Fault.NONE, Fault.REQUIREMENT):
             return Ok(reply)
         transaction.ended.set()
@@ -336,7 +334,7 @@
             now_ms = self._clock.wall_ms()
             claim = keys.claim(work.team, work.key, work.digest, now_ms, stored)
             batch.statements = [claim]
-        ran = await self._run(transaction, batch, work, deadline_ms)
+        ran = await self._run(transaction, batch, deadline_ms)
         if ran.is_err():
             return Err(ran.unwrap_err())
         reply = ran.unwrap()
@@ -350,7 +348,7 @@
         """Answer a repeated commit; the target has rolled this one back."""
         look_up = Batch([keys.look_up(work.team, work.key)], transaction.term)
         look_up.begin, look_up.end, look_up.reset = Begin.READ, End.COMMIT, True
-        ran = await self._run(transaction, look_up, work, deadline_ms)
+        ran = await self._run(transaction, look_up, deadline_ms)
         if ran.is_err():
             return Err(ran.unwrap_err())
         reply = ran.unwrap()
@@ -404,7 +402,11 @@
         if refusal is not None:
             return refusal
         batch = Batch([], transaction.term, Begin.WRITE)
-        ran = await self._run(transaction, batch, work, deadline_ms)
+        # It holds no locks yet, so it waits in the queue like any other request.
+        async with transaction.owner.slot(work, deadline_ms) as granted:
+            if granted.is_err():
+                return granted.unwrap_err()
+            ran = await self._send(transaction, batch, deadline_ms)
         return ran.unwrap_err() if ran.is_err() else None
 
     async def _wait_for_end(self, transaction: OpenTransaction) -> None:
