Ask targets for progress only where a write waits for it

Change: one outstanding wait per other target serves all waiting writes; samples run every 30 ms only while no primary answers; hashes are computed once a target; a pool of which no connection is open refuses at once while it backs off; the owner gives up 6 ms before its caller, more than a round trip between zones.

--- a/packages/fennelhill-bench/src/fennelhill_bench/target.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/target.py
@@ -5,12 +5,13 @@
 import asyncio
 from collections import deque
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 import msgspec
 from fennelhill_core.clock import MS_PER_S, Clock, timeout_ms
 from fennelhill_core.rpc import Request, Response
 from fennelhill_core.streams import Stream, StreamClosed
+from fennelhill_core.tasks import Tasks
 from fennelhill_core.tokens import Position
 from fennelhilld.targets.messages import (
     Batch,
@@ -25,13 +26,13 @@
     HelloReply,
     Promote,
     Status,
+    WaitApplied,
 )
+from fennelhilld.watching.samples import covers
 
 from fennelhill_bench.database import Database, SqlFault, SqlSession
 from fennelhill_bench.network import Network
 
-IDLE_STATUS_MS = 500.0
-
 
 class TargetSpec(msgspec.Struct):
     """How a target stand-in behaves.
@@ -169,13 +170,25 @@
             held.release()
 
     async def _serve_control(self, stream: Stream) -> None:
-        reporter = asyncio.ensure_future(self._report(stream))
+        waits = Tasks()
         try:
             while True:
                 request = await self._receive(stream)
-                await self._answer(stream, request, self._control(request))
+                if request.method == "wait_applied":
+                    waits.spawn(self._wait_applied(stream, request))
+                else:
+                    await self._answer(stream, request, self._control(request))
         finally:
-            reporter.cancel()
+            waits.cancel()
+
+    async def _wait_applied(self, stream: Stream, request: Request) -> None:
+        wait = msgspec.json.decode(request.params, type=WaitApplied)
+        with suppress(TimeoutError):
+            async with timeout_ms(wait.limit_ms):
+                while not covers(self.position, wait.position):
+                    await self._changed.wait()
+        with suppress(StreamClosed):
+            await self._answer(stream, request, self.status())
 
     def _control(self, request: Request) -> Status | ControlReply:
         match request.method:
@@ -195,22 +208,6 @@
             case _:
                 return self.status()
 
-    async def _report(self, stream: Stream) -> None:
-        """Push the status whenever the log or the role changes."""
-        try:
-            while True:
-                changed = self._changed
-                await self._running.wait()
-                status = msgspec.Raw(msgspec.json.encode(self.status()))
-                await stream.send(msgspec.json.encode(Request("status", status)))
-                try:
-                    async with timeout_ms(IDLE_STATUS_MS):
-                        await changed.wait()
-                except TimeoutError:
-                    continue
-        except StreamClosed:
-            return
-
     async def _run_batch(
         self, session: SqlSession, held: _LockHolder, batch: Batch
     ) -> BatchReply:
--- a/packages/fennelhill-core/src/fennelhill_core/rpc.py
+++ b/packages/fennelhill-core/src/fennelhill_core/rpc.py
@@ -88,8 +88,6 @@
     ----------
     stream : Stream
         The open stream, owned from here on.
-    on_notify : callable, optional
-        Receives ``(method, params)`` of notifications.
     first_id : int
         The first request id.
     """
@@ -97,7 +95,6 @@
     __slots__ = (
         "_forgotten",
         "_next_id",
-        "_on_notify",
         "_pending",
         "_reader",
         "_stream",
@@ -107,11 +104,9 @@
     def __init__(
         self,
         stream: Stream,
-        on_notify: Callable[[str, msgspec.Raw], None] | None = None,
         first_id: int = 1,
     ) -> None:
         self._stream = stream
-        self._on_notify = on_notify
         self._pending: dict[int, asyncio.Future[msgspec.Raw]] = {}
         self._forgotten: dict[int, None] = {}
         self._next_id = first_id
@@ -166,19 +161,6 @@
                 self._forget(request_id)
             future.cancel()
 
-    async def notify(self, method: str, params: Any) -> None:
-        """Send a notification, which has no answer.
-
-        Parameters
-        ----------
-        method : str
-            Name of the method.
-        params : object
-            What msgspec can encode.
-        """
-        params_json = msgspec.Raw(_encoder.encode(params))
-        await self._stream.send(_encoder.encode(Request(method, params_json)))
-
     def close(self) -> None:
         """Close the stream; waiting calls end with `NoAnswer`."""
         if self.closed:
@@ -205,12 +187,8 @@
 
     def _dispatch(self, message: bytes) -> None:
         frame = _decode_frame(message)
-        if frame.method is not None:
-            if self._on_notify is not None:
-                self._on_notify(frame.method, frame.params)
-            return
-        if frame.id is None:
-            raise ProtocolError("a response without an id")
+        if frame.method is not None or frame.id is None:
+            raise ProtocolError("not a response")
         future = self._pending.get(frame.id)
         if future is None or future.done():
             if frame.id not in self._forgotten:
--- a/packages/fennelhilld/src/fennelhilld/failover/steward.py
+++ b/packages/fennelhilld/src/fennelhilld/failover/steward.py
@@ -138,19 +138,21 @@
         while True:
             await self._clock.sleep_ms(STEP_MS)
             now_ms = self._clock.now_ms()
-            if now_ms >= self._next_try_ms and self._overdue() and await self._agreed():
+            overdue = now_ms >= self._next_try_ms and self._overdue()
+            if overdue and await self._agreed():
                 self._next_try_ms = now_ms + RETRY_MS
                 await self._promote()
-            elif self._rank() == 0 and now_ms - followed_ms >= FOLLOW_EVERY_MS:
+            elif now_ms - followed_ms >= FOLLOW_EVERY_MS:
                 followed_ms = now_ms
-                await self._align_followers()
+                if self._rank() == 0:
+                    await self._align_followers()
 
     # Detection.
 
     def _overdue(self) -> bool:
         """Tell whether the primary was silent long enough for a host of this rank."""
-        allowed_ms = self._limits.primary_silence_ms + self._rank() * RANK_DELAY_MS
-        return self._silence_ms() >= allowed_ms
+        over_ms = self._silence_ms() - self._limits.primary_silence_ms
+        return over_ms >= 0 and over_ms >= self._rank() * RANK_DELAY_MS
 
     def _silence_ms(self) -> float:
         primary = self._watch.primary()
--- a/packages/fennelhilld/src/fennelhilld/membership/view.py
+++ b/packages/fennelhilld/src/fennelhilld/membership/view.py
@@ -36,6 +36,7 @@
         "_events",
         "_leaving",
         "_listed",
+        "_orders",
         "_suspects",
         "host",
         "hosts",
@@ -51,6 +52,8 @@
         self._suspects: dict[str, float] = {}
         self._leaving: set[str] = set()
         self._listed: dict[str, HostState] = {}
+        # The order of all hosts does not depend on who is usable.
+        self._orders: dict[str, list[EntryHost]] = {}
 
     def suspect(self, host: str, for_ms: float, reason: str) -> None:
         """Leave a host out of the view for a while.
@@ -151,14 +154,17 @@
         list of EntryHost
             Usable hosts.
         """
-        usable = [entry for entry in self.hosts.values() if self.usable(entry.id)]
-        return sorted(
-            usable,
-            key=lambda entry: (
-                entry.zone != target.zone,
-                -xxhash.xxh64_intdigest(f"{entry.id}/{target.id}".encode()),
-            ),
-        )
+        order = self._orders.get(target.id)
+        if order is None:
+            order = sorted(
+                self.hosts.values(),
+                key=lambda entry: (
+                    entry.zone != target.zone,
+                    -xxhash.xxh64_intdigest(f"{entry.id}/{target.id}".encode()),
+                ),
+            )
+            self._orders[target.id] = order
+        return [entry for entry in order if self.usable(entry.id)]
 
 
 class OwnerPolicy(Protocol):
--- a/packages/fennelhilld/src/fennelhilld/pooling/connections.py
+++ b/packages/fennelhilld/src/fennelhilld/pooling/connections.py
@@ -147,7 +147,7 @@
                 return Ok(connection)
             self._open -= 1
         now_ms = self._clock.now_ms()
-        if now_ms < self._retry_at_ms and self._open == 0:
+        if now_ms < self._retry_at_ms and self._open == self._connecting:
             return Err(self._unreachable())
         waiter = asyncio.get_running_loop().create_future()
         self._waiters.append(waiter)
@@ -251,7 +251,7 @@
         doubled_ms = max(2 * self._backoff_ms, BACKOFF_FIRST_MS)
         self._backoff_ms = min(doubled_ms, BACKOFF_MAX_MS)
         self._retry_at_ms = self._clock.now_ms() + self._backoff_ms
-        if wake and self._open <= 0:
+        if wake and self._open == self._connecting:
             while (waiter := self._next_waiter()) is not None:
                 waiter.set_result(None)
 
--- a/packages/fennelhilld/src/fennelhilld/reads/serve.py
+++ b/packages/fennelhilld/src/fennelhilld/reads/serve.py
@@ -60,6 +60,7 @@
     reply = ran.unwrap()
     if reply.fault is not Fault.NONE:
         return Err(refuse_fault(reply))
+    watch.read_at(owner.target.id, reply.position)
     refusal = await _prove(watch, work, reply, at_primary, deadline_ms, owner)
     if refusal is not None:
         return Err(refusal)
@@ -90,7 +91,9 @@
 
 def _expected_wait_ms(owner: TargetOwner, watch: GroupWatch, need: Position) -> float:
     """Estimate when the replica holds a position, from its usual delay."""
-    lag_ms = max(0.0, watch.age_ms(owner.target.id) - owner.limits.sample_ms)
+    # The lag is known to within one interval between samples.
+    lag_ms = watch.members[owner.target.id].lag_ms - owner.limits.sample_ms
+    lag_ms = max(0.0, lag_ms)
     reached = watch.samples.first_at(need)
     # A position that no sample has reached yet was written after the newest one.
     if reached is None:
--- a/packages/fennelhilld/src/fennelhilld/routing/router.py
+++ b/packages/fennelhilld/src/fennelhilld/routing/router.py
@@ -47,7 +47,7 @@
 
 PRIMARY_POLL_MS = 40.0
 DOUBT_MS = 150.0
-HOP_MARGIN_MS = 2.0
+HOP_MARGIN_MS = 6.0
 READ_ATTEMPT_SHARE = 0.5
 UNKNOWN_SEEN_MS = 1e9
 
--- a/packages/fennelhilld/src/fennelhilld/targets/driver.py
+++ b/packages/fennelhilld/src/fennelhilld/targets/driver.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
 from typing import Protocol, TypeVar
 
 import msgspec
 from fennelhill_core.registry import Registry
 from fennelhill_core.rpc import NoAnswer, NotSent, RpcClient, RpcError
 from fennelhill_core.streams import Dialer, DialError, dial_within
+from fennelhill_core.tokens import Position
 
 from fennelhilld.targets.messages import (
     Batch,
@@ -22,9 +22,11 @@
     HelloReply,
     Promote,
     Status,
+    WaitApplied,
 )
 
 MAX_FIRST_ID = 2**48
+ANSWER_MARGIN_MS = 200.0
 
 T = TypeVar("T")
 
@@ -56,6 +58,9 @@
     async def status(self, limit_ms: float) -> Status:
         """Ask for the status."""
 
+    async def wait_applied(self, position: Position, limit_ms: float) -> Status:
+        """Ask for the status once the log holds a position, or after the limit."""
+
     async def fence(self, order: Fence, limit_ms: float) -> ControlReply:
         """Order a fence."""
 
@@ -75,10 +80,8 @@
     async def connect(self, address: str, limit_ms: float) -> TargetConnection:
         """Open a data connection; raises `DialError` or `TooManyConnections`."""
 
-    async def control(
-        self, address: str, limit_ms: float, on_status: Callable[[Status], None]
-    ) -> TargetControl:
-        """Open a control connection that also reports progress by itself."""
+    async def control(self, address: str, limit_ms: float) -> TargetControl:
+        """Open a control connection; raises as `connect` does."""
 
 
 TARGET_DRIVERS: Registry[TargetDriver] = Registry("target driver")
@@ -128,11 +131,9 @@
         TooManyConnectionsError
             If the target refuses for lack of connections.
         """
-        return _JsonRpcConnection(await self._open(address, limit_ms, False, None))
+        return _JsonRpcConnection(await self._open(address, limit_ms, False))
 
-    async def control(
-        self, address: str, limit_ms: float, on_status: Callable[[Status], None]
-    ) -> TargetControl:
+    async def control(self, address: str, limit_ms: float) -> TargetControl:
         """Open a control connection.
 
         Parameters
@@ -141,8 +142,6 @@
             ``ip:port`` of the target.
         limit_ms : float
             Limit for the whole set-up in milliseconds.
-        on_status : callable
-            Receives each status that the target reports by itself.
 
         Returns
         -------
@@ -156,22 +155,11 @@
         TooManyConnectionsError
             If the target refuses for lack of connections.
         """
+        return _JsonRpcControl(await self._open(address, limit_ms, True))
 
-        def notified(method: str, params: msgspec.Raw) -> None:
-            if method == "status":
-                on_status(msgspec.json.decode(params, type=Status))
-
-        return _JsonRpcControl(await self._open(address, limit_ms, True, notified))
-
-    async def _open(
-        self,
-        address: str,
-        limit_ms: float,
-        control: bool,
-        notified: Callable[[str, msgspec.Raw], None] | None,
-    ) -> RpcClient:
+    async def _open(self, address: str, limit_ms: float, control: bool) -> RpcClient:
         stream = await dial_within(self._dialer, address, limit_ms)
-        client = RpcClient(stream, notified, self._random.randrange(MAX_FIRST_ID))
+        client = RpcClient(stream, self._random.randrange(MAX_FIRST_ID))
         try:
             reply = await _call(client, "hello", Hello(control), limit_ms, HelloReply)
         except (NoAnswer, NotSent) as error:
@@ -238,6 +226,11 @@
     async def status(self, limit_ms: float) -> Status:
         return await _call(self._client, "status", {}, limit_ms, Status)
 
+    async def wait_applied(self, position: Position, limit_ms: float) -> Status:
+        wait = WaitApplied(position, limit_ms)
+        answer_ms = limit_ms + ANSWER_MARGIN_MS
+        return await _call(self._client, "wait_applied", wait, answer_ms, Status)
+
     async def fence(self, order: Fence, limit_ms: float) -> ControlReply:
         return await _call(self._client, "fence", order, limit_ms, ControlReply)
 
--- a/packages/fennelhilld/src/fennelhilld/targets/messages.py
+++ b/packages/fennelhilld/src/fennelhilld/targets/messages.py
@@ -169,6 +169,21 @@
     leaving: bool = False
 
 
+class WaitApplied(msgspec.Struct):
+    """Ask for the status once the log holds a position, or after a limit.
+
+    Parameters
+    ----------
+    position : Position
+        The position.
+    limit_ms : float
+        Longest wait in milliseconds.
+    """
+
+    position: Position
+    limit_ms: float
+
+
 class Fence(msgspec.Struct):
     """Grant a term to one attempt: refuse everything of lower terms.
 
--- a/packages/fennelhilld/src/fennelhilld/watching/watch.py
+++ b/packages/fennelhilld/src/fennelhilld/watching/watch.py
@@ -23,12 +23,13 @@
 
 RECONNECT_MS = 200.0
 LOOP_LAG_MS = 250.0
+SEARCH_MS = 30.0
 
 
 class Member:
     """What is known of one target of the group."""
 
-    __slots__ = ("control", "heard_ms", "status", "target")
+    __slots__ = ("control", "followed", "heard_ms", "lag_ms", "status", "target")
 
     def __init__(self, target: Target, now_ms: float) -> None:
         self.target = target
@@ -36,6 +37,9 @@
         self.status = Status(target.id, 0, False, Position())
         # When the question was sent that the target last answered.
         self.heard_ms = now_ms
+        self.followed = False
+        # How far behind the target usually is, as seen when it last reported.
+        self.lag_ms = 0.0
 
 
 class _Round:
@@ -103,7 +107,6 @@
         "_events",
         "_limits",
         "_next_round",
-        "_progress",
         "_tasks",
         "_writes",
         "group",
@@ -137,7 +140,6 @@
         self._next_round: asyncio.Future[_Round] | None = None
         self._demanded: _Round | None = None
         self._writes: list[_WriteWaiter] = []
-        self._progress = asyncio.Event()
         self._tasks = Tasks()
 
     @property
@@ -265,6 +267,20 @@
         """
         self._heard(self.members[target], status, None)
 
+    def read_at(self, target: str, position: Position) -> None:
+        """Take the position that came with the answer to a read.
+
+        Parameters
+        ----------
+        target : str
+            Name of the target.
+        position : Position
+            End of its log at the read.
+        """
+        status = self.members[target].status
+        if status.position.term == position.term and status.position < position:
+            status.position = position
+
     # Proofs.
 
     async def confirm_write(
@@ -289,6 +305,8 @@
         waiter = _WriteWaiter(target, position)
         self._writes.append(waiter)
         self._settle_writes()
+        if not waiter.future.done():
+            self._follow_others(target)
         try:
             async with timeout_ms(limit_ms):
                 return await waiter.future
@@ -343,13 +361,16 @@
             Whether it holds it now.
         """
         member = self.members[target]
+        if covers(member.status.position, need):
+            return True
+        control = member.control
+        if control is None or control.closed:
+            return False
         try:
-            async with timeout_ms(limit_ms):
-                while not covers(member.status.position, need):
-                    await self._progress.wait()
-        except TimeoutError:
+            self._heard(member, await control.wait_applied(need, limit_ms), None)
+        except (NoAnswer, NotSent):
             return False
-        return True
+        return covers(member.status.position, need)
 
     async def ask_now(self) -> None:
         """Ask all targets for their status and wait until enough have answered."""
@@ -358,16 +379,51 @@
 
     # Tasks.
 
-    async def _keep_control(self, member: Member) -> None:
-        """Keep a control connection to one target open."""
+    def _follow_others(self, target: str) -> None:
+        """Have one wait outstanding at each other target, for all waiting writes."""
+        for name, member in self.members.items():
+            if name != target and not member.followed:
+                member.followed = True
+                self._tasks.spawn(self._follow(member))
 
-        def on_status(status: Status) -> None:
-            self._heard(member, status, None)
+    async def _follow(self, member: Member) -> None:
+        """Wait for one target's progress as long as writes wait for it.
 
+        Each wait is for the oldest write that this target does not hold yet; its
+        answer tells how far the target is, and so serves all writes up to there.
+        """
+        try:
+            while (position := self._next_wanted(member)) is not None:
+                control = member.control
+                if control is None or control.closed:
+                    await self._clock.sleep_ms(RECONNECT_MS / 4)
+                    continue
+                limit_ms = self._limits.sample_timeout_ms
+                try:
+                    status = await control.wait_applied(position, limit_ms)
+                except (NoAnswer, NotSent):
+                    continue
+                self._heard(member, status, None)
+        finally:
+            member.followed = False
+
+    def _next_wanted(self, member: Member) -> Position | None:
+        wanted = [
+            waiter.position
+            for waiter in self._writes
+            if not waiter.future.done()
+            and waiter.target != member.target.id
+            and not covers(member.status.position, waiter.position)
+        ]
+        return min(wanted, default=None)
+
+    async def _keep_control(self, member: Member) -> None:
+        """Keep a control connection to one target open."""
+        limit_ms = self._limits.connect_timeout_ms
         while True:
             try:
                 member.control = await self._driver.control(
-                    member.target.address, self._limits.connect_timeout_ms, on_status
+                    member.target.address, limit_ms
                 )
             except (DialError, TooManyConnectionsError):
                 await self._clock.sleep_ms(RECONNECT_MS)
@@ -379,9 +435,14 @@
         """Ask all targets at regular times, and at once when a proof is awaited."""
         while True:
             before_ms = self._clock.now_ms()
-            await self._clock.sleep_ms(self._limits.sample_ms)
+            interval_ms = self._limits.sample_ms
+            primary = self.primary()
+            if primary is None or self._is_silent(primary):
+                # Whoever is promoted next should be noticed at once.
+                interval_ms = min(interval_ms, SEARCH_MS)
+            await self._clock.sleep_ms(interval_ms)
             now_ms = self._clock.now_ms()
-            if now_ms - before_ms > self._limits.sample_ms + LOOP_LAG_MS:
+            if now_ms - before_ms > interval_ms + LOOP_LAG_MS:
                 self.lagged_ms = now_ms
             self._start_round()
 
@@ -457,9 +518,8 @@
                 "watching.primary_found", self.name, status.term, target=status.target
             )
         member.status = status
+        member.lag_ms = max(0.0, self.age_of_ms(status.position))
         if status.position != known.position or status.term != known.term:
-            progress, self._progress = self._progress, asyncio.Event()
-            progress.set()
             self._settle_writes()
 
     def _settle_writes(self) -> None:
