Begin no work that has too little time, and let queues drain in memory

Cause: at 1x of the slots' capacity goodput fell to 310/s of 400/s that two replicas can serve, with codes 1016 and 2001: requests were admitted with hardly more time than one service, half of that went to a first attempt, the attempt timed out and its connection was closed. A busy replica also stayed 'busy' in an entry host's memory for as long as that host did not ask it. Ruled out: slots lost to idle checks (pings are answered apart from the slots). Change: work needs two services' time to be admitted; one attempt gets all the time where it does not suffice for two; a heard wait shrinks with time; an overloaded replica's read may go to the next under the retry budget; a killed host of the bench takes its own streams with it; measurement rounds reads, pooling, overload.

--- a/packages/fennelhill-bench/src/fennelhill_bench/__main__.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/__main__.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from fennelhill_bench.demo import DURATION_MS, run_demo
+from fennelhill_bench.rounds import ROUNDS
 
 
 class Bench:
@@ -32,6 +33,22 @@
         kept = asyncio.run(run_demo(duration_ms, seed))
         raise SystemExit(0 if kept else 1)
 
+    def measure(self, round: str = "demo") -> None:
+        """Run one round of measurements and print its figures.
+
+        Parameters
+        ----------
+        round : str
+            Name of the round.
+        """
+        _only_warnings()
+        try:
+            chosen = ROUNDS.get(round)
+        except KeyError as error:
+            raise SystemExit(error.args[0]) from error
+        for name, value in chosen().run():
+            print(f"{name}={value:.4g}", flush=True)
+
 
 def _only_warnings() -> None:
     logger.remove()
--- a/packages/fennelhill-bench/src/fennelhill_bench/deployment.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/deployment.py
@@ -309,8 +309,8 @@
         for host in settings.entry_hosts:
             self.network.place(host.address, host.zone)
             outside = Outside(
-                self.network.dialer(host.zone, peer_base),
-                self.network.dialer(host.zone, target_base),
+                self.network.dialer(host.address, host.zone, peer_base),
+                self.network.dialer(host.address, host.zone, target_base),
                 self.table,
                 self.host_list,
             )
--- a/packages/fennelhill-bench/src/fennelhill_bench/load.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/load.py
@@ -19,6 +19,7 @@
 from fennelhill_bench.ledger import TABLES, Ledger
 
 TICK_MS = 50.0
+CATCH_UP_MS = 1_000.0
 HISTOGRAM_MAX_US = 60_000_000
 US_PER_MS = 1_000
 DEADLINE_MS = {"status": 500.0, "order-read": 500.0, "order": 1000.0, "upsert": 1000.0}
@@ -199,9 +200,11 @@
             for sql in TABLES:
                 call = Call("execute", group, sql, class_name="upsert")
                 call.deadline_ms = 10_000
-                outcome = await self._send(call)
+                outcome = await self.send(call)
                 if outcome.answer is None:
                     raise RuntimeError(f"{group}: {outcome.error}")
+        # A replica that is far behind may otherwise not know the tables yet.
+        await self._clock.sleep_ms(CATCH_UP_MS)
 
     def start(self) -> None:
         """Start all sessions."""
@@ -222,11 +225,11 @@
             if booking.told != "unknown":
                 continue
             call = Call("outcome", f"{booking.group}/{request}", deadline_ms=5_000)
-            outcome = await self._send(call)
+            outcome = await self.send(call)
             if outcome.answer is not None:
                 booking.told = outcome.answer.outcome
 
-    async def _send(self, call: Call) -> Outcome:
+    async def send(self, call: Call) -> Outcome:
         """Send a call through any entry host that is up."""
         host = self._random.choice(list(self.deployment.daemons))
         return await self._client.call(host, call)
@@ -236,7 +239,7 @@
         while not self._stopping:
             n += 1
             call = Call("execute", group, TICK_SQL, [n], class_name="upsert")
-            outcome = await self._send(call)
+            outcome = await self.send(call)
             self.tally.note("upsert", outcome)
             if outcome.answer is not None:
                 now_ms = self._clock.now_ms()
@@ -259,7 +262,7 @@
 
     async def run(self) -> None:
         load, mix = self._load, self._load._mix
-        outcome = await load._send(Call("session"))
+        outcome = await load.send(Call("session"))
         self._token = outcome.session
         actions = {
             self._status: mix.status,
@@ -290,7 +293,7 @@
         written, started_ms = self._written, load._clock.now_ms()
         permitted = bool(allowed_age_ms) and self._replica_could_serve()
         tick = load.ledger.tick_before(self._group, started_ms - allowed_age_ms)
-        outcome = await load._send(call)
+        outcome = await load.send(call)
         tally.note(class_name, outcome)
         if outcome.answer is None:
             return
@@ -308,7 +311,7 @@
         load = self._load
         request = self._new_request()
         call = self._call(ORDER_SQL, [request, self._name], "order", request)
-        outcome = await load._send(call)
+        outcome = await load.send(call)
         load.tally.note("order", outcome)
         self._finish_booking(request, outcome)
 
@@ -316,7 +319,7 @@
         self._attempted += 1
         n = self._attempted
         call = self._call(PROGRESS_SQL, [self._name, n], "upsert")
-        outcome = await self._load._send(call)
+        outcome = await self._load.send(call)
         self._load.tally.note("upsert", outcome)
         if outcome.answer is not None:
             self._written = n
@@ -328,7 +331,7 @@
         self._attempted += 1
         n = self._attempted
         begin = Call("begin", self._group, class_name="order", session=self._token)
-        began = await load._send(begin)
+        began = await load.send(begin)
         if began.answer is None:
             load.tally.note("order", began)
             load.ledger.told(request, began.error)
@@ -339,16 +342,16 @@
             (PROGRESS_SQL, [self._name, n]),
         ):
             statement = Call("statement", place, sql, params, class_name="order")
-            outcome = await load._send(statement)
+            outcome = await load.send(statement)
             if outcome.answer is None:
                 load.tally.note("order", outcome)
-                await load._send(Call("rollback", place))
+                await load.send(Call("rollback", place))
                 if outcome.error is not None:
                     load.ledger.bookings[request].told = "not run"
                 return
         commit = Call("commit", place, class_name="order", key=request)
         commit.session = self._token
-        outcome = await load._send(commit)
+        outcome = await load.send(commit)
         load.tally.note("order", outcome)
         if outcome.answer is not None:
             self._written = n
--- a/packages/fennelhill-bench/src/fennelhill_bench/network.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/network.py
@@ -35,6 +35,7 @@
         self.zone_of: dict[str, str] = {}
         self._cuts: set[frozenset[str]] = set()
         self._isolated: set[str] = set()
+        self._dead: set[str] = set()
         self._streams: list[ShapedStream] = []
 
     def place(self, address: str, zone: str) -> None:
@@ -114,11 +115,13 @@
         """
         return LOCAL_MS if zone == other else self.one_way_ms
 
-    def dialer(self, zone: str, base: Dialer) -> ShapedDialer:
+    def dialer(self, origin: str, zone: str, base: Dialer) -> ShapedDialer:
         """Return a dialer for a process in a zone.
 
         Parameters
         ----------
+        origin : str
+            ``ip:port`` of the process that dials.
         zone : str
             Where the process is.
         base : Dialer
@@ -129,7 +132,7 @@
         ShapedDialer
             The dialer.
         """
-        return ShapedDialer(self, zone, base)
+        return ShapedDialer(self, origin, zone, base)
 
     def silence(self, address: str) -> int:
         """Make the open streams to an address silent for good.
@@ -150,17 +153,33 @@
         return len(met)
 
     def drop(self, address: str) -> None:
-        """Close the open streams to an address, as when its process dies.
+        """Close all streams of a process, as when it dies; it opens no more.
 
         Parameters
         ----------
         address : str
-            ``ip:port`` of a process.
+            ``ip:port`` of the process.
         """
+        self._dead.add(address)
         for stream in self._streams:
-            if stream.address == address:
+            if address in (stream.address, stream.origin):
                 stream.close()
 
+    def is_dead(self, address: str) -> bool:
+        """Tell whether a process has died.
+
+        Parameters
+        ----------
+        address : str
+            ``ip:port`` of the process.
+
+        Returns
+        -------
+        bool
+            Whether it has.
+        """
+        return address in self._dead
+
     def opened(self, stream: ShapedStream) -> None:
         """Note an open stream.
 
@@ -176,10 +195,11 @@
 class ShapedDialer:
     """Opens streams that the emulated network delays and cuts."""
 
-    __slots__ = ("_base", "_network", "_zone")
+    __slots__ = ("_base", "_network", "_origin", "_zone")
 
-    def __init__(self, network: Network, zone: str, base: Dialer) -> None:
+    def __init__(self, network: Network, origin: str, zone: str, base: Dialer) -> None:
         self._network = network
+        self._origin = origin
         self._zone = zone
         self._base = base
 
@@ -203,6 +223,8 @@
         DialError
             If the zone is cut off (after the limit) or nobody listens.
         """
+        if self._network.is_dead(self._origin):
+            raise DialError(f"{self._origin} is dead")
         other = self._network.zone_of.get(address, self._zone)
         if not self._network.reachable(self._zone, other):
             await asyncio.sleep(timeout_ms / MS_PER_S)
@@ -210,6 +232,7 @@
         await asyncio.sleep(2 * self._network.delay_ms(self._zone, other) / MS_PER_S)
         base = await self._base.dial(address, timeout_ms)
         stream = ShapedStream(self._network, self._zone, other, address, base)
+        stream.origin = self._origin
         self._network.opened(stream)
         return stream
 
@@ -240,6 +263,7 @@
         self, network: Network, zone: str, other: str, address: str, base: Stream
     ) -> None:
         self.address = address
+        self.origin = ""
         self.silent = False
         self.closed = False
         self._network = network
--- /dev/null
+++ b/packages/fennelhill-bench/src/fennelhill_bench/rounds.py
@@ -0,0 +1,230 @@
+"""Measurement rounds of the policies, under virtual time.
+
+Under virtual time the figures come from queues, delays and decisions alone: they
+are the same on every machine and say nothing of processor time, which
+`throughput` measures.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable, Iterator
+from typing import Protocol
+
+import msgspec
+from fennelhill_core.clock import MS_PER_S, Clock
+from fennelhill_core.registry import Registry
+from fennelhill_core.tasks import Tasks
+
+from fennelhill_bench.clients import Call, DirectClient
+from fennelhill_bench.deployment import Deployment, Plan
+from fennelhill_bench.ledger import Verdict
+from fennelhill_bench.load import (
+    DEADLINE_MS,
+    ORDER_SQL,
+    STATUS_SQL,
+    Load,
+    Mix,
+    Tally,
+    run_for,
+)
+from fennelhill_bench.virtual_time import run_virtual
+
+WARM_UP_S = 1.0
+LOAD_MS = 8_000.0
+OVERLOAD_MS = 4_000.0
+OVERLOAD_FACTORS = (0.5, 1.0, 2.0, 4.0)
+OVERLOAD_SERVICE_MS = 10.0
+BOOKINGS_PER_S = 25.0
+GOODPUT_GROUP = "orders-1"
+
+Figures = Iterator[tuple[str, float]]
+
+
+class Round(Protocol):
+    """A measurement that prints ``name=value`` lines."""
+
+    def run(self) -> Figures:
+        """Yield the figures as they are measured."""
+
+
+ROUNDS: Registry[Round] = Registry("round")
+
+
+@ROUNDS.register("reads")
+class ReadsRound:
+    """Compares the read policies under the same load, with one replica far behind."""
+
+    def run(self) -> Figures:
+        """Yield figures for each policy.
+
+        Yields
+        ------
+        tuple
+            Name and value.
+        """
+        for policy in ("least_wait", "round_robin", "primary_only"):
+            plan = Plan.bogota(read_policy=policy, service_ms=6.0)
+            measured = run_virtual(_closed_load(plan, Mix(sessions=160)))
+            yield from _load_figures(policy, measured)
+
+
+@ROUNDS.register("pooling")
+class PoolingRound:
+    """Compares one owner a target with connections split among all hosts."""
+
+    def run(self) -> Figures:
+        """Yield figures for each owner policy, with an entry host that dies.
+
+        Yields
+        ------
+        tuple
+            Name and value.
+        """
+        for policy in ("rendezvous", "split"):
+            plan = Plan.bogota(owner_policy=policy, service_ms=6.0)
+            measured = run_virtual(_closed_load(plan, Mix(sessions=110), _kill_a_host))
+            yield from _load_figures(policy, measured)
+            targets = measured.deployment.targets.values()
+            yield f"{policy}_connects", sum(t.connections_seen for t in targets)
+
+
+@ROUNDS.register("overload")
+class OverloadRound:
+    """Offers polls at multiples of the slots' capacity, bookings at a fixed rate."""
+
+    def run(self) -> Figures:
+        """Yield goodput and lateness for each multiple.
+
+        Yields
+        ------
+        tuple
+            Name and value.
+        """
+        goodputs = []
+        for factor in OVERLOAD_FACTORS:
+            tally = run_virtual(_open_load(factor))
+            answered = tally.requests - tally.late
+            goodputs.append(answered / (OVERLOAD_MS / MS_PER_S))
+            name = f"at_{factor:g}x"
+            yield f"goodput_per_s_{name}", goodputs[-1]
+            for code, count in sorted(tally.codes.items()):
+                yield f"code_{code}_{name}", count
+            yield f"bookings_late_share_{name}", _late_share(tally, "order")
+            yield f"polls_late_share_{name}", _late_share(tally, "status")
+            yield f"p99_ms_{name}", tally.percentile_ms(99)
+        yield "goodput_at_4x_of_peak", goodputs[-1] / max(goodputs)
+
+
+class Measured:
+    """What a load has left behind."""
+
+    __slots__ = ("deployment", "tally", "verdict")
+
+    def __init__(self, tally: Tally, verdict: Verdict, deployment: Deployment) -> None:
+        self.tally = tally
+        self.verdict = verdict
+        self.deployment = deployment
+
+
+async def _closed_load(
+    plan: Plan,
+    mix: Mix,
+    fault: Callable[[Deployment], Awaitable[None]] | None = None,
+) -> Measured:
+    """Run sessions that wait for their answers, and check the promises."""
+    deployment = Deployment.in_memory(plan)
+    # One replica in each group is far behind, as replicas are.
+    for group in deployment.settings.groups:
+        deployment.group(group)[2].spec.lag_ms = 400.0
+    await asyncio.sleep(WARM_UP_S)
+    load = Load(deployment, DirectClient(deployment), mix)
+    await load.prepare()
+    tasks = Tasks()
+    if fault is not None:
+        tasks.spawn(fault(deployment))
+    await run_for(load, LOAD_MS)
+    await load.settle_unknown()
+    verdict = load.ledger.check(deployment)
+    deployment.close()
+    return Measured(load.tally, verdict, deployment)
+
+
+async def _kill_a_host(deployment: Deployment) -> None:
+    await asyncio.sleep(LOAD_MS / MS_PER_S / 2)
+    deployment.kill_daemon(next(iter(deployment.daemons)))
+
+
+class Arrivals(msgspec.Struct):
+    """Requests of one kind that arrive at random, whether or not answers come.
+
+    Parameters
+    ----------
+    class_name : str
+        The request class.
+    per_s : float
+        Mean rate.
+    """
+
+    class_name: str
+    per_s: float
+
+
+async def _open_load(factor: float) -> Tally:
+    plan = Plan.bogota(service_ms=OVERLOAD_SERVICE_MS, groups=[GOODPUT_GROUP])
+    deployment = Deployment.in_memory(plan)
+    await asyncio.sleep(WARM_UP_S)
+    load = Load(deployment, DirectClient(deployment), Mix())
+    await load.prepare()
+    # Each of the group's three targets serves `slots` statements at a time.
+    capacity_per_s = 3 * plan.slots * MS_PER_S / plan.service_ms
+    polls = Arrivals("status", factor * capacity_per_s)
+    bookings = Arrivals("order", BOOKINGS_PER_S)
+    tasks = Tasks()
+    for seed, arrivals in enumerate((polls, bookings)):
+        tasks.spawn(_arrive(load, arrivals, tasks, random.Random(seed)))
+    await asyncio.sleep(OVERLOAD_MS / MS_PER_S)
+    await tasks.wait()
+    deployment.close()
+    return load.tally
+
+
+async def _arrive(
+    load: Load, arrivals: Arrivals, tasks: Tasks, random_state: random.Random
+) -> None:
+    clock = Clock()
+    end_ms = clock.now_ms() + OVERLOAD_MS
+    session = (await load.send(Call("session"))).session
+    number = 0
+    while clock.now_ms() < end_ms:
+        number += 1
+        params = [f"{arrivals.class_name}-{number}", "open"]
+        sql = ORDER_SQL if arrivals.class_name == "order" else STATUS_SQL
+        call = Call("execute", GOODPUT_GROUP, sql, params, arrivals.class_name, session)
+        call.deadline_ms = int(DEADLINE_MS[arrivals.class_name])
+        tasks.spawn(_send(load, call))
+        await asyncio.sleep(random_state.expovariate(arrivals.per_s))
+
+
+async def _send(load: Load, call: Call) -> None:
+    load.tally.note(call.class_name, await load.send(call))
+
+
+def _load_figures(prefix: str, measured: Measured) -> Figures:
+    tally, verdict = measured.tally, measured.verdict
+    yield f"{prefix}_requests", tally.requests
+    for code, count in sorted(tally.codes.items()):
+        yield f"{prefix}_code_{code}", count
+    yield f"{prefix}_replica_read_share", tally.replica_read_share
+    yield f"{prefix}_permitted_replica_share", tally.permitted_replica_share
+    yield f"{prefix}_late_share", tally.late_share
+    yield f"{prefix}_p50_ms", tally.percentile_ms(50)
+    yield f"{prefix}_p99_ms", tally.percentile_ms(99)
+    yield f"{prefix}_lost", len(verdict.lost)
+    yield f"{prefix}_doubled", len(verdict.doubled) + len(verdict.ran_after_all)
+    yield f"{prefix}_stale_reads", len(verdict.stale) + len(verdict.mixed)
+
+
+def _late_share(tally: Tally, class_name: str) -> float:
+    return tally.late_by_class[class_name] / max(1, tally.by_class[class_name])
--- a/packages/fennelhilld/src/fennelhilld/pooling/admission.py
+++ b/packages/fennelhilld/src/fennelhilld/pooling/admission.py
@@ -14,6 +14,9 @@
 
 FIRST_SERVICE_MS = 5.0
 SMOOTHING = 0.1
+# Work that is begun with less time than this many services would often be late,
+# and a slot that serves late answers serves nobody.
+SERVICES_NEEDED = 2.0
 RETRY_AFTER_MAX_MS = 5_000.0
 RETRY_AFTER_MIN_MS = 20.0
 
@@ -135,6 +138,10 @@
         """Smoothed time that a request holds a slot, in milliseconds."""
         return self._service_ms
 
+    @property
+    def _needed_ms(self) -> float:
+        return SERVICES_NEEDED * self._service_ms
+
     @property
     def waiting(self) -> int:
         """Requests in the queue."""
@@ -197,7 +204,7 @@
             self._busy += 1
             return Ok(Permit(self, now_ms))
         wait_ms = self._wait_of(team, weight, tier, deadline_ms)
-        if now_ms + wait_ms + self._service_ms > deadline_ms:
+        if now_ms + wait_ms + self._needed_ms > deadline_ms:
             return Err(self._refuse(wait_ms))
         if self.waiting >= self._capacity and not self._evict(tier):
             return Err(self._refuse(wait_ms))
@@ -225,7 +232,7 @@
         line.weight = weight
         line.push(waiter)
         # The wait ends when the rest no longer suffices for the work itself.
-        give_up_ms = deadline_ms - self._service_ms - self._clock.now_ms()
+        give_up_ms = deadline_ms - self._needed_ms - self._clock.now_ms()
         waiter.timer = asyncio.get_running_loop().call_later(
             max(0.0, give_up_ms) / MS_PER_S, self._expire, line, waiter
         )
--- a/packages/fennelhilld/src/fennelhilld/pooling/owner.py
+++ b/packages/fennelhilld/src/fennelhilld/pooling/owner.py
@@ -207,6 +207,34 @@
                 self.pool.discard(lease.connection)
 
 
+def attempt_limits_ms(
+    remaining_ms: float, attempt_ms: float, answer_timeout_ms: float
+) -> list[float]:
+    """Divide the time that is left among the attempts of a repeatable request.
+
+    Parameters
+    ----------
+    remaining_ms : float
+        Time until the deadline.
+    attempt_ms : float
+        Time after which an answer is overdue and its connection suspect.
+    answer_timeout_ms : float
+        Longest wait for any answer.
+
+    Returns
+    -------
+    list of float
+        A limit for each attempt.  Where the time does not suffice for two, the
+        only attempt gets all of it: cutting it short would lose its connection.
+    """
+    if remaining_ms <= 0:
+        return []
+    if remaining_ms < 2 * attempt_ms:
+        return [min(remaining_ms, answer_timeout_ms)]
+    second_ms = min(remaining_ms - attempt_ms, answer_timeout_ms)
+    return [min(attempt_ms, answer_timeout_ms), second_ms]
+
+
 def refuse_fault(reply: BatchReply) -> Refusal:
     """Translate a target's fault into a result code.
 
--- a/packages/fennelhilld/src/fennelhilld/reads/serve.py
+++ b/packages/fennelhilld/src/fennelhilld/reads/serve.py
@@ -15,7 +15,7 @@
 from result import Err, Ok, Result
 
 from fennelhilld.peers.messages import Answer, Work
-from fennelhilld.pooling.owner import TargetOwner, refuse_fault
+from fennelhilld.pooling.owner import TargetOwner, attempt_limits_ms, refuse_fault
 from fennelhilld.targets.messages import Batch, BatchReply, Begin, End, Fault, Statement
 from fennelhilld.watching.samples import covers
 from fennelhilld.watching.watch import GroupWatch
@@ -113,14 +113,12 @@
         reset=True,
         max_rows=owner.limits.answer_rows,
     )
-    for last in (False, True):
-        remaining_ms = deadline_ms - owner.clock.now_ms()
-        if remaining_ms <= 0:
-            break
-        limit_ms = min(remaining_ms, owner.limits.answer_timeout_ms)
-        if not last:
-            attempt_ms = SERVICES_PER_ATTEMPT * owner.queue.service_ms
-            limit_ms = min(limit_ms / 2, max(MIN_ATTEMPT_MS, attempt_ms))
+    remaining_ms = deadline_ms - owner.clock.now_ms()
+    attempt_ms = max(MIN_ATTEMPT_MS, SERVICES_PER_ATTEMPT * owner.queue.service_ms)
+    refusal = Refusal.of(DEADLINE_PASSED, "no time is left for the read")
+    for limit_ms in attempt_limits_ms(
+        remaining_ms, attempt_ms, owner.limits.answer_timeout_ms
+    ):
         try:
             async with owner.connection(deadline_ms) as lent:
                 if lent.is_err():
@@ -129,9 +127,8 @@
         except (NoAnswer, NotSent) as error:
             # One silent connection casts doubt on its siblings, not on the target.
             owner.pool.found_silent()
-            if last:
-                return Err(Refusal.of(ANSWER_TIMEOUT, str(error)))
-    return Err(Refusal.of(DEADLINE_PASSED, "no time is left for the read"))
+            refusal = Refusal.of(ANSWER_TIMEOUT, str(error))
+    return Err(refusal)
 
 
 async def _prove(
--- a/packages/fennelhilld/src/fennelhilld/routing/policies.py
+++ b/packages/fennelhilld/src/fennelhilld/routing/policies.py
@@ -48,12 +48,15 @@
         The latest knowledge.
     seen_ms : float
         How long ago that was.
+    wait_ms : float
+        Expected wait for one of its slots.
     """
 
     id: str
     zone: str
     view: TargetView
     seen_ms: float
+    wait_ms: float
 
 
 class ReadPolicy(Protocol):
@@ -169,6 +172,5 @@
 
 def _expected_ms(request: ReadRequest, candidate: Candidate) -> float:
     distance_ms = 0.0 if candidate.zone == request.zone else CROSS_ZONE_MS
-    wait_ms = max(0.0, candidate.view.wait_ms)
     behind = not covers(candidate.view.position, request.need)
-    return distance_ms + wait_ms + (request.nearly_ms if behind else 0.0)
+    return distance_ms + candidate.wait_ms + (request.nearly_ms if behind else 0.0)
--- a/packages/fennelhilld/src/fennelhilld/routing/router.py
+++ b/packages/fennelhilld/src/fennelhilld/routing/router.py
@@ -14,6 +14,7 @@
     LEAVING,
     NO_PRIMARY,
     NOT_PRIMARY,
+    OVERLOADED,
     OWNER_UNREACHABLE,
     REPLICA_BEHIND,
     RETRY_BUDGET_SPENT,
@@ -57,12 +58,13 @@
 class GroupKnowledge:
     """What this entry host has learnt of a group from its owners' answers."""
 
-    __slots__ = ("_doubted", "look", "seen_ms", "targets")
+    __slots__ = ("_doubted", "_wait_seen_ms", "look", "seen_ms", "targets")
 
     def __init__(self) -> None:
         self.targets: dict[str, TargetView] = {}
         self.seen_ms: dict[str, float] = {}
         self.look: asyncio.Task | None = None
+        self._wait_seen_ms: dict[str, float] = {}
         self._doubted: dict[str, tuple[int, float]] = {}
 
     def learn(self, view: GroupView, now_ms: float) -> None:
@@ -79,7 +81,9 @@
             old = self.targets.get(name)
             if old is not None and new.term < old.term:
                 continue
-            if old is not None and new.wait_ms < 0:
+            if new.wait_ms >= 0:
+                self._wait_seen_ms[name] = now_ms
+            elif old is not None:
                 # Only the owner of a target knows its queue.
                 new.wait_ms = old.wait_ms
             term, until_ms = self._doubted.get(name, (0, 0.0))
@@ -88,6 +92,27 @@
             self.targets[name] = new
             self.seen_ms[name] = now_ms
 
+    def wait_ms(self, target: str, now_ms: float) -> float:
+        """Return the wait that is left of what was last heard.
+
+        A queue that was long drains while nobody here asks; without this, a
+        target that was once busy would never be asked again.
+
+        Parameters
+        ----------
+        target : str
+            Name of the target.
+        now_ms : float
+            Time on this host's clock.
+
+        Returns
+        -------
+        float
+            Milliseconds.
+        """
+        heard_ms = self.targets[target].wait_ms
+        return max(0.0, heard_ms - (now_ms - self._wait_seen_ms.get(target, now_ms)))
+
     def primary(self) -> str | None:
         """Return the primary of the highest term that is known to be led.
 
@@ -214,7 +239,7 @@
         """
         deadline_ms = self._clock.now_ms() + work.remaining_ms
         budget = self._budget(work.team)
-        routed = await self._route_to_replica(work, deadline_ms)
+        routed = await self._route_to_replica(work, deadline_ms, budget)
         # A refusal after which the request may have run: later ones can't undo it.
         unknown: Refusal | None = None
         while routed is None or routed.is_err():
@@ -241,7 +266,7 @@
         return Err(_final(refusal, unknown, work.group))
 
     async def _route_to_replica(
-        self, work: Work, deadline_ms: float
+        self, work: Work, deadline_ms: float, budget: RetryBudget
     ) -> Result[Answer, Refusal] | None:
         """Try the replicas, if the read's class accepts an age."""
         routed = None
@@ -250,7 +275,12 @@
                 await self._primary(work, deadline_ms)
             for target in self._replicas(work):
                 routed = await self._ask(work, target, deadline_ms, READ_ATTEMPT_SHARE)
-                if routed.is_ok() or not _may_ask_again(work, routed.unwrap_err()):
+                if routed.is_ok():
+                    return routed
+                refusal = routed.unwrap_err()
+                if refusal.code == OVERLOADED.number and budget.spend():
+                    continue
+                if not _may_ask_again(work, refusal):
                     return routed
         return routed
 
@@ -304,6 +334,7 @@
                 targets[name].zone,
                 view,
                 now_ms - knowledge.seen_ms.get(name, now_ms - UNKNOWN_SEEN_MS),
+                knowledge.wait_ms(name, now_ms),
             )
             for name, view in knowledge.targets.items()
             if not view.primary and not view.leaving and name in targets
--- a/packages/fennelhilld/src/fennelhilld/writes/serve.py
+++ b/packages/fennelhilld/src/fennelhilld/writes/serve.py
@@ -23,7 +23,12 @@
 from result import Err, Ok, Result
 
 from fennelhilld.peers.messages import Answer, Work
-from fennelhilld.pooling.owner import Lease, TargetOwner, refuse_fault
+from fennelhilld.pooling.owner import (
+    Lease,
+    TargetOwner,
+    attempt_limits_ms,
+    refuse_fault,
+)
 from fennelhilld.targets.messages import Batch, BatchReply, Begin, End, Fault, Statement
 from fennelhilld.watching.watch import GroupWatch
 from fennelhilld.writes import keys
@@ -149,14 +154,11 @@
     """
     committing = False
     detail = "no time is left for the write"
-    for last in (False, True):
-        remaining_ms = deadline_ms - owner.clock.now_ms()
-        if remaining_ms <= 0:
-            break
-        limit_ms = min(remaining_ms, owner.limits.answer_timeout_ms)
-        if not last:
-            attempt_ms = SERVICES_PER_ATTEMPT * owner.queue.service_ms
-            limit_ms = min(limit_ms / 2, max(MIN_ATTEMPT_MS, attempt_ms))
+    remaining_ms = deadline_ms - owner.clock.now_ms()
+    attempt_ms = max(MIN_ATTEMPT_MS, SERVICES_PER_ATTEMPT * owner.queue.service_ms)
+    for limit_ms in attempt_limits_ms(
+        remaining_ms, attempt_ms, owner.limits.answer_timeout_ms
+    ):
         async with owner.connection(deadline_ms) as lent:
             if lent.is_err():
                 return Err(_after(committing, lent.unwrap_err()))
