Match late answers to the requests that gave up on them

(1) A timed-out call cancels its future, so its late answer counted as foreign and closed the stream and with it every other request on it. (2) A full queue refused every newcomer of a team while another team's flood held all places. Conclusion: the second fault would have let one team shut out all others.

--- a/packages/fennelhill-bench/src/fennelhill_bench/__main__.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/__main__.py
@@ -6,10 +6,12 @@
 import sys
 
 import fire
+from fennelhill_core.settings import Settings
 from loguru import logger
 
 from fennelhill_bench.demo import DURATION_MS, run_demo
 from fennelhill_bench.rounds import ROUNDS
+from fennelhill_bench.servers import serve_until_stopped
 
 
 class Bench:
@@ -33,6 +35,17 @@
         kept = asyncio.run(run_demo(duration_ms, seed))
         raise SystemExit(0 if kept else 1)
 
+    def serve(self, settings: str) -> None:
+        """Serve the stand-ins that a settings file names, until SIGTERM.
+
+        Parameters
+        ----------
+        settings : str
+            Path of the YAML file that the daemons use too.
+        """
+        _only_warnings()
+        asyncio.run(serve_until_stopped(Settings.from_file(settings)))
+
     def measure(self, round: str = "demo") -> None:
         """Run one round of measurements and print its figures.
 
--- a/packages/fennelhill-bench/src/fennelhill_bench/deployment.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/deployment.py
@@ -304,7 +304,12 @@
         settings = self.plan.settings(addresses)
         self.settings = settings
         for name, group in settings.groups.items():
-            self._build_group(name, group)
+            for target in group.targets:
+                self.network.place(target.address, target.zone)
+            members = build_group(
+                name, group, self.network, self.clock, self.table, self.plan
+            )
+            self.targets.update(members)
         self.host_list.publish([HostEntry(host.id) for host in settings.entry_hosts])
         for host in settings.entry_hosts:
             self.network.place(host.address, host.zone)
@@ -319,34 +324,6 @@
                 host, settings, outside, self.clock, random_state
             )
 
-    def _build_group(self, name: str, group: Group) -> None:
-        plan = self.plan
-        members = {}
-        for target in group.targets:
-            spec = TargetSpec(
-                target.id,
-                target.zone,
-                target.slots,
-                target.connections,
-                plan.connect_ms,
-                plan.service_ms,
-                lag_ms=plan.lag_ms,
-            )
-            self.network.place(target.address, target.zone)
-            members[target.id] = TargetStandIn(spec, self.network, self.clock)
-        first = members[group.targets[0].id]
-        for member in members.values():
-            member.peers = members
-            member.start()
-            member.fence(1, FIRST_ATTEMPT)
-        first.promote(1, FIRST_ATTEMPT)
-        for member in members.values():
-            member.follow(1, first.id)
-        row = GroupRow(1, FIRST_ATTEMPT, first.id)
-        text = msgspec.json.encode(row).decode()
-        self.table.rows[f"group/{name}"] = Row(1, text)
-        self.targets.update(members)
-
     def group(self, name: str) -> list[TargetStandIn]:
         """Return the targets of a group.
 
@@ -428,5 +405,56 @@
         raise LookupError(target.id)
 
 
+def build_group(
+    name: str,
+    group: Group,
+    network: Network,
+    clock: Clock,
+    table: TableServiceStandIn,
+    plan: Plan | None = None,
+) -> dict[str, TargetStandIn]:
+    """Start the targets of a group, the first one as primary of term 1.
+
+    Parameters
+    ----------
+    name : str
+        Name of the group.
+    group : Group
+        Its settings.
+    network : Network
+        Decides what replication can reach.
+    clock : Clock
+        Source of time.
+    table : TableServiceStandIn
+        Gets the group's row.
+    plan : Plan or None
+        Times of the targets; nothing for those of `TargetSpec`.
+
+    Returns
+    -------
+    dict
+        Targets by name.
+    """
+    members = {}
+    for target in group.targets:
+        spec = TargetSpec(target.id, target.zone, target.slots, target.connections)
+        if plan is not None:
+            spec.connect_ms = plan.connect_ms
+            spec.service_ms = plan.service_ms
+            spec.lag_ms = plan.lag_ms
+        members[target.id] = TargetStandIn(spec, network, clock)
+    first = members[group.targets[0].id]
+    for member in members.values():
+        member.peers = members
+        member.start()
+        member.fence(1, FIRST_ATTEMPT)
+    first.promote(1, FIRST_ATTEMPT)
+    for member in members.values():
+        member.follow(1, first.id)
+    row = msgspec.json.encode(GroupRow(1, FIRST_ATTEMPT, first.id)).decode()
+    table.rows[f"group/{name}"] = Row(1, row)
+    return members
+
+
 def _listening_socket() -> socket.socket:
     return bind_sockets(0, "127.0.0.1")[0]
--- /dev/null
+++ b/packages/fennelhill-bench/src/fennelhill_bench/servers.py
@@ -0,0 +1,213 @@
+"""The stand-ins as one process of their own, for daemons that run as processes."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+import msgspec
+from fennelhill_core.clock import Clock
+from fennelhill_core.settings import Settings
+from fennelhill_core.streams import StreamEndpoint
+from fennelhilld.daemon import TARGET_PATH
+from fennelhilld.platform.messages import (
+    Commit,
+    HostEntry,
+    StoreFault,
+    StoreUnavailableError,
+)
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+from fennelhill_bench.deployment import build_group
+from fennelhill_bench.network import Network
+from fennelhill_bench.platform import HostListStandIn, TableServiceStandIn
+from fennelhill_bench.target import TargetStandIn
+
+_STATUS_OF_FAULT = {
+    StoreFault.RATE_LIMITED: 429,
+    StoreFault.DOWN: 503,
+    StoreFault.NO_ANSWER: 504,
+}
+
+
+class PlatformHandler(RequestHandler):
+    """Base of the platform's handlers."""
+
+    def initialize(
+        self, table: TableServiceStandIn, host_list: HostListStandIn
+    ) -> None:
+        """Keep the stand-ins.
+
+        Parameters
+        ----------
+        table : TableServiceStandIn
+            The table service.
+        host_list : HostListStandIn
+            The host list.
+        """
+        self._table = table
+        self._host_list = host_list
+
+    def fail(self, error: StoreUnavailableError) -> None:
+        """Answer as a platform in trouble does.
+
+        Parameters
+        ----------
+        error : StoreUnavailableError
+            What happened.
+        """
+        self.set_status(_STATUS_OF_FAULT[error.fault])
+        self.finish()
+
+
+class RowHandler(PlatformHandler):
+    """``GET /rows/{key}``."""
+
+    async def get(self, key: str) -> None:
+        """Read a row.
+
+        Parameters
+        ----------
+        key : str
+            Name of the row.
+        """
+        try:
+            row = await self._table.read(key)
+        except StoreUnavailableError as error:
+            self.fail(error)
+            return
+        if row is None:
+            self.set_status(404)
+        self.finish(msgspec.json.encode(row))
+
+
+class CommitHandler(PlatformHandler):
+    """``POST /commit``."""
+
+    async def post(self) -> None:
+        """Run a conditional transaction."""
+        commit = msgspec.json.decode(self.request.body, type=Commit)
+        try:
+            reply = await self._table.commit(commit)
+        except StoreUnavailableError as error:
+            self.fail(error)
+            return
+        self.finish(msgspec.json.encode(reply))
+
+
+class HostsHandler(PlatformHandler):
+    """``GET /hosts``."""
+
+    async def get(self) -> None:
+        """List the hosts."""
+        try:
+            hosts = await self._host_list.hosts()
+        except StoreUnavailableError as error:
+            self.fail(error)
+            return
+        self.finish(msgspec.json.encode(hosts))
+
+
+class FaultHandler(RequestHandler):
+    """``POST /faults/{target}/{fault}``: lets a test hurt a target."""
+
+    def initialize(self, targets: dict[str, TargetStandIn]) -> None:
+        """Keep the targets.
+
+        Parameters
+        ----------
+        targets : dict
+            Targets by name.
+        """
+        self._targets = targets
+
+    def post(self, target: str, fault: str) -> None:
+        """Apply a fault.
+
+        Parameters
+        ----------
+        target : str
+            Name of the target.
+        fault : str
+            ``kill``, ``restart``, ``pause`` or ``resume``.
+        """
+        getattr(self._targets[target], fault)()
+        self.finish()
+
+
+class StandIns:
+    """All stand-ins that a settings file names, in this process.
+
+    Parameters
+    ----------
+    settings : Settings
+        The settings of the daemons.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        clock = Clock()
+        network = Network(one_way_ms=0.0)
+        self.table = TableServiceStandIn(clock)
+        self.host_list = HostListStandIn(clock)
+        self.targets: dict[str, TargetStandIn] = {}
+        self._settings = settings
+        self._servers: list[HTTPServer] = []
+        for name, group in settings.groups.items():
+            members = build_group(name, group, network, clock, self.table)
+            self.targets.update(members)
+        hosts = [HostEntry(host.id) for host in settings.entry_hosts]
+        self.host_list.publish(hosts)
+
+    def listen(self) -> None:
+        """Serve every stand-in on the address that the settings give it."""
+        for group in self._settings.groups.values():
+            for entry in group.targets:
+                endpoint = {"handler": self.targets[entry.id].serve}
+                routes = [(TARGET_PATH, StreamEndpoint, endpoint)]
+                self._serve(entry.address, routes)
+        shared = {"table": self.table, "host_list": self.host_list}
+        routes = [
+            (r"/rows/(.+)", RowHandler, shared),
+            (r"/commit", CommitHandler, shared),
+            (r"/hosts", HostsHandler, shared),
+            (
+                r"/faults/([^/]+)/(kill|restart|pause|resume)",
+                FaultHandler,
+                {"targets": self.targets},
+            ),
+        ]
+        if self._settings.platform.table_service:
+            self._serve(self._settings.platform.table_service, routes)
+
+    def close(self) -> None:
+        """Stop everything."""
+        for server in self._servers:
+            server.stop()
+        for target in self.targets.values():
+            target.close()
+
+    def _serve(self, address: str, routes: list[tuple]) -> None:
+        ip, _, port = address.rpartition(":")
+        server = HTTPServer(Application(routes))
+        server.add_sockets(bind_sockets(int(port), ip))
+        self._servers.append(server)
+
+
+async def serve_until_stopped(settings: Settings) -> None:
+    """Serve the stand-ins until SIGTERM.
+
+    Parameters
+    ----------
+    settings : Settings
+        The settings of the daemons.
+    """
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    stand_ins = StandIns(settings)
+    stand_ins.listen()
+    await stop.wait()
+    stand_ins.close()
--- a/packages/fennelhill-core/src/fennelhill_core/rpc.py
+++ b/packages/fennelhill-core/src/fennelhill_core/rpc.py
@@ -157,9 +157,9 @@
             self.close()
             raise NoAnswer(f"{method}: stream closed") from None
         finally:
-            if self._pending.pop(request_id, None) and not future.done():
+            # A timeout cancels the future; its late answer must then be expected.
+            if self._pending.pop(request_id, None) and future.cancelled():
                 self._forget(request_id)
-            future.cancel()
 
     def close(self) -> None:
         """Close the stream; waiting calls end with `NoAnswer`."""
--- /dev/null
+++ b/packages/fennelhill-core/tests/test_codes.py
@@ -0,0 +1,26 @@
+"""Tests that the codes and their table in the docs are the same."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+from fennelhill_core.codes import CODES, Outcome, Refusal
+
+TABLE = Path(__file__).parents[3] / "docs" / "ERRORS.md"
+ROW = re.compile(r"^\| (\d{4}) \| `(\w+)` \| ([a-z ]+) \| (\d{3}) \|", re.MULTILINE)
+
+
+class TestCodes:
+    def test_stand_in_the_docs_with_their_class_and_status(self):
+        documented = {int(row[0]): row[1:] for row in ROW.findall(TABLE.read_text())}
+        registered = {
+            number: (code.name, code.outcome.value, str(code.http_status))
+            for number, code in CODES.items()
+        }
+        assert documented == registered
+
+    def test_carry_their_promise_in_the_first_digit(self):
+        promises = {1: Outcome.NOT_RUN, 2: Outcome.UNKNOWN, 3: Outcome.FAILED}
+        for number in CODES:
+            assert Refusal(number).outcome is promises[number // 1000]
--- /dev/null
+++ b/packages/fennelhill-core/tests/test_tokens.py
@@ -0,0 +1,82 @@
+"""Tests of sealed tokens."""
+
+from __future__ import annotations
+
+import base64
+
+import pytest
+from fennelhill_core.tokens import (
+    MAX_SESSION_GROUPS,
+    Position,
+    Session,
+    Signer,
+    TransactionId,
+)
+
+SECRET = "a-secret-of-some-length"
+
+
+class TestSigner:
+    def test_opens_what_it_sealed(self):
+        signer = Signer([SECRET])
+        session = Session.fresh("team")
+        session.advance("orders-1", Position(2, 7))
+        opened = signer.open_session(signer.seal(session), "team")
+        assert opened.need("orders-1") == Position(2, 7)
+
+    def test_still_opens_under_the_previous_secret(self):
+        token = Signer([SECRET]).seal(Session.fresh("team"))
+        assert Signer(["another-secret-here", SECRET]).open_session(token, "team")
+
+    def test_refuses_another_teams_token(self):
+        signer = Signer([SECRET])
+        assert signer.open_session(signer.seal(Session.fresh("one")), "two") is None
+
+    def test_refuses_a_transaction_id_in_place_of_a_session(self):
+        signer = Signer([SECRET])
+        sealed = signer.seal(TransactionId("team", "g", "h", "t", 1))
+        assert signer.open_session(sealed, "team") is None
+        assert signer.open_transaction(sealed, "team").nonce == 1
+
+    @pytest.mark.parametrize("garbled", ["", "x", "!" * 40, "é", "A" * 5000, "===="])
+    def test_refuses_garbage(self, garbled):
+        assert Signer([SECRET]).open_session(garbled, "team") is None
+
+    def test_refuses_every_changed_byte(self):
+        signer = Signer([SECRET])
+        token = signer.seal(Session.fresh("team"))
+        raw = bytearray(base64.urlsafe_b64decode(token + "=" * (-len(token) % 4)))
+        for index in range(len(raw)):
+            changed = bytearray(raw)
+            changed[index] ^= 1
+            text = base64.urlsafe_b64encode(bytes(changed)).decode().rstrip("=")
+            assert signer.open_session(text, "team") is None
+
+    def test_refuses_an_unknown_version(self):
+        signer = Signer([SECRET])
+        session = Session.fresh("team")
+        session.version = 99
+        assert signer.open_session(signer.seal(session), "team") is None
+
+
+class TestSession:
+    def test_never_goes_back(self):
+        session = Session.fresh("team")
+        session.advance("g", Position(2, 9))
+        session.advance("g", Position(1, 50))
+        assert session.need("g") == Position(2, 9)
+
+    def test_needs_nothing_of_a_group_that_it_never_wrote(self):
+        assert Session.fresh("team").need("g") == Position()
+
+    def test_says_nothing_of_other_groups_after_a_lost_token(self):
+        session = Session.fresh("team", complete=False)
+        session.advance("g", Position(1, 1))
+        assert session.need("other") is None
+
+    def test_becomes_incomplete_when_it_must_forget_a_group(self):
+        session = Session.fresh("team")
+        for number in range(MAX_SESSION_GROUPS + 1):
+            session.advance(f"g{number}", Position(1, number))
+        assert session.need("g0") is None
+        assert session.need("g1") == Position(1, 1)
--- a/packages/fennelhilld/src/fennelhilld/pooling/admission.py
+++ b/packages/fennelhilld/src/fennelhilld/pooling/admission.py
@@ -206,7 +206,8 @@
         wait_ms = self._wait_of(team, weight, tier, deadline_ms)
         if now_ms + wait_ms + self._needed_ms > deadline_ms:
             return Err(self._refuse(wait_ms))
-        if self.waiting >= self._capacity and not self._evict(tier):
+        full = self.waiting >= self._capacity
+        if full and not self._evict(team, weight, tier):
             return Err(self._refuse(wait_ms))
         return await self._enqueue(team, weight, tier, deadline_ms)
 
@@ -275,16 +276,24 @@
                 ahead += min(len(line), int((own + 1) * line.weight / weight))
         return (ahead + own + 1) * self._service_ms / self.slots
 
-    def _evict(self, tier: Priority) -> bool:
-        """Make room by giving up the last request of the lowest lower tier."""
+    def _evict(self, team: str, weight: float, tier: Priority) -> bool:
+        """Make room in a full queue, for a booking or for a team below its share.
+
+        Polls yield to bookings.  Within a tier the team whose queue is longest for
+        its weight yields, so that one team's flood can't shut out the others.
+        """
         for lower in sorted(Priority, reverse=True):
-            if lower <= tier:
-                return False
-            lines = [line for line in self._lines[lower].values() if len(line)]
-            if lines:
-                line = max(lines, key=len)
-                self._expire(line, line.last())
-                return True
+            lines = {t: line for t, line in self._lines[lower].items() if len(line)}
+            if lower < tier or not lines:
+                continue
+            longest = max(lines, key=lambda t: len(lines[t]) / lines[t].weight)
+            if lower == tier:
+                own = len(lines[team]) if team in lines else 0
+                share = (own + 1) / weight
+                if share >= len(lines[longest]) / lines[longest].weight:
+                    return False
+            self._expire(lines[longest], lines[longest].last())
+            return True
         return False
 
     def _released(self, started_ms: float) -> None:
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/pooling/tests/test_connections.py
@@ -0,0 +1,133 @@
+"""Tests of the connections to one target."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from fennelhill_bench.network import MemoryTransport, Network
+from fennelhill_bench.target import TargetSpec, TargetStandIn
+from fennelhill_bench.virtual_time import run_virtual
+from fennelhill_core.clock import Clock
+from fennelhill_core.codes import CONNECTIONS_EXHAUSTED, TARGET_UNREACHABLE
+from fennelhill_core.settings import Limits, Target
+from fennelhilld.pooling.connections import ConnectionPool
+from fennelhilld.targets.driver import JsonRpcDriver
+
+ADDRESS = "127.0.0.1:1"
+
+
+class Fixture:
+    """A target stand-in and a pool of connections to it."""
+
+    def __init__(self, connections: int = 16, maximum: int | None = None) -> None:
+        clock = Clock()
+        self.network = Network()
+        self.network.place(ADDRESS, "z")
+        spec = TargetSpec("t", "z", slots=2, connections=connections)
+        self.standin = TargetStandIn(spec, self.network, clock)
+        self.transport = MemoryTransport()
+        self.transport.listen(ADDRESS, self.standin.serve)
+        dialer = self.network.dialer("host", "z", self.transport)
+        driver = JsonRpcDriver(dialer, random.Random(1))
+        target = Target(id="t", zone="z", address=ADDRESS, slots=2, connections=16)
+        self.pool = ConnectionPool(target, driver, Limits(), clock, maximum)
+
+    async def acquire(self, ms: float = 1000.0):
+        return await self.pool.acquire(Clock().now_ms() + ms)
+
+
+class TestConnectionPool:
+    def test_opens_a_few_at_a_time_however_many_wait(self):
+        async def scenario():
+            fixture, most = Fixture(), 0
+            waiting = [asyncio.ensure_future(fixture.acquire()) for _ in range(10)]
+            for _ in range(200):
+                await asyncio.sleep(0.001)
+                most = max(most, fixture.pool._connecting)
+            got = [task.result().is_ok() for task in waiting]
+            return most, got
+
+        most, got = run_virtual(scenario())
+        assert most == Limits().connects_at_once
+        assert all(got)
+
+    def test_reuses_a_connection_that_came_back(self):
+        async def scenario():
+            fixture = Fixture()
+            first = (await fixture.acquire()).unwrap()
+            fixture.pool.release(first)
+            second = (await fixture.acquire()).unwrap()
+            return first is second
+
+        assert run_virtual(scenario())
+
+    def test_keeps_to_its_maximum(self):
+        async def scenario():
+            fixture = Fixture(maximum=2)
+            held = [await fixture.acquire(), await fixture.acquire()]
+            refused = await fixture.acquire(ms=100)
+            return all(one.is_ok() for one in held), refused, fixture.pool.open
+
+        held, refused, count = run_virtual(scenario())
+        assert held
+        assert refused.unwrap_err().code == CONNECTIONS_EXHAUSTED.number
+        assert count == 2
+
+    def test_takes_too_many_connections_for_back_pressure(self):
+        async def scenario():
+            fixture = Fixture(connections=1)
+            held = (await fixture.acquire()).unwrap()
+            waiting = asyncio.ensure_future(fixture.acquire(ms=2000))
+            await asyncio.sleep(0.5)
+            refused = fixture.pool.counters.refused
+            fixture.pool.release(held)
+            return refused, (await waiting).unwrap() is held
+
+        refused, got = run_virtual(scenario())
+        assert refused >= 1
+        assert got
+
+    def test_refuses_at_once_while_the_target_is_down(self):
+        async def scenario():
+            fixture = Fixture()
+            fixture.standin.kill()
+            first = await fixture.acquire(ms=5000)
+            started_ms = Clock().now_ms()
+            second = await fixture.acquire(ms=5000)
+            return first, second, Clock().now_ms() - started_ms
+
+        first, second, took_ms = run_virtual(scenario())
+        assert first.unwrap_err().code == TARGET_UNREACHABLE.number
+        assert second.unwrap_err().code == TARGET_UNREACHABLE.number
+        assert took_ms < 10
+
+    def test_finds_and_replaces_silent_connections_before_use(self):
+        async def scenario():
+            fixture = Fixture()
+            fixture.pool.start()
+            await asyncio.sleep(0.5)
+            silenced = fixture.network.silence(ADDRESS)
+            limits = Limits()
+            bound_ms = limits.connection_check_ms + 2 * limits.sample_timeout_ms
+            await Clock().sleep_ms(bound_ms + 100)
+            connection = (await fixture.acquire()).unwrap()
+            await connection.ping(100.0)
+            return silenced, fixture.pool.counters.silent
+
+        assert run_virtual(scenario()) == (2, 2)
+
+    def test_a_connection_that_missed_an_answer_is_never_used_again(self):
+        async def scenario():
+            fixture = Fixture()
+            connection = (await fixture.acquire()).unwrap()
+            fixture.standin.answer_faults.append("lost")
+            try:
+                await connection.ping(50.0)
+            except Exception as error:
+                lost = type(error).__name__
+            fixture.pool.release(connection)
+            other = (await fixture.acquire()).unwrap()
+            return lost, connection.closed, other is connection
+
+        assert run_virtual(scenario()) == ("NoAnswer", True, False)
