--- a/packages/fennelhilld/src/fennelhilld/entry/http.py
+++ b/packages/fennelhilld/src/fennelhilld/entry/http.py
@@ -62,21 +62,19 @@
         if status_code >= 500:
             # Whatever broke here broke at an unknown point of the request.
             code = INTERNAL
-        self.refuse(Refusal.of(code, self._reason), status_code)
+        self.refuse(Refusal.of(code, self._reason))
 
-    def refuse(self, refusal: Refusal, status: int = 0, key: str = "") -> None:
+    def refuse(self, refusal: Refusal, key: str = "") -> None:
         """Answer with a numbered code.
 
         Parameters
         ----------
         refusal : Refusal
             The refusal.
-        status : int
-            Status in place of the code's own.
         key : str
             The idempotency key under which an outcome can be asked for.
         """
-        self.set_status(status or CODES[refusal.code].http_status)
+        self.set_status(CODES[refusal.code].http_status)
         if refusal.retry_after_ms:
             seconds = math.ceil(refusal.retry_after_ms / MS_PER_S)
             self.set_header("Retry-After", str(seconds))
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/entry/tests/test_http.py
@@ -0,0 +1,197 @@
+"""Tests of the callers' interface over HTTP: each bad input has its code."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+from fennelhill_bench.deployment import TOKENS, Deployment, Plan
+from fennelhill_core import codes
+from tornado.httpclient import AsyncHTTPClient
+
+GOOD = {"Authorization": f"Bearer {TOKENS['curtiembre']}"}
+EXECUTE = "/v1/groups/orders-1/execute"
+SELECT = json.dumps({"sql": "SELECT 1"})
+
+
+class HttpWorld:
+    """A deployment on loopback sockets, and a loop to talk to it."""
+
+    def __init__(self) -> None:
+        self.loop = asyncio.new_event_loop()
+        self.deployment = self.run(self._start())
+
+    async def _start(self) -> Deployment:
+        plan = Plan.bogota(hosts=3, groups=["orders-1", "orders-2"], service_ms=1.0)
+        return Deployment.on_loopback(plan)
+
+    def run(self, work):
+        return self.loop.run_until_complete(work)
+
+    def fetch(self, path, body=None, method="POST", host=0, **headers):
+        async def fetch():
+            daemon = list(self.deployment.daemons.values())[host]
+            named = {name.replace("_", "-"): text for name, text in headers.items()}
+            return await AsyncHTTPClient(force_instance=True).fetch(
+                f"http://{daemon.host.address}{path}",
+                method=method,
+                body=body if method == "POST" else None,
+                headers={**GOOD, "Fennelhill-Class": "status", **named},
+                raise_error=False,
+            )
+
+        return self.run(fetch())
+
+    def close(self):
+        async def close():
+            self.deployment.close()
+
+        self.run(close())
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.run(asyncio.sleep(0))
+        self.loop.close()
+
+
+@pytest.fixture(scope="module")
+def world():
+    world = HttpWorld()
+    yield world
+    world.close()
+
+
+def code_of(response) -> int:
+    error = json.loads(response.body)["error"]
+    assert response.code == codes.CODES[error["code"]].http_status
+    assert error["outcome"] == codes.CODES[error["code"]].outcome.value
+    return error["code"]
+
+
+class TestRefusals:
+    @pytest.mark.parametrize(
+        ("path", "body", "headers", "expected"),
+        [
+            (EXECUTE, "{", {}, codes.MALFORMED_JSON),
+            (EXECUTE, b"\xff\xfe", {}, codes.MALFORMED_JSON),
+            (EXECUTE, "[]", {}, codes.INVALID_FIELD),
+            (EXECUTE, "{}", {}, codes.INVALID_FIELD),
+            (EXECUTE, '{"sql": 5}', {}, codes.INVALID_FIELD),
+            (EXECUTE, '{"sql": " "}', {}, codes.INVALID_FIELD),
+            (EXECUTE, '{"sql": "SELECT 1", "x": 1}', {}, codes.INVALID_FIELD),
+            (EXECUTE, '{"sql": "SELECT ?", "params": [{}]}', {}, codes.INVALID_FIELD),
+            (EXECUTE, "x" * 300_000, {}, codes.BODY_TOO_LARGE),
+            (EXECUTE, SELECT, {"Authorization": "Bearer no"}, codes.UNAUTHENTICATED),
+            (EXECUTE, SELECT, {"Authorization": "Basic x"}, codes.UNAUTHENTICATED),
+            ("/v1/groups/nowhere/execute", SELECT, {}, codes.UNKNOWN_GROUP),
+            (EXECUTE, SELECT, {"Fennelhill_Class": "vip"}, codes.UNKNOWN_CLASS),
+            (EXECUTE, '{"sql": "BEGIN"}', {}, codes.STATEMENT_NOT_ALLOWED),
+            (EXECUTE, '{"sql": "/* */ commit"}', {}, codes.STATEMENT_NOT_ALLOWED),
+            (EXECUTE, '{"sql": "PRAGMA x"}', {}, codes.STATEMENT_NOT_ALLOWED),
+            (EXECUTE, '{"sql": "DELETE FROM fennelhill_keys"}', {},
+             codes.STATEMENT_NOT_ALLOWED),
+            (EXECUTE, SELECT, {"Idempotency_Key": "x" * 200}, codes.INVALID_HEADER),
+            (EXECUTE, SELECT, {"Fennelhill_Deadline_Ms": "-1"}, codes.INVALID_HEADER),
+            (EXECUTE, SELECT, {"Fennelhill_Deadline_Ms": "1e3"}, codes.INVALID_HEADER),
+            ("/v1/nothing", SELECT, {}, codes.NOT_FOUND),
+            ("/v1/transactions/forged/execute", SELECT, {}, codes.UNKNOWN_TRANSACTION),
+            (EXECUTE, '{"sql": "SELEC 1"}', {}, codes.SQL_ERROR),
+            (EXECUTE, '{"sql": "SELECT 1; SELECT 2"}', {}, codes.SQL_ERROR),
+            (EXECUTE, '{"sql": "CREATE TABLE t (x)"}', {}, codes.SQL_ERROR),
+        ],
+    )  # fmt: skip
+    def test_bad_input_gets_its_code(self, world, path, body, headers, expected):
+        assert code_of(world.fetch(path, body, **headers)) == expected.number
+
+    def test_a_wrong_method_is_not_found(self, world):
+        refused = world.fetch(EXECUTE, method="GET")
+        assert code_of(refused) == codes.NOT_FOUND.number
+
+    def test_another_teams_group_looks_like_no_group(self, world):
+        other = {"Authorization": f"Bearer {TOKENS['umbhalo']}"}
+        mine = world.fetch("/v1/groups/orders-2/execute", SELECT, **other)
+        none = world.fetch("/v1/groups/orders-9/execute", SELECT, **other)
+        assert code_of(mine) == code_of(none) == codes.UNKNOWN_GROUP.number
+
+    def test_an_answer_with_too_many_rows_is_refused(self, world):
+        body = json.dumps(
+            {
+                "sql": "WITH RECURSIVE n(x) AS (SELECT 1 UNION ALL SELECT x + 1 "
+                "FROM n LIMIT 9000) SELECT x FROM n"
+            }
+        )
+        assert code_of(world.fetch(EXECUTE, body)) == codes.ANSWER_TOO_LARGE.number
+
+    def test_a_transaction_of_another_team_is_unknown(self, world):
+        began = world.fetch(
+            "/v1/groups/orders-1/transactions", "{}", Fennelhill_Class="order"
+        )
+        sealed = json.loads(began.body)["transaction"]
+        other = {"Authorization": f"Bearer {TOKENS['umbhalo']}"}
+        path = f"/v1/transactions/{sealed}/execute"
+        refused = world.fetch(path, SELECT, **other)
+        assert code_of(refused) == codes.UNKNOWN_TRANSACTION.number
+        world.fetch(f"/v1/transactions/{sealed}/rollback", "{}")
+
+
+class TestCalls:
+    def test_a_write_is_read_back_through_another_host(self, world):
+        world.fetch(EXECUTE, '{"sql": "CREATE TABLE a (x)"}', Fennelhill_Class="upsert")
+        wrote = world.fetch(
+            EXECUTE,
+            '{"sql": "INSERT INTO a VALUES (?)", "params": ["hide 7"]}',
+            Fennelhill_Class="order",
+            Idempotency_Key="k1",
+        )
+        assert wrote.headers["Idempotency-Key"] == "k1"
+        token = wrote.headers["Fennelhill-Session"]
+        for host in range(3):
+            read = world.fetch(
+                EXECUTE,
+                '{"sql": "SELECT x FROM a"}',
+                host=host,
+                Fennelhill_Session=token,
+            )
+            assert json.loads(read.body)["rows"] == [["hide 7"]]
+
+    def test_a_forged_session_token_is_said_so_and_the_primary_answers(self, world):
+        read = world.fetch(EXECUTE, SELECT, Fennelhill_Session="forged")
+        assert json.loads(read.body)["served_by"] == "primary"
+        assert read.headers["Fennelhill-Session-State"] == "unusable"
+
+    def test_the_session_travels_as_a_cookie_too(self, world):
+        token = world.fetch("/v1/sessions", "{}").headers["Fennelhill-Session"]
+        read = world.fetch(EXECUTE, SELECT, Cookie=f"fennelhill_session={token}")
+        assert "Fennelhill-Session-State" not in read.headers
+
+
+class TestOperators:
+    def test_health_turns_bad_when_the_host_is_leaving(self, world):
+        assert world.fetch("/healthz", method="GET").code == 200
+        daemon = next(iter(world.deployment.daemons.values()))
+        daemon.closing = True
+        assert world.fetch("/healthz", method="GET").code == 503
+        daemon.closing = False
+
+    def test_metrics_count_requests_by_result(self, world):
+        world.fetch(EXECUTE, SELECT)
+        text = world.fetch("/metrics", method="GET").body.decode()
+        assert 'operation="execute"' in text
+        assert "fennelhill_pool_connections" in text
+
+    def test_status_and_events_are_served(self, world):
+        status = json.loads(world.fetch("/status", method="GET").body)
+        assert status["groups"]["orders-1"]["primary"] == "orders-1-a"
+        events = json.loads(world.fetch("/events", method="GET").body)
+        assert events[0]["kind"] == "daemon.started"
+
+    def test_a_peer_without_the_secret_is_refused(self, world):
+        response = world.fetch(
+            "/peer",
+            method="GET",
+            Upgrade="websocket",
+            Connection="Upgrade",
+            Sec_WebSocket_Key="AAAAAAAAAAAAAAAAAAAAAA==",
+            Sec_WebSocket_Version="13",
+        )
+        assert response.code == 401
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/routing/tests/test_policies.py
@@ -0,0 +1,92 @@
+"""Tests of the read policies."""
+
+from __future__ import annotations
+
+import pytest
+from fennelhill_core.tokens import Position
+from fennelhilld.peers.messages import GroupView, TargetView
+from fennelhilld.routing.policies import READ_POLICIES, Candidate, ReadRequest
+from fennelhilld.routing.router import DOUBT_MS, GroupKnowledge
+
+
+def candidate(name, zone="a", index=10, age_ms=50.0, seen_ms=0.0, wait_ms=0.0):
+    view = TargetView(False, 1, Position(1, index), age_ms)
+    return Candidate(name, zone, view, seen_ms, wait_ms)
+
+
+def order(policy, candidates, need=(1, 10), allowed_age_ms=1000.0):
+    request = ReadRequest(Position(*need), allowed_age_ms, "a", nearly_ms=30.0)
+    return READ_POLICIES.get(policy)().order(request, candidates)
+
+
+class TestLeastWait:
+    def test_prefers_the_own_zone(self):
+        assert order("least_wait", [candidate("far", "b"), candidate("near")]) == [
+            "near",
+            "far",
+        ]
+
+    def test_leaves_the_own_zone_for_a_much_shorter_queue(self):
+        near = candidate("near", wait_ms=40.0)
+        assert order("least_wait", [near, candidate("far", "b")])[0] == "far"
+
+    def test_leaves_out_what_is_older_than_allowed(self):
+        assert order("least_wait", [candidate("old", age_ms=1500.0)]) == []
+
+    def test_leaves_out_what_surely_lacks_the_sessions_write(self):
+        behind = candidate("behind", index=9, age_ms=400.0)
+        assert order("least_wait", [behind]) == []
+
+    def test_asks_what_has_probably_caught_up(self):
+        behind = candidate("behind", index=9, age_ms=400.0, seen_ms=500.0)
+        assert order("least_wait", [behind]) == ["behind"]
+
+    def test_leaves_out_a_replica_of_an_older_term(self):
+        assert order("least_wait", [candidate("old", seen_ms=1e6)], need=(2, 1)) == []
+
+
+class TestBaselines:
+    def test_round_robin_takes_fresh_replicas_in_turn(self):
+        policy = READ_POLICIES.get("round_robin")()
+        request = ReadRequest(Position(1, 10), 1000.0, "a", 30.0)
+        candidates = [candidate("r1"), candidate("r2"), candidate("r3", age_ms=5000)]
+        taken = [policy.order(request, candidates)[0] for _ in range(4)]
+        assert sorted(taken) == ["r1", "r1", "r2", "r2"]
+
+    def test_primary_only_takes_none(self):
+        assert order("primary_only", [candidate("r1")]) == []
+
+    def test_an_unknown_policy_names_the_known_ones(self):
+        with pytest.raises(KeyError, match="least_wait"):
+            READ_POLICIES.get("fastest")
+
+
+class TestGroupKnowledge:
+    def test_believes_the_highest_term(self):
+        knowledge = GroupKnowledge()
+        old = TargetView(True, 1, Position(1, 5))
+        new = TargetView(True, 2, Position(2, 6))
+        knowledge.learn(GroupView({"a": old, "b": new}), 0.0)
+        assert knowledge.primary() == "b"
+        stale = TargetView(True, 1, Position(1, 9))
+        knowledge.learn(GroupView({"b": stale}), 1.0)
+        assert knowledge.targets["b"].term == 2
+
+    def test_a_doubted_primary_is_believed_again_after_a_while_or_a_new_term(self):
+        knowledge = GroupKnowledge()
+        knowledge.learn(GroupView({"a": TargetView(True, 1)}), 0.0)
+        knowledge.doubt_primary("a", 0.0)
+        knowledge.learn(GroupView({"a": TargetView(True, 1)}), DOUBT_MS / 2)
+        assert knowledge.primary() is None
+        knowledge.learn(GroupView({"a": TargetView(True, 1)}), DOUBT_MS + 1)
+        assert knowledge.primary() == "a"
+        knowledge.doubt_primary("a", 1000.0)
+        knowledge.learn(GroupView({"a": TargetView(True, 2)}), 1001.0)
+        assert knowledge.primary() == "a"
+
+    def test_a_long_wait_is_forgotten_as_time_passes(self):
+        knowledge = GroupKnowledge()
+        knowledge.learn(GroupView({"a": TargetView(wait_ms=200.0)}), 0.0)
+        knowledge.learn(GroupView({"a": TargetView()}), 50.0)
+        assert knowledge.wait_ms("a", 150.0) == 50.0
+        assert knowledge.wait_ms("a", 500.0) == 0.0
--- a/scenarios/conftest.py
+++ b/scenarios/conftest.py
@@ -10,9 +10,9 @@
 from fennelhill_bench.clients import Call, DirectClient, Outcome
 from fennelhill_bench.deployment import Deployment, Plan
 from fennelhill_bench.ledger import TABLES
-from fennelhill_bench.load import Load, Mix
+from fennelhill_bench.load import ORDER_SQL, Load, Mix
 from fennelhill_bench.virtual_time import VirtualTimeLoop
-from pytest_bdd import given
+from pytest_bdd import given, parsers, when
 
 WARM_UP_S = 1.0
 
@@ -101,7 +101,30 @@
 
 @given("the Bogotá deployment with writes in flight", target_fixture="world")
 def bogota_with_writes(worlds: list[World]) -> World:
-    world = bogota(worlds)
+    return _with_writes(bogota(worlds))
+
+
+@given("the Johannesburg deployment with writes in flight", target_fixture="world")
+def johannesburg_with_writes(worlds: list[World]) -> World:
+    return _with_writes(johannesburg(worlds))
+
+
+def _with_writes(world: World) -> World:
     world.start_load()
     world.wait(2.0)
     return world
+
+
+@when(parsers.parse('a session books an order in "{group}" through one entry host'))
+def book(world: World, group: str) -> None:
+    world.notes["group"] = group
+    world.session = world.call(world.hosts()[0], Call("session")).session
+    order = Call("execute", group, ORDER_SQL, ["r1", "s1"], "order", world.session)
+    outcome = world.call(world.hosts()[0], order)
+    assert outcome.answer, outcome.error
+    world.session = outcome.session
+
+
+@when("the replicas have caught up")
+def caught_up(world: World) -> None:
+    world.wait(0.5)
--- a/scenarios/test_reads.py
+++ b/scenarios/test_reads.py
@@ -3,24 +3,13 @@
 from __future__ import annotations
 
 from fennelhill_bench.clients import Call
-from fennelhill_bench.load import ORDER_SQL
-from pytest_bdd import parsers, scenarios, then, when
+from pytest_bdd import scenarios, then, when
 
 scenarios("reads.feature")
 
 READ_SQL = "SELECT request FROM orders WHERE request = 'r1'"
 
 
-@when(parsers.parse('a session books an order in "{group}" through one entry host'))
-def book(world, group):
-    world.notes["group"] = group
-    world.session = world.call(world.hosts()[0], Call("session")).session
-    order = Call("execute", group, ORDER_SQL, ["r1", "s1"], "order", world.session)
-    outcome = world.call(world.hosts()[0], order)
-    assert outcome.answer, outcome.error
-    world.session = outcome.session
-
-
 @when("it reads the order back through every other entry host")
 def read_everywhere(world):
     group = world.notes["group"]
@@ -30,11 +19,6 @@
             world.outcomes.append(world.call(host, call))
 
 
-@when("the replicas have caught up")
-def caught_up(world):
-    world.wait(0.5)
-
-
 @when("it polls the order through an entry host in another availability zone")
 def poll(world):
     primary = world.deployment.primary(world.notes["group"])
