Measure real processes: core time, memory and added latency

Cause: under virtual time nothing costs processor time, and the demo's one process holds everything; what one daemon costs was unknown. Change: daemons and stand-ins as processes of their own; rounds daemon, demo and capacity with statements per core, bytes per idle connection, latency against a direct call, and what a watched group costs an idle daemon.

--- a/packages/fennelhill-bench/src/fennelhill_bench/__main__.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/__main__.py
@@ -9,7 +9,9 @@
 from fennelhill_core.settings import Settings
 from loguru import logger
 
+from fennelhill_bench import throughput  # noqa: F401 - registers its rounds
 from fennelhill_bench.demo import DURATION_MS, run_demo
+from fennelhill_bench.deployment import Plan
 from fennelhill_bench.rounds import ROUNDS
 from fennelhill_bench.servers import serve_until_stopped
 
@@ -35,16 +37,21 @@
         kept = asyncio.run(run_demo(duration_ms, seed))
         raise SystemExit(0 if kept else 1)
 
-    def serve(self, settings: str) -> None:
+    def serve(self, settings: str, instant: bool = False) -> None:
         """Serve the stand-ins that a settings file names, until SIGTERM.
 
         Parameters
         ----------
         settings : str
             Path of the YAML file that the daemons use too.
+        instant : bool
+            Whether targets answer without their emulated times, so that only the
+            daemons' own time counts.
         """
         _only_warnings()
-        asyncio.run(serve_until_stopped(Settings.from_file(settings)))
+        plan = Plan.bogota(connect_ms=0.0, service_ms=0.0, lag_ms=0.0)
+        loaded = Settings.from_file(settings)
+        asyncio.run(serve_until_stopped(loaded, plan if instant else None))
 
     def measure(self, round: str = "demo") -> None:
         """Run one round of measurements and print its figures.
--- a/packages/fennelhill-bench/src/fennelhill_bench/demo.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/demo.py
@@ -10,7 +10,7 @@
 from fennelhill_bench.clients import HttpClient
 from fennelhill_bench.deployment import Deployment, Plan
 from fennelhill_bench.ledger import Verdict
-from fennelhill_bench.load import Load, Mix
+from fennelhill_bench.load import Load, Mix, load_figures, run_for
 
 DURATION_MS = 20_000.0
 KILL_AT_MS = 8_000.0
@@ -65,6 +65,35 @@
     return verdict.kept
 
 
+async def demo_figures(duration_ms: float = 12_000.0) -> list[tuple[str, float]]:
+    """Run the demonstration's load without a failure, and measure it.
+
+    Parameters
+    ----------
+    duration_ms : float
+        How long the load runs, in milliseconds.
+
+    Returns
+    -------
+    list of tuple
+        Names and values.
+    """
+    clock = Clock()
+    deployment = Deployment.on_loopback(Plan.bogota())
+    addresses = {name: d.host.address for name, d in deployment.daemons.items()}
+    client = HttpClient(addresses, CALLER_ONE_WAY_MS)
+    load = Load(deployment, client, Mix())
+    try:
+        await clock.sleep_ms(WARM_UP_MS)
+        await load.prepare()
+        await run_for(load, duration_ms)
+        await load.settle_unknown()
+        return list(load_figures("demo", load.tally, load.ledger.check(deployment)))
+    finally:
+        await client.close()
+        deployment.close()
+
+
 def _progress(load: Load) -> None:
     tally = load.tally
     _say(
--- a/packages/fennelhill-bench/src/fennelhill_bench/load.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/load.py
@@ -6,6 +6,7 @@
 import itertools
 import random
 from collections import Counter
+from collections.abc import Iterator
 
 import msgspec
 from fennelhill_core.clock import Clock
@@ -16,7 +17,7 @@
 
 from fennelhill_bench.clients import Call, Client, Outcome
 from fennelhill_bench.deployment import FLEET_SECRET, TEAM, Deployment
-from fennelhill_bench.ledger import TABLES, Ledger
+from fennelhill_bench.ledger import TABLES, Ledger, Verdict
 
 TICK_MS = 50.0
 CATCH_UP_MS = 1_000.0
@@ -401,3 +402,35 @@
     load.start()
     await asyncio.sleep(duration_ms / 1000.0)
     await load.stop()
+
+
+def load_figures(
+    prefix: str, tally: Tally, verdict: Verdict
+) -> Iterator[tuple[str, float]]:
+    """Name the figures of a load.
+
+    Parameters
+    ----------
+    prefix : str
+        What the names begin with.
+    tally : Tally
+        What the load has seen.
+    verdict : Verdict
+        What the check of the promises found.
+
+    Yields
+    ------
+    tuple
+        Name and value.
+    """
+    yield f"{prefix}_requests", tally.requests
+    for code, count in sorted(tally.codes.items()):
+        yield f"{prefix}_code_{code}", count
+    yield f"{prefix}_replica_read_share", tally.replica_read_share
+    yield f"{prefix}_permitted_replica_share", tally.permitted_replica_share
+    yield f"{prefix}_late_share", tally.late_share
+    yield f"{prefix}_p50_ms", tally.percentile_ms(50)
+    yield f"{prefix}_p99_ms", tally.percentile_ms(99)
+    yield f"{prefix}_lost", len(verdict.lost)
+    yield f"{prefix}_doubled", len(verdict.doubled) + len(verdict.ran_after_all)
+    yield f"{prefix}_stale_reads", len(verdict.stale) + len(verdict.mixed)
--- a/packages/fennelhill-bench/src/fennelhill_bench/rounds.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/rounds.py
@@ -27,6 +27,7 @@
     Load,
     Mix,
     Tally,
+    load_figures,
     run_for,
 )
 from fennelhill_bench.virtual_time import run_virtual
@@ -67,7 +68,7 @@
         for policy in ("least_wait", "round_robin", "primary_only"):
             plan = Plan.bogota(read_policy=policy, service_ms=6.0)
             measured = run_virtual(_closed_load(plan, Mix(sessions=160)))
-            yield from _load_figures(policy, measured)
+            yield from load_figures(policy, measured.tally, measured.verdict)
 
 
 @ROUNDS.register("pooling")
@@ -85,7 +86,7 @@
         for policy in ("rendezvous", "split"):
             plan = Plan.bogota(owner_policy=policy, service_ms=6.0)
             measured = run_virtual(_closed_load(plan, Mix(sessions=110), _kill_a_host))
-            yield from _load_figures(policy, measured)
+            yield from load_figures(policy, measured.tally, measured.verdict)
             targets = measured.deployment.targets.values()
             yield f"{policy}_connects", sum(t.connections_seen for t in targets)
 
@@ -211,20 +212,5 @@
     load.tally.note(call.class_name, await load.send(call))
 
 
-def _load_figures(prefix: str, measured: Measured) -> Figures:
-    tally, verdict = measured.tally, measured.verdict
-    yield f"{prefix}_requests", tally.requests
-    for code, count in sorted(tally.codes.items()):
-        yield f"{prefix}_code_{code}", count
-    yield f"{prefix}_replica_read_share", tally.replica_read_share
-    yield f"{prefix}_permitted_replica_share", tally.permitted_replica_share
-    yield f"{prefix}_late_share", tally.late_share
-    yield f"{prefix}_p50_ms", tally.percentile_ms(50)
-    yield f"{prefix}_p99_ms", tally.percentile_ms(99)
-    yield f"{prefix}_lost", len(verdict.lost)
-    yield f"{prefix}_doubled", len(verdict.doubled) + len(verdict.ran_after_all)
-    yield f"{prefix}_stale_reads", len(verdict.stale) + len(verdict.mixed)
-
-
 def _late_share(tally: Tally, class_name: str) -> float:
     return tally.late_by_class[class_name] / max(1, tally.by_class[class_name])
--- a/packages/fennelhill-bench/src/fennelhill_bench/servers.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/servers.py
@@ -20,7 +20,7 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
-from fennelhill_bench.deployment import build_group
+from fennelhill_bench.deployment import Plan, build_group
 from fennelhill_bench.network import Network
 from fennelhill_bench.platform import HostListStandIn, TableServiceStandIn
 from fennelhill_bench.target import TargetStandIn
@@ -144,9 +144,11 @@
     ----------
     settings : Settings
         The settings of the daemons.
+    plan : Plan or None
+        Times of the targets; nothing for the defaults.
     """
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, plan: Plan | None = None) -> None:
         clock = Clock()
         network = Network(one_way_ms=0.0)
         self.table = TableServiceStandIn(clock)
@@ -155,7 +157,7 @@
         self._settings = settings
         self._servers: list[HTTPServer] = []
         for name, group in settings.groups.items():
-            members = build_group(name, group, network, clock, self.table)
+            members = build_group(name, group, network, clock, self.table, plan)
             self.targets.update(members)
         hosts = [HostEntry(host.id) for host in settings.entry_hosts]
         self.host_list.publish(hosts)
@@ -195,19 +197,21 @@
         self._servers.append(server)
 
 
-async def serve_until_stopped(settings: Settings) -> None:
+async def serve_until_stopped(settings: Settings, plan: Plan | None = None) -> None:
     """Serve the stand-ins until SIGTERM.
 
     Parameters
     ----------
     settings : Settings
         The settings of the daemons.
+    plan : Plan or None
+        Times of the targets; nothing for the defaults.
     """
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    stand_ins = StandIns(settings)
+    stand_ins = StandIns(settings, plan)
     stand_ins.listen()
     await stop.wait()
     stand_ins.close()
--- /dev/null
+++ b/packages/fennelhill-bench/src/fennelhill_bench/throughput.py
@@ -0,0 +1,221 @@
+"""Measurements of real processes: processor time, memory and added latency."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+import statistics
+import time
+
+import msgspec
+from fennelhill_core.clock import MS_PER_S, Clock
+from fennelhill_core.rpc import Request, Response
+from fennelhill_core.streams import WebSocketDialer
+from fennelhill_core.tokens import Position
+from fennelhilld.daemon import TARGET_PATH
+from fennelhilld.targets.driver import JsonRpcDriver
+from fennelhilld.targets.messages import Batch, Begin, End, Statement, Status
+
+from fennelhill_bench.clients import Call, HttpClient
+from fennelhill_bench.demo import demo_figures
+from fennelhill_bench.deployment import Plan
+from fennelhill_bench.processes import Processes, cpu_s, resident_bytes
+from fennelhill_bench.rounds import ROUNDS, Figures
+
+GROUP = "orders-1"
+SETTLE_S = 2.0
+LATENCY_CALLS = 400
+THROUGHPUT_S = 5.0
+CALLERS = 16
+IDLE_CONNECTIONS = 800
+IDLE_WATCH_S = 6.0
+GROUP_COUNTS = (2, 8, 16)
+# IP and TCP headers with timestamps, and a masked WebSocket header.
+HEADER_BYTES = 52 + 8
+TARGETS_A_GROUP = 3
+
+
+def one_host_plan(groups: int = 1, hosts: int = 1) -> Plan:
+    """Return a plan in which the targets are never the limit.
+
+    Parameters
+    ----------
+    groups : int
+        Database groups.
+    hosts : int
+        Entry hosts.
+
+    Returns
+    -------
+    Plan
+        The plan.
+    """
+    names = [f"orders-{number + 1}" for number in range(groups)]
+    return Plan.bogota(hosts=hosts, groups=names, slots=16, connections=40)
+
+
+@ROUNDS.register("demo")
+class DemoRound:
+    """The demonstration's load on sockets, and what one core of a daemon does."""
+
+    def run(self) -> Figures:
+        """Yield the figures.
+
+        Yields
+        ------
+        tuple
+            Name and value.
+        """
+        yield from asyncio.run(demo_figures())
+        yield from _daemon_figures()
+
+
+@ROUNDS.register("daemon")
+class DaemonRound:
+    """What one core of one daemon does, as a process of its own."""
+
+    def run(self) -> Figures:
+        """Yield the figures.
+
+        Yields
+        ------
+        tuple
+            Name and value.
+        """
+        yield from _daemon_figures()
+
+
+@ROUNDS.register("capacity")
+class CapacityRound:
+    """Slopes for docs/CAPACITY.md: what a watched group costs an idle daemon."""
+
+    def run(self) -> Figures:
+        """Yield processor time and memory for some numbers of groups.
+
+        Yields
+        ------
+        tuple
+            Name and value.
+        """
+        cores, memory = [], []
+        for groups in GROUP_COUNTS:
+            with Processes(one_host_plan(groups), instant=True) as processes:
+                daemon = next(iter(processes.daemons.values()))
+                time.sleep(SETTLE_S)
+                before_s = cpu_s(daemon)
+                time.sleep(IDLE_WATCH_S)
+                cores.append((cpu_s(daemon) - before_s) / IDLE_WATCH_S)
+                memory.append(resident_bytes(daemon))
+            yield f"idle_core_share_{groups}_groups", cores[-1]
+            yield f"resident_mb_{groups}_groups", memory[-1] / 1e6
+        span = GROUP_COUNTS[-1] - GROUP_COUNTS[0]
+        yield "core_share_a_group", (cores[-1] - cores[0]) / span
+        yield "bytes_a_group", (memory[-1] - memory[0]) / span
+        yield "status_exchange_bytes", _status_exchange_bytes()
+        rounds_per_s = MS_PER_S / one_host_plan().limits.sample_ms
+        watch_bytes = TARGETS_A_GROUP * rounds_per_s * _status_exchange_bytes()
+        yield "watch_bytes_per_s_a_group", watch_bytes
+
+
+def _status_exchange_bytes() -> float:
+    """Return the bytes on the wire of one question for a target's status."""
+    status = Status("orders-100-a", 3, True, Position(3, 10**7), 3, "orders-100-b")
+    request = Request("status", msgspec.Raw(b"{}"), 2**47)
+    response = Response(2**47, msgspec.Raw(msgspec.json.encode(status)))
+    payload = len(msgspec.json.encode(request)) + len(msgspec.json.encode(response))
+    return payload + 2 * HEADER_BYTES
+
+
+def _daemon_figures() -> Figures:
+    with Processes(one_host_plan(), instant=True) as processes:
+        time.sleep(SETTLE_S)
+        yield from asyncio.run(_latency_figures(processes))
+        yield from asyncio.run(_throughput_figures(processes, "one_host"))
+        yield from _memory_figures(processes)
+    with Processes(one_host_plan(hosts=2), instant=True) as processes:
+        time.sleep(SETTLE_S)
+        yield from asyncio.run(_throughput_figures(processes, "with_hops"))
+
+
+async def _latency_figures(processes: Processes) -> Figures:
+    """Compare a read through the proxy with the same read at the target."""
+    clock = Clock()
+    client = HttpClient(processes.addresses())
+    host = next(iter(processes.daemons))
+    session = (await client.call(host, Call("session"))).session
+    call = Call("execute", GROUP, "SELECT 1", [], "status", session)
+    driver = JsonRpcDriver(WebSocketDialer(TARGET_PATH), random.Random(1))
+    target = processes.settings.groups[GROUP].targets[1]
+    connection = await driver.connect(target.address, 1_000.0)
+    batch = Batch([Statement("SELECT 1")], begin=Begin.READ, end=End.COMMIT, reset=True)
+    proxied, direct = [], []
+    for _ in range(LATENCY_CALLS):
+        outcome = await client.call(host, call)
+        proxied.append(outcome.latency_ms)
+        started_ms = clock.now_ms()
+        await connection.run(batch, 1_000.0)
+        direct.append(clock.now_ms() - started_ms)
+    connection.close()
+    await client.close()
+    added_ms = statistics.median(proxied) - statistics.median(direct)
+    return [
+        ("direct_p50_ms", statistics.median(direct)),
+        ("proxied_p50_ms", statistics.median(proxied)),
+        ("added_latency_ratio", added_ms / statistics.median(direct)),
+    ]
+
+
+async def _throughput_figures(processes: Processes, prefix: str) -> Figures:
+    """Drive one entry host as fast as some callers can."""
+    client = HttpClient(processes.addresses())
+    entry = next(iter(processes.daemons))
+    session = (await client.call(entry, Call("session"))).session
+    figures = []
+    for name, sql, class_name in (
+        ("reads", "SELECT 1", "status"),
+        ("writes", "CREATE TABLE IF NOT EXISTS t (x)", "order"),
+    ):
+        used_s = {host: cpu_s(p) for host, p in processes.daemons.items()}
+        call = Call("execute", GROUP, sql, [], class_name, session)
+        started_s = time.monotonic()
+        counts = await asyncio.gather(
+            *(_repeat(client, entry, call, started_s) for _ in range(CALLERS))
+        )
+        elapsed_s = time.monotonic() - started_s
+        spent_s = sum(cpu_s(p) - used_s[host] for host, p in processes.daemons.items())
+        figures += [
+            (f"{prefix}_{name}_per_s", sum(counts) / elapsed_s),
+            (f"{prefix}_{name}_per_core_s", sum(counts) / spent_s),
+            (f"{prefix}_{name}_core_us_each", spent_s * 1e6 / sum(counts)),
+        ]
+    await client.close()
+    return figures
+
+
+async def _repeat(client: HttpClient, host: str, call: Call, started_s: float) -> int:
+    count = 0
+    while time.monotonic() < started_s + THROUGHPUT_S:
+        outcome = await client.call(host, call)
+        count += outcome.answer is not None
+    return count
+
+
+def _memory_figures(processes: Processes) -> Figures:
+    """Open idle connections of callers and see what each one costs."""
+    host, daemon = next(iter(processes.daemons.items()))
+    ip, _, port = processes.addresses()[host].rpartition(":")
+    before = resident_bytes(daemon)
+    sockets = []
+    for _ in range(IDLE_CONNECTIONS):
+        held = socket.create_connection((ip, int(port)), 2.0)
+        # Callers that have been served once hold more than those that only came.
+        held.sendall(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+        held.recv(4096)
+        sockets.append(held)
+    time.sleep(1.0)
+    each = (resident_bytes(daemon) - before) / IDLE_CONNECTIONS
+    for held in sockets:
+        held.close()
+    yield "daemon_resident_mb", before / 1e6
+    yield "bytes_per_idle_connection", each
--- a/packages/fennelhill-bench/src/fennelhill_bench/world.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/world.py
@@ -36,6 +36,10 @@
         self.deployment: Deployment = self.run(self._start(plan))
         self.client = DirectClient(self.deployment)
 
+    async def _stop(self) -> None:
+        self.deployment.close()
+        await asyncio.sleep(0)
+
     async def _start(self, plan: Plan) -> Deployment:
         deployment = Deployment.in_memory(plan)
         await asyncio.sleep(WARM_UP_S)
@@ -199,12 +203,7 @@
 
     def close(self) -> None:
         """Stop everything."""
-
-        async def close() -> None:
-            self.deployment.close()
-            await asyncio.sleep(0)
-
-        self.run(close())
+        self.run(self._stop())
         for task in asyncio.all_tasks(self.loop):
             task.cancel()
         self.wait(0.001)
--- a/packages/fennelhilld/src/fennelhilld/cli.py
+++ b/packages/fennelhilld/src/fennelhilld/cli.py
@@ -87,3 +87,7 @@
 def main() -> None:
     """Run the command line."""
     fire.Fire(FennelhillDaemon, name="fennelhilld")
+
+
+if __name__ == "__main__":
+    main()
