--- a/packages/fennelhill-bench/src/fennelhill_bench/throughput.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/throughput.py
@@ -36,13 +36,11 @@
 TARGETS_A_GROUP = 3
 
 
-def one_host_plan(groups: int = 1, hosts: int = 1) -> Plan:
+def one_host_plan(hosts: int = 1) -> Plan:
     """Return a plan in which the targets are never the limit.
 
     Parameters
     ----------
-    groups : int
-        Database groups.
     hosts : int
         Entry hosts.
 
@@ -51,8 +49,7 @@
     Plan
         The plan.
     """
-    names = [f"orders-{number + 1}" for number in range(groups)]
-    return Plan.bogota(hosts=hosts, groups=names, slots=16, connections=40)
+    return Plan.bogota(hosts=hosts, groups=[GROUP], slots=16, connections=40)
 
 
 @ROUNDS.register("demo")
@@ -100,7 +97,10 @@
         """
         cores, memory = [], []
         for groups in GROUP_COUNTS:
-            with Processes(one_host_plan(groups), instant=True) as processes:
+            # Pools as they are in Bogotá: idle connections are checked too.
+            names = [f"orders-{number + 1}" for number in range(groups)]
+            plan = Plan.bogota(hosts=1, groups=names)
+            with Processes(plan, instant=True) as processes:
                 daemon = next(iter(processes.daemons.values()))
                 time.sleep(SETTLE_S)
                 before_s = cpu_s(daemon)
@@ -113,7 +113,7 @@
         yield "core_share_a_group", (cores[-1] - cores[0]) / span
         yield "bytes_a_group", (memory[-1] - memory[0]) / span
         yield "status_exchange_bytes", _status_exchange_bytes()
-        rounds_per_s = MS_PER_S / one_host_plan().limits.sample_ms
+        rounds_per_s = MS_PER_S / one_host_plan().limits.idle_sample_ms
         watch_bytes = TARGETS_A_GROUP * rounds_per_s * _status_exchange_bytes()
         yield "watch_bytes_per_s_a_group", watch_bytes
 
--- a/packages/fennelhill-bench/src/fennelhill_bench/world.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/world.py
@@ -36,6 +36,9 @@
         self.deployment: Deployment = self.run(self._start(plan))
         self.client = DirectClient(self.deployment)
 
+    async def _start_sessions(self) -> None:
+        self.load.start()
+
     async def _stop(self) -> None:
         self.deployment.close()
         await asyncio.sleep(0)
@@ -136,11 +139,7 @@
             Seed of their choices.
         """
         self.load = Load(self.deployment, self.client, mix or Mix(), seed)
-
-        async def start() -> None:
-            self.load.start()
-
-        self.run(start())
+        self.run(self._start_sessions())
 
     def finish_load(self) -> None:
         """Stop the sessions, and settle the outcomes that they don't know."""
--- a/packages/fennelhill-core/src/fennelhill_core/rpc.py
+++ b/packages/fennelhill-core/src/fennelhill_core/rpc.py
@@ -93,12 +93,14 @@
     """
 
     __slots__ = (
+        "_ended",
         "_forgotten",
         "_next_id",
         "_pending",
         "_reader",
         "_stream",
         "closed",
+        "received",
     )
 
     def __init__(
@@ -111,6 +113,9 @@
         self._forgotten: dict[int, None] = {}
         self._next_id = first_id
         self.closed = False
+        # Messages that have come; whoever watches the stream compares two readings.
+        self.received = 0
+        self._ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._reader = asyncio.ensure_future(self._read())
 
     async def call(self, method: str, params: Any, limit_ms: float) -> msgspec.Raw:
@@ -166,12 +171,23 @@
         if self.closed:
             return
         self.closed = True
+        if not self._ended.done():
+            self._ended.set_result(None)
         self._stream.close()
         self._reader.cancel()
         for future in self._pending.values():
             if not future.done():
                 future.set_exception(NoAnswer("stream closed"))
 
+    @property
+    def waiting(self) -> int:
+        """Requests that wait for their answers."""
+        return len(self._pending)
+
+    async def wait_closed(self) -> None:
+        """Wait until the stream is closed, by whichever end."""
+        await asyncio.shield(self._ended)
+
     def _forget(self, request_id: int) -> None:
         self._forgotten[request_id] = None
         if len(self._forgotten) > MAX_FORGOTTEN_IDS:
@@ -181,7 +197,9 @@
     async def _read(self) -> None:
         try:
             while True:
-                self._dispatch(await self._stream.receive())
+                message = await self._stream.receive()
+                self.received += 1
+                self._dispatch(message)
         except (StreamClosed, ProtocolError, msgspec.DecodeError):
             self.close()
 
--- a/packages/fennelhill-core/src/fennelhill_core/settings.py
+++ b/packages/fennelhill-core/src/fennelhill_core/settings.py
@@ -184,6 +184,7 @@
     answer_timeout_ms: PositiveMs = 2_000
     replica_wait_ms: AgeMs = 30
     sample_ms: PositiveMs = 150
+    idle_sample_ms: PositiveMs = 500
     sample_timeout_ms: PositiveMs = 450
     primary_silence_ms: PositiveMs = 700
     retry_ratio: Annotated[float, Meta(ge=0, le=1)] = 0.2
--- a/packages/fennelhilld/src/fennelhilld/failover/steward.py
+++ b/packages/fennelhilld/src/fennelhilld/failover/steward.py
@@ -36,7 +36,7 @@
 )
 from fennelhilld.watching.watch import GroupWatch, Member
 
-STEP_MS = 50.0
+STEP_MS = 100.0
 RANK_DELAY_MS = 400.0
 ORDER_TIMEOUT_MS = 400.0
 RETRY_MS = 300.0
--- a/packages/fennelhilld/src/fennelhilld/peers/streams.py
+++ b/packages/fennelhilld/src/fennelhilld/peers/streams.py
@@ -130,29 +130,41 @@
             link.client = RpcClient(stream)
             if link.heartbeat is not None:
                 link.heartbeat.cancel()
-            link.heartbeat = asyncio.ensure_future(self._beat(link, link.client, host))
+            link.heartbeat = asyncio.ensure_future(
+                self._look_after(link, link.client, host)
+            )
             return link.client
 
-    async def _beat(self, link: _Link, client: RpcClient, host: EntryHost) -> None:
-        """Exchange heartbeats until the stream ends or nobody uses it."""
-        limit_ms = HEARTBEAT_MS * MISSED_HEARTBEATS
+    async def _look_after(
+        self, link: _Link, client: RpcClient, host: EntryHost
+    ) -> None:
+        """Ask for a heartbeat where answers are overdue; close what nobody uses.
+
+        Traffic is proof enough that the other host lives, and a link without
+        traffic needs no proof: so a fleet in which every host talks to every
+        other one does not drown in heartbeats.
+        """
         while not client.closed:
-            hello = PeerHello(
-                self._view.host.id, not self._view.usable(self._view.host.id)
-            )
-            try:
-                raw = await client.call("hello", hello, limit_ms)
-                reply = msgspec.json.decode(raw, type=PeerHello)
-            except (NoAnswer, NotSent, RpcError, msgspec.DecodeError) as error:
-                self._suspect(host, f"no heartbeat: {error}")
-                client.close()
-                return
-            self._view.heard(host.id, reply.leaving)
-            if self._clock.now_ms() - link.used_ms > IDLE_CLOSE_MS:
+            received = client.received
+            await self._clock.sleep_ms(HEARTBEAT_MS)
+            if client.waiting and client.received == received:
+                await self._beat(client, host)
+            elif self._clock.now_ms() - link.used_ms > IDLE_CLOSE_MS:
                 client.close()
                 return
-            await self._clock.sleep_ms(HEARTBEAT_MS)
         self._suspect(host, "stream closed")
 
+    async def _beat(self, client: RpcClient, host: EntryHost) -> None:
+        own = self._view.host.id
+        hello = PeerHello(own, not self._view.usable(own), self._clock.wall_ms())
+        try:
+            raw = await client.call("hello", hello, HEARTBEAT_MS * MISSED_HEARTBEATS)
+            reply = msgspec.json.decode(raw, type=PeerHello)
+        except (NoAnswer, NotSent, RpcError, msgspec.DecodeError) as error:
+            self._suspect(host, f"no heartbeat: {error}")
+            client.close()
+        else:
+            self._view.heard(host.id, reply.leaving)
+
     def _suspect(self, host: EntryHost, reason: str) -> None:
         self._view.suspect(host.id, self._limits.peer_silence_ms, reason)
--- a/packages/fennelhilld/src/fennelhilld/pooling/duties.py
+++ b/packages/fennelhilld/src/fennelhilld/pooling/duties.py
@@ -155,6 +155,7 @@
         self.in_progress += 1
         try:
             watch = self._watch(work.group)
+            watch.used_ms = self._clock.now_ms()
             served = await self._dispatch(work, target, watch)
         finally:
             self.in_progress -= 1
--- a/packages/fennelhilld/src/fennelhilld/targets/driver.py
+++ b/packages/fennelhilld/src/fennelhilld/targets/driver.py
@@ -70,6 +70,9 @@
     async def follow(self, order: Follow, limit_ms: float) -> ControlReply:
         """Order a target to follow."""
 
+    async def wait_closed(self) -> None:
+        """Wait until the connection is closed, by whichever end."""
+
     def close(self) -> None:
         """Close the connection."""
 
@@ -240,5 +243,8 @@
     async def follow(self, order: Follow, limit_ms: float) -> ControlReply:
         return await _call(self._client, "follow", order, limit_ms, ControlReply)
 
+    async def wait_closed(self) -> None:
+        await self._client.wait_closed()
+
     def close(self) -> None:
         self._client.close()
--- a/packages/fennelhilld/src/fennelhilld/watching/watch.py
+++ b/packages/fennelhilld/src/fennelhilld/watching/watch.py
@@ -24,19 +24,27 @@
 RECONNECT_MS = 200.0
 LOOP_LAG_MS = 250.0
 SEARCH_MS = 30.0
+IN_USE_MS = 2_000.0
 
 
 class Member:
     """What is known of one target of the group."""
 
-    __slots__ = ("control", "followed", "heard_ms", "lag_ms", "status", "target")
+    __slots__ = (
+        "asked_ms",
+        "control",
+        "followed",
+        "lag_ms",
+        "status",
+        "target",
+    )
 
     def __init__(self, target: Target, now_ms: float) -> None:
         self.target = target
         self.control: TargetControl | None = None
         self.status = Status(target.id, 0, False, Position())
-        # When the question was sent that the target last answered.
-        self.heard_ms = now_ms
+        # When the oldest question was due that the target has not answered yet.
+        self.asked_ms: float | None = now_ms
         self.followed = False
         # How far behind the target usually is, as seen when it last reported.
         self.lag_ms = 0.0
@@ -116,6 +124,7 @@
         "name",
         "rounds_run",
         "samples",
+        "used_ms",
     )
 
     def __init__(
@@ -134,6 +143,7 @@
         self.samples = Samples()
         self.rounds_run = 0
         self.lagged_ms = now_ms
+        self.used_ms = now_ms
         self._ticked_ms = now_ms
         self._driver = driver
         self._limits = limits
@@ -255,9 +265,10 @@
             count: its own pause is no reason to suspect anybody.
         """
         now_ms = self._clock.now_ms()
-        if now_ms - self._ticked_ms > self._limits.sample_ms + LOOP_LAG_MS:
+        if now_ms - self._ticked_ms > self._limits.idle_sample_ms + LOOP_LAG_MS:
             return 0.0
-        return now_ms - max(self.members[target].heard_ms, self.lagged_ms)
+        asked_ms = self.members[target].asked_ms
+        return 0.0 if asked_ms is None else now_ms - max(asked_ms, self.lagged_ms)
 
     def heard_status(self, target: str, status: Status) -> None:
         """Take a status that came with the answer to an order.
@@ -269,7 +280,7 @@
         status : Status
             What it said.
         """
-        self._heard(self.members[target], status, None)
+        self._heard(self.members[target], status)
 
     def read_at(self, target: str, position: Position) -> None:
         """Take the position that came with the answer to a read.
@@ -371,7 +382,7 @@
         if control is None or control.closed:
             return False
         try:
-            self._heard(member, await control.wait_applied(need, limit_ms), None)
+            self._heard(member, await control.wait_applied(need, limit_ms))
         except (NoAnswer, NotSent):
             return False
         return covers(member.status.position, need)
@@ -407,7 +418,7 @@
                     status = await control.wait_applied(position, limit_ms)
                 except (NoAnswer, NotSent):
                     continue
-                self._heard(member, status, None)
+                self._heard(member, status)
         finally:
             member.followed = False
 
@@ -432,24 +443,30 @@
             except (DialError, TooManyConnectionsError):
                 await self._clock.sleep_ms(RECONNECT_MS)
                 continue
-            while not member.control.closed:
-                await self._clock.sleep_ms(RECONNECT_MS / 4)
+            await member.control.wait_closed()
 
     async def _sample(self) -> None:
         """Ask all targets at regular times, and at once when a proof is awaited."""
         while True:
             self._ticked_ms = self._clock.now_ms()
-            interval_ms = self._limits.sample_ms
-            primary = self.primary()
-            if primary is None or self._is_silent(primary):
-                # Whoever is promoted next should be noticed at once.
-                interval_ms = min(interval_ms, SEARCH_MS)
+            interval_ms = self._interval_ms()
             await self._clock.sleep_ms(interval_ms)
             now_ms = self._clock.now_ms()
             if now_ms - self._ticked_ms > interval_ms + LOOP_LAG_MS:
                 self.lagged_ms = now_ms
             self._start_round()
 
+    def _interval_ms(self) -> float:
+        """Return the time to the next sample: short only while somebody needs it."""
+        limits, primary = self._limits, self.primary()
+        if primary is None or self._is_silent(primary):
+            # Whoever is promoted next should be noticed at once.
+            return min(limits.sample_ms, SEARCH_MS)
+        in_use = self._clock.now_ms() - self.used_ms < IN_USE_MS
+        if in_use or self.silence_ms(primary.target.id) > 0:
+            return limits.sample_ms
+        return limits.idle_sample_ms
+
     def _joined_round(self) -> asyncio.Future[_Round]:
         """Return the next round to start, for a proof that must begin after now."""
         if self._next_round is None:
@@ -481,6 +498,8 @@
         this_round.finish()
 
     async def _ask(self, member: Member, this_round: _Round) -> None:
+        if member.asked_ms is None:
+            member.asked_ms = this_round.started_ms
         control = member.control
         if control is None or control.closed:
             return
@@ -489,7 +508,8 @@
         except (NoAnswer, NotSent):
             return
         this_round.replies[member.target.id] = status
-        self._heard(member, status, this_round.started_ms)
+        member.asked_ms = None
+        self._heard(member, status)
         self._evaluate(this_round)
 
     def _evaluate(self, this_round: _Round) -> None:
@@ -511,9 +531,7 @@
 
     # Findings.
 
-    def _heard(self, member: Member, status: Status, asked_ms: float | None) -> None:
-        if asked_ms is not None:
-            member.heard_ms = max(member.heard_ms, asked_ms)
+    def _heard(self, member: Member, status: Status) -> None:
         known = member.status
         if status.term < known.term:
             return
