--- a/packages/fennelhill-bench/src/fennelhill_bench/demo.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/demo.py
@@ -88,7 +88,7 @@
         await load.prepare()
         await run_for(load, duration_ms)
         await load.settle_unknown()
-        return list(load_figures("demo", load.tally, load.ledger.check(deployment)))
+        return list(load_figures(load.tally, load.ledger.check(deployment)))
     finally:
         await client.close()
         deployment.close()
--- a/packages/fennelhill-bench/src/fennelhill_bench/load.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/load.py
@@ -405,32 +405,32 @@
 
 
 def load_figures(
-    prefix: str, tally: Tally, verdict: Verdict
+    tally: Tally, verdict: Verdict, prefix: str = ""
 ) -> Iterator[tuple[str, float]]:
     """Name the figures of a load.
 
     Parameters
     ----------
-    prefix : str
-        What the names begin with.
     tally : Tally
         What the load has seen.
     verdict : Verdict
         What the check of the promises found.
+    prefix : str
+        What the names begin with; empty for the subject of a round.
 
     Yields
     ------
     tuple
         Name and value.
     """
-    yield f"{prefix}_requests", tally.requests
+    yield f"{prefix}requests", tally.requests
     for code, count in sorted(tally.codes.items()):
-        yield f"{prefix}_code_{code}", count
-    yield f"{prefix}_replica_read_share", tally.replica_read_share
-    yield f"{prefix}_permitted_replica_share", tally.permitted_replica_share
-    yield f"{prefix}_late_share", tally.late_share
-    yield f"{prefix}_p50_ms", tally.percentile_ms(50)
-    yield f"{prefix}_p99_ms", tally.percentile_ms(99)
-    yield f"{prefix}_lost", len(verdict.lost)
-    yield f"{prefix}_doubled", len(verdict.doubled) + len(verdict.ran_after_all)
-    yield f"{prefix}_stale_reads", len(verdict.stale) + len(verdict.mixed)
+        yield f"{prefix}code_{code}", count
+    yield f"{prefix}replica_read_share", tally.replica_read_share
+    yield f"{prefix}permitted_replica_share", tally.permitted_replica_share
+    yield f"{prefix}late_share", tally.late_share
+    yield f"{prefix}p50_ms", tally.percentile_ms(50)
+    yield f"{prefix}p99_ms", tally.percentile_ms(99)
+    yield f"{prefix}lost", len(verdict.lost)
+    yield f"{prefix}doubled", len(verdict.doubled) + len(verdict.ran_after_all)
+    yield f"{prefix}stale_reads", len(verdict.stale) + len(verdict.mixed)
--- a/packages/fennelhill-bench/src/fennelhill_bench/platform.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/platform.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from collections import deque
 
 from fennelhill_core.clock import MS_PER_S, Clock
@@ -182,6 +183,75 @@
             raise StoreUnavailableError(StoreFault.DOWN)
 
 
+class ObjectStoreStandIn:
+    """Immutable objects under the digest of their content.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.objects: dict[str, bytes] = {}
+        self.down = False
+        self.delay_ms = 8.0
+        self.lose_answers = 0
+        self._clock = clock
+
+    async def put(self, content: bytes) -> str:
+        """Keep an object.
+
+        Parameters
+        ----------
+        content : bytes
+            The content.
+
+        Returns
+        -------
+        str
+            Its digest, under which it is found; the same for the same content.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the store is down, or the answer was lost.
+        """
+        await self._pass()
+        digest = hashlib.sha256(content).hexdigest()
+        self.objects[digest] = content
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise StoreUnavailableError(StoreFault.NO_ANSWER)
+        return digest
+
+    async def get(self, digest: str) -> bytes | None:
+        """Read an object.
+
+        Parameters
+        ----------
+        digest : str
+            Its digest.
+
+        Returns
+        -------
+        bytes or None
+            The content, if there is such an object.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the store is down.
+        """
+        await self._pass()
+        return self.objects.get(digest)
+
+    async def _pass(self) -> None:
+        await self._clock.sleep_ms(self.delay_ms)
+        if self.down:
+            raise StoreUnavailableError(StoreFault.DOWN)
+
+
 class HostListStandIn:
     """A list of live and leaving hosts that lags behind the truth.
 
--- a/packages/fennelhill-bench/src/fennelhill_bench/rounds.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/rounds.py
@@ -65,10 +65,12 @@
         tuple
             Name and value.
         """
-        for policy in ("least_wait", "round_robin", "primary_only"):
+        baselines = ("round_robin", "primary_only")
+        for policy in ("least_wait", *baselines):
+            prefix = f"{policy}_" if policy in baselines else ""
             plan = Plan.bogota(read_policy=policy, service_ms=6.0)
             measured = run_virtual(_closed_load(plan, Mix(sessions=160)))
-            yield from load_figures(policy, measured.tally, measured.verdict)
+            yield from load_figures(measured.tally, measured.verdict, prefix)
 
 
 @ROUNDS.register("pooling")
@@ -83,12 +85,12 @@
         tuple
             Name and value.
         """
-        for policy in ("rendezvous", "split"):
+        for policy, prefix in (("rendezvous", ""), ("split", "split_")):
             plan = Plan.bogota(owner_policy=policy, service_ms=6.0)
             measured = run_virtual(_closed_load(plan, Mix(sessions=110), _kill_a_host))
-            yield from load_figures(policy, measured.tally, measured.verdict)
+            yield from load_figures(measured.tally, measured.verdict, prefix)
             targets = measured.deployment.targets.values()
-            yield f"{policy}_connects", sum(t.connections_seen for t in targets)
+            yield f"{prefix}connects", sum(t.connections_seen for t in targets)
 
 
 @ROUNDS.register("overload")
--- /dev/null
+++ b/scenarios/test_processes.py
@@ -0,0 +1,108 @@
+"""The whole path as separate processes: daemons, stand-ins and the command lines."""
+
+from __future__ import annotations
+
+import asyncio
+import subprocess
+import sys
+
+import pytest
+from fennelhill_bench.clients import Call, HttpClient
+from fennelhill_bench.deployment import Plan
+from fennelhill_bench.processes import Processes
+
+GROUP = "orders-1"
+PATIENCE_S = 20.0
+
+
+@pytest.fixture(scope="module")
+def processes():
+    with Processes(Plan.bogota(hosts=3, groups=[GROUP])) as processes:
+        yield processes
+
+
+def call_all(processes, calls):
+    """Send calls in turn, each through the host that is named with it."""
+
+    async def send():
+        client = HttpClient(processes.addresses())
+        try:
+            return [await client.call(host, call) for host, call in calls]
+        finally:
+            await client.close()
+
+    return asyncio.run(send())
+
+
+def write(sql, class_name="order", **fields):
+    return Call("execute", GROUP, sql, [], class_name, deadline_ms=15_000, **fields)
+
+
+def command(*arguments):
+    return subprocess.run(
+        [sys.executable, "-c", "from fennelhill.cli import main; main()", *arguments],
+        capture_output=True,
+        text=True,
+        timeout=PATIENCE_S,
+        check=False,
+    )
+
+
+class TestProcesses:
+    def test_a_request_is_served_from_end_to_end(self, processes):
+        made, wrote = call_all(
+            processes,
+            [
+                ("bog-a-1", write("CREATE TABLE p (x)", "upsert")),
+                ("bog-b-1", write("INSERT INTO p VALUES (7)", key="k1")),
+            ],
+        )
+        assert made.answer, made.error
+        assert wrote.answer, wrote.error
+        read = Call("execute", GROUP, "SELECT x FROM p", [], "status", wrote.session)
+        again = write("INSERT INTO p VALUES (7)", key="k1")
+        seen, replayed = call_all(processes, [("bog-c-1", read), ("bog-c-1", again)])
+        assert seen.answer.rows == [[7]]
+        assert replayed.answer.replayed
+
+    def test_operators_see_the_fleet(self, processes):
+        status = command("status", str(processes.path))
+        assert status.returncode == 0, status.stderr
+        assert "orders-1: orders-1-a (term 1)" in status.stdout
+        line = command("timeline", str(processes.path))
+        assert "daemon.started" in line.stdout
+
+    def test_a_daemon_that_gets_sigterm_leaves_cleanly(self, processes):
+        assert processes.stop_daemon("bog-c-1") == 0
+        (wrote,) = call_all(processes, [("bog-a-1", write("INSERT INTO p VALUES (8)"))])
+        assert wrote.answer, wrote.error
+        status = command("status", str(processes.path))
+        assert status.returncode == 1
+        assert "no answer" in status.stdout
+        processes.start_daemon("bog-c-1")
+
+    def test_a_daemon_that_is_killed_is_missed_by_nobody(self, processes):
+        processes.daemons.pop("bog-b-1").kill()
+        (wrote,) = call_all(processes, [("bog-a-1", write("INSERT INTO p VALUES (9)"))])
+        assert wrote.answer, wrote.error
+
+
+class TestCommandLine:
+    def test_check_names_every_problem(self, tmp_path):
+        bad = tmp_path / "bad.yaml"
+        bad.write_text("version: 1\nfleet: {name: x, secret: short}\n")
+        checked = command("check", str(bad))
+        assert checked.returncode == 2
+        assert "settings:" in checked.stderr
+
+    def test_explain_tells_the_promise_of_a_code(self):
+        assert "outcome unknown" in command("explain", "2002").stdout
+        assert command("explain", "9999").returncode == 1
+
+    def test_help_says_where_to_start(self):
+        helped = command("--help")
+        assert "fennelhill timeline" in helped.stdout + helped.stderr
+
+    def test_token_prints_the_hash_for_the_settings(self):
+        printed = command("token", "curtiembre-demo-token").stdout
+        assert "token_sha256" in printed
