Hand the lead over from a primary that is leaving

Change: the owner of a leaving primary holds new writes, lets what runs end and a replica catch up, and orders a promotion in which equal logs go to the target that stays; reads are refused by leaving replicas at their owner too.

--- a/packages/fennelhill-bench/src/fennelhill_bench/target.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/target.py
@@ -94,6 +94,7 @@
         self.leaving = False
         self.alive = True
         self.connections_seen = 0
+        self.statements_run = 0
         self.open_connections = 0
         # Faults of the next answers, on any connection or to batches only.
         self.answer_faults: deque[str] = deque()
@@ -240,6 +241,7 @@
         if (writing and not self.primary) or (batch.term and batch.term != self.term):
             raise SqlFault(Fault.NOT_PRIMARY, f"{self.id} is in term {self.term}")
         reply = BatchReply()
+        self.statements_run += len(batch.statements)
         for statement in batch.statements:
             reply.results.append(session.run(statement, batch.max_rows))
         if batch.end is End.COMMIT:
--- a/packages/fennelhilld/src/fennelhilld/failover/steward.py
+++ b/packages/fennelhilld/src/fennelhilld/failover/steward.py
@@ -242,6 +242,17 @@
 
     # Promotion.
 
+    async def promote(self, cause: str) -> None:
+        """Take a new term for a planned change of primary.
+
+        Parameters
+        ----------
+        cause : str
+            Id of the event that led to it.
+        """
+        self._cause = cause
+        await self._promote()
+
     async def _promote(self) -> None:
         taken = await self._take_term()
         if taken is None:
@@ -257,7 +268,12 @@
         # the log that ends highest contains what any of them confirmed.
         chosen = max(
             fenced.values(),
-            key=lambda s: (s.last_entry_term, s.position.index, s.target),
+            key=lambda s: (
+                s.last_entry_term,
+                s.position.index,
+                not s.leaving,
+                s.target,
+            ),
         )
         reply = await self._order(
             chosen.target,
--- a/packages/fennelhilld/src/fennelhilld/pooling/duties.py
+++ b/packages/fennelhilld/src/fennelhilld/pooling/duties.py
@@ -6,13 +6,14 @@
 from collections.abc import Awaitable, Callable
 
 from fennelhill_core.clock import Clock
-from fennelhill_core.codes import LEAVING, UNKNOWN_GROUP, Refusal
+from fennelhill_core.codes import LEAVING, NOT_PRIMARY, UNKNOWN_GROUP, Refusal
 from fennelhill_core.events import EventLog
 from fennelhill_core.settings import Settings, Target
 from fennelhill_core.tasks import Tasks
 from result import Err, Result
 
 from fennelhilld.failover.steward import AskPeer, Steward
+from fennelhilld.failover.switchover import Switchover
 from fennelhilld.membership.view import OWNER_POLICIES, LiveView
 from fennelhilld.peers.messages import (
     Answer,
@@ -78,6 +79,7 @@
         "_random",
         "_settings",
         "_stewards",
+        "_switchovers",
         "_table",
         "_targets",
         "_tasks",
@@ -115,6 +117,7 @@
             for target in group.targets
         }
         self._stewards: dict[str, Steward] = {}
+        self._switchovers: dict[str, Switchover] = {}
         self._tasks = Tasks()
         self.owners: dict[str, TargetOwner] = {}
         self.watches: dict[str, GroupWatch] = {}
@@ -185,6 +188,9 @@
         if self.closing:
             return Err(Refusal.of(LEAVING, self._view.host.id, 50))
         owner = self._owner(target, work.group)
+        if owner.held and work.operation is not Operation.READ:
+            # The entry host holds the request and finds the next primary.
+            return Err(Refusal.of(NOT_PRIMARY, f"{target.id} hands over"))
         if work.operation is Operation.BEGIN:
             began = await self.transactions.begin(owner, watch, work)
             return began.map(self._with_host)
@@ -251,6 +257,9 @@
                 )
                 steward.start()
                 self._stewards[name] = steward
+                self._switchovers[name] = Switchover(
+                    watch, steward, self.transactions, self._clock, self._events
+                )
         return watch
 
     async def _review(self) -> None:
@@ -264,6 +273,8 @@
                 else:
                     self._drop_unused(target)
             self._drop_unwatched()
+            for switchover in self._switchovers.values():
+                await switchover.run_if_due(self.owners)
             await self._clock.sleep_ms(REVIEW_MS)
 
     def _drop_unused(self, target: Target) -> None:
@@ -283,6 +294,7 @@
             self.watches.pop(name).close()
             if name in self._stewards:
                 self._stewards.pop(name).close()
+                self._switchovers.pop(name)
 
     async def _forget_keys(self) -> None:
         while True:
--- a/packages/fennelhilld/src/fennelhilld/pooling/owner.py
+++ b/packages/fennelhilld/src/fennelhilld/pooling/owner.py
@@ -99,6 +99,7 @@
     __slots__ = (
         "clock",
         "contended_ms",
+        "held",
         "key_table_term",
         "limits",
         "pool",
@@ -121,6 +122,8 @@
         self.pool = ConnectionPool(target, driver, limits, clock, maximum)
         self.queue = AdmissionQueue(target.slots, limits.queue_requests, clock)
         self.used_ms = clock.now_ms()
+        # Whether writes are held back while another target takes the lead.
+        self.held = False
         # When a request last gave up on a lock at the target.
         self.contended_ms = float("-inf")
         # The last term in which the table of idempotency keys was seen to exist.
--- a/packages/fennelhilld/src/fennelhilld/reads/serve.py
+++ b/packages/fennelhilld/src/fennelhilld/reads/serve.py
@@ -75,6 +75,8 @@
     if not work.allowed_age_ms:
         return Refusal.of(NOT_PRIMARY, f"{owner.target.id} is a replica")
     name = owner.target.id
+    if watch.members[name].status.leaving:
+        return Refusal.of(REPLICA_BEHIND, f"{name} is leaving")
     have = watch.members[name].status.position
     if not covers(have, work.need):
         bound_ms = owner.limits.replica_wait_ms
--- a/packages/fennelhilld/src/fennelhilld/transactions/serve.py
+++ b/packages/fennelhilld/src/fennelhilld/transactions/serve.py
@@ -143,6 +143,21 @@
         """How many are open."""
         return len(self._open)
 
+    def on(self, owner: TargetOwner) -> int:
+        """Count the open transactions at a target.
+
+        Parameters
+        ----------
+        owner : TargetOwner
+            Owner of the target's pool.
+
+        Returns
+        -------
+        int
+            How many.
+        """
+        return sum(1 for held in self._open.values() if held.owner is owner)
+
     async def begin(
         self, owner: TargetOwner, watch: GroupWatch, work: Work
     ) -> Result[Answer, Refusal]:
--- a/scenarios/failures.feature
+++ b/scenarios/failures.feature
@@ -88,6 +88,21 @@
     Then no request failed
     And every promise was kept
 
+  Scenario: a primary that is leaving hands over without an error
+    Given the Bogotá deployment with writes in flight
+    When the primary of "orders-1" is leaving
+    Then it receives no new work after 4 seconds
+    And a new primary serves writes to "orders-1" within 7 seconds
+    And no request failed
+    And every promise was kept
+
+  Scenario: a replica that is leaving receives no new work
+    Given the Bogotá deployment with writes in flight
+    When a replica of "orders-1" is leaving
+    Then it receives no new work after 4 seconds
+    And no request failed
+    And every promise was kept
+
   Scenario: a replica that is far behind does not slow the sessions down
     Given the Bogotá deployment with writes in flight
     When one replica of "orders-1" falls 30 seconds behind
--- a/scenarios/test_failures.py
+++ b/scenarios/test_failures.py
@@ -144,6 +144,30 @@
     replica.spec.lag_ms = seconds * 1000.0
 
 
+@when(parsers.parse('the primary of "{group}" is leaving'))
+def primary_leaving(world, group):
+    world.notes["old"] = world.notes["leaving"] = world.deployment.primary(group)
+    world.notes["hurt_ms"] = now_ms(world)
+    world.notes["leaving"].leaving = True
+
+
+@when(parsers.parse('a replica of "{group}" is leaving'))
+def replica_leaving(world, group):
+    primary = world.deployment.primary(group)
+    replica = next(t for t in world.deployment.group(group) if t is not primary)
+    assert replica.statements_run > 0
+    world.notes["leaving"] = replica
+    replica.leaving = True
+
+
+@then(parsers.parse("it receives no new work after {seconds:d} seconds"))
+def no_new_work(world, seconds):
+    world.wait(seconds)
+    before = world.notes["leaving"].statements_run
+    world.wait(3.0)
+    assert world.notes["leaving"].statements_run == before
+
+
 @when("the cut is healed")
 def heal(world):
     world.deployment.network.heal()
