--- a/packages/fennelhilld/src/fennelhilld/failover/steward.py
+++ b/packages/fennelhilld/src/fennelhilld/failover/steward.py
@@ -34,7 +34,8 @@
     Promote,
     Status,
 )
-from fennelhilld.watching.watch import GroupWatch, Member
+from fennelhilld.watching.state import Member
+from fennelhilld.watching.watch import GroupWatch
 
 STEP_MS = 100.0
 RANK_DELAY_MS = 400.0
--- a/packages/fennelhilld/src/fennelhilld/failover/switchover.py
+++ b/packages/fennelhilld/src/fennelhilld/failover/switchover.py
@@ -11,7 +11,8 @@
 from fennelhilld.failover.steward import Steward
 from fennelhilld.pooling.owner import TargetOwner
 from fennelhilld.transactions.serve import TransactionTable
-from fennelhilld.watching.watch import GroupWatch, Member
+from fennelhilld.watching.state import Member
+from fennelhilld.watching.watch import GroupWatch
 
 HOLD_MS = 1_000.0
 RETRY_MS = 2_000.0
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/watching/confirmations.py
@@ -0,0 +1,169 @@
+"""Confirms writes: waits until enough other targets hold them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from fennelhill_core.clock import Clock, timeout_ms
+from fennelhill_core.rpc import NoAnswer, NotSent
+from fennelhill_core.settings import Limits
+from fennelhill_core.tasks import Tasks
+from fennelhill_core.tokens import Position
+
+from fennelhilld.targets.messages import Status
+from fennelhilld.watching.samples import covers
+from fennelhilld.watching.state import Member
+
+CONTROL_POLL_MS = 50.0
+
+
+class _WriteWaiter:
+    """A write that waits for its confirmation."""
+
+    __slots__ = ("future", "position", "target")
+
+    def __init__(self, target: str, position: Position) -> None:
+        self.target = target
+        self.position = position
+        self.future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+
+
+class WriteConfirmations:
+    """The writes of a group that wait to be confirmed.
+
+    Parameters
+    ----------
+    members : dict
+        The targets of the group by name.
+    on_status : callable
+        Takes the status of a member that an answer has brought.
+    limits : Limits
+        Times and bounds.
+    clock : Clock
+        Source of time.
+    """
+
+    __slots__ = ("_clock", "_limits", "_members", "_on_status", "_tasks", "_writes")
+
+    def __init__(
+        self,
+        members: dict[str, Member],
+        on_status: Callable[[Member, Status], None],
+        limits: Limits,
+        clock: Clock,
+    ) -> None:
+        self._members = members
+        self._on_status = on_status
+        self._limits = limits
+        self._clock = clock
+        self._writes: list[_WriteWaiter] = []
+        self._tasks = Tasks()
+
+    @property
+    def others_needed(self) -> int:
+        """Targets besides the primary that make a majority with it."""
+        return len(self._members) // 2
+
+    def close(self) -> None:
+        """Stop waiting; whoever waits gets no confirmation."""
+        self._tasks.cancel()
+        for waiter in self._writes:
+            _settle(waiter.future, False)
+
+    async def wait(self, target: str, position: Position, limit_ms: float) -> bool:
+        """Wait until enough other targets hold a write of this term.
+
+        Parameters
+        ----------
+        target : str
+            The target that ran the write; its own copy proves nothing.
+        position : Position
+            Where the write is in the log of its term.
+        limit_ms : float
+            Longest wait in milliseconds.
+
+        Returns
+        -------
+        bool
+            Whether it is confirmed.  If not, its outcome is unknown.
+        """
+        waiter = _WriteWaiter(target, position)
+        self._writes.append(waiter)
+        self.settle()
+        if not waiter.future.done():
+            self._follow_others(target)
+        try:
+            async with timeout_ms(limit_ms):
+                return await waiter.future
+        except TimeoutError:
+            return False
+        finally:
+            if waiter in self._writes:
+                self._writes.remove(waiter)
+
+    def _follow_others(self, target: str) -> None:
+        """Have one wait outstanding at each other target, for all waiting writes."""
+        for name, member in self._members.items():
+            if name != target and not member.followed:
+                member.followed = True
+                self._tasks.spawn(self._follow(member))
+
+    async def _follow(self, member: Member) -> None:
+        """Wait for one target's progress as long as writes wait for it.
+
+        Each wait is for the oldest write that this target does not hold yet; its
+        answer tells how far the target is, and so serves all writes up to there.
+        """
+        try:
+            while (position := self._next_wanted(member)) is not None:
+                control = member.control
+                if control is None or control.closed:
+                    await self._clock.sleep_ms(CONTROL_POLL_MS)
+                    continue
+                limit_ms = self._limits.sample_timeout_ms
+                try:
+                    status = await control.wait_applied(position, limit_ms)
+                except (NoAnswer, NotSent):
+                    continue
+                self._on_status(member, status)
+        finally:
+            member.followed = False
+
+    def _next_wanted(self, member: Member) -> Position | None:
+        wanted = [
+            waiter.position
+            for waiter in self._writes
+            if not waiter.future.done()
+            and waiter.target != member.target.id
+            and not covers(member.status.position, waiter.position)
+        ]
+        return min(wanted, default=None)
+
+    def settle(self) -> None:
+        """Look which writes the members' latest statuses decide."""
+        for waiter in self._writes:
+            if self._confirmed(waiter.target, waiter.position):
+                _settle(waiter.future, True)
+            elif self._replaced(waiter.position.term):
+                _settle(waiter.future, False)
+
+    def _confirmed(self, target: str, position: Position) -> bool:
+        holding = sum(
+            1
+            for name, member in self._members.items()
+            if name != target
+            and member.status.position.term == position.term
+            and member.status.position.index >= position.index
+        )
+        return holding >= self.others_needed
+
+    def _replaced(self, term: int) -> bool:
+        """Tell whether so many targets have left a term that it can't confirm."""
+        gone = sum(1 for m in self._members.values() if m.status.term > term)
+        return len(self._members) - gone <= self.others_needed
+
+
+def _settle(future: asyncio.Future[bool], value: bool) -> None:
+    if not future.done():
+        future.set_result(value)
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/watching/state.py
@@ -0,0 +1,32 @@
+"""What a watch knows of the targets of its group."""
+
+from __future__ import annotations
+
+from fennelhill_core.settings import Target
+from fennelhill_core.tokens import Position
+
+from fennelhilld.targets.driver import TargetControl
+from fennelhilld.targets.messages import Status
+
+
+class Member:
+    """What is known of one target of the group."""
+
+    __slots__ = (
+        "asked_ms",
+        "control",
+        "followed",
+        "lag_ms",
+        "status",
+        "target",
+    )
+
+    def __init__(self, target: Target, now_ms: float) -> None:
+        self.target = target
+        self.control: TargetControl | None = None
+        self.status = Status(target.id, 0, False, Position())
+        # When the oldest question was due that the target has not answered yet.
+        self.asked_ms: float | None = now_ms
+        self.followed = False
+        # How far behind the target usually is, as seen when it last reported.
+        self.lag_ms = 0.0
--- a/packages/fennelhilld/src/fennelhilld/watching/watch.py
+++ b/packages/fennelhilld/src/fennelhilld/watching/watch.py
@@ -7,19 +7,20 @@
 from fennelhill_core.clock import Clock, timeout_ms
 from fennelhill_core.events import EventLog
 from fennelhill_core.rpc import NoAnswer, NotSent
-from fennelhill_core.settings import Group, Limits, Target
+from fennelhill_core.settings import Group, Limits
 from fennelhill_core.streams import DialError
 from fennelhill_core.tasks import Tasks
 from fennelhill_core.tokens import Position
 
 from fennelhilld.peers.messages import GroupView, TargetView
 from fennelhilld.targets.driver import (
-    TargetControl,
     TargetDriver,
     TooManyConnectionsError,
 )
 from fennelhilld.targets.messages import Status
+from fennelhilld.watching.confirmations import WriteConfirmations
 from fennelhilld.watching.samples import Sample, Samples, covers
+from fennelhilld.watching.state import Member
 
 RECONNECT_MS = 200.0
 LOOP_LAG_MS = 250.0
@@ -27,29 +28,6 @@
 IN_USE_MS = 2_000.0
 
 
-class Member:
-    """What is known of one target of the group."""
-
-    __slots__ = (
-        "asked_ms",
-        "control",
-        "followed",
-        "lag_ms",
-        "status",
-        "target",
-    )
-
-    def __init__(self, target: Target, now_ms: float) -> None:
-        self.target = target
-        self.control: TargetControl | None = None
-        self.status = Status(target.id, 0, False, Position())
-        # When the oldest question was due that the target has not answered yet.
-        self.asked_ms: float | None = now_ms
-        self.followed = False
-        # How far behind the target usually is, as seen when it last reported.
-        self.lag_ms = 0.0
-
-
 class _Round:
     """One question to all targets at the same time.
 
@@ -71,17 +49,6 @@
             self.done.set_result(None)
 
 
-class _WriteWaiter:
-    """A write that waits for its confirmation."""
-
-    __slots__ = ("future", "position", "target")
-
-    def __init__(self, target: str, position: Position) -> None:
-        self.target = target
-        self.position = position
-        self.future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
-
-
 class GroupWatch:
     """Follows a group through control connections to all of its targets.
 
@@ -110,6 +77,7 @@
 
     __slots__ = (
         "_clock",
+        "_confirmations",
         "_demanded",
         "_driver",
         "_events",
@@ -117,7 +85,6 @@
         "_next_round",
         "_tasks",
         "_ticked_ms",
-        "_writes",
         "group",
         "lagged_ms",
         "members",
@@ -151,13 +118,15 @@
         self._events = events
         self._next_round: asyncio.Future[_Round] | None = None
         self._demanded: _Round | None = None
-        self._writes: list[_WriteWaiter] = []
+        self._confirmations = WriteConfirmations(
+            self.members, self._heard, limits, clock
+        )
         self._tasks = Tasks()
 
     @property
     def others_needed(self) -> int:
         """Targets besides the primary that make a majority with it."""
-        return len(self.members) // 2
+        return self._confirmations.others_needed
 
     def start(self) -> None:
         """Begin to watch."""
@@ -171,8 +140,7 @@
         for member in self.members.values():
             if member.control is not None:
                 member.control.close()
-        for waiter in self._writes:
-            _settle(waiter.future, False)
+        self._confirmations.close()
 
     # What is known.
 
@@ -301,12 +269,12 @@
     async def confirm_write(
         self, target: str, position: Position, limit_ms: float
     ) -> bool:
-        """Wait until enough other targets hold a write of this term.
+        """Wait until enough other targets hold a write; see `WriteConfirmations`.
 
         Parameters
         ----------
         target : str
-            The target that ran the write; its own copy proves nothing.
+            The target that ran the write.
         position : Position
             Where the write is in the log of its term.
         limit_ms : float
@@ -317,19 +285,7 @@
         bool
             Whether it is confirmed.  If not, its outcome is unknown.
         """
-        waiter = _WriteWaiter(target, position)
-        self._writes.append(waiter)
-        self._settle_writes()
-        if not waiter.future.done():
-            self._follow_others(target)
-        try:
-            async with timeout_ms(limit_ms):
-                return await waiter.future
-        except TimeoutError:
-            return False
-        finally:
-            if waiter in self._writes:
-                self._writes.remove(waiter)
+        return await self._confirmations.wait(target, position, limit_ms)
 
     async def confirm_term(self, term: int, limit_ms: float) -> bool:
         """Prove that a term still held when this call was made.
@@ -394,44 +350,6 @@
 
     # Tasks.
 
-    def _follow_others(self, target: str) -> None:
-        """Have one wait outstanding at each other target, for all waiting writes."""
-        for name, member in self.members.items():
-            if name != target and not member.followed:
-                member.followed = True
-                self._tasks.spawn(self._follow(member))
-
-    async def _follow(self, member: Member) -> None:
-        """Wait for one target's progress as long as writes wait for it.
-
-        Each wait is for the oldest write that this target does not hold yet; its
-        answer tells how far the target is, and so serves all writes up to there.
-        """
-        try:
-            while (position := self._next_wanted(member)) is not None:
-                control = member.control
-                if control is None or control.closed:
-                    await self._clock.sleep_ms(RECONNECT_MS / 4)
-                    continue
-                limit_ms = self._limits.sample_timeout_ms
-                try:
-                    status = await control.wait_applied(position, limit_ms)
-                except (NoAnswer, NotSent):
-                    continue
-                self._heard(member, status)
-        finally:
-            member.followed = False
-
-    def _next_wanted(self, member: Member) -> Position | None:
-        wanted = [
-            waiter.position
-            for waiter in self._writes
-            if not waiter.future.done()
-            and waiter.target != member.target.id
-            and not covers(member.status.position, waiter.position)
-        ]
-        return min(wanted, default=None)
-
     async def _keep_control(self, member: Member) -> None:
         """Keep a control connection to one target open."""
         limit_ms = self._limits.connect_timeout_ms
@@ -542,31 +460,4 @@
         member.status = status
         member.lag_ms = max(0.0, self.age_of_ms(status.position))
         if status.position != known.position or status.term != known.term:
-            self._settle_writes()
-
-    def _settle_writes(self) -> None:
-        for waiter in self._writes:
-            if self._confirmed(waiter.target, waiter.position):
-                _settle(waiter.future, True)
-            elif self._replaced(waiter.position.term):
-                _settle(waiter.future, False)
-
-    def _confirmed(self, target: str, position: Position) -> bool:
-        holding = sum(
-            1
-            for name, member in self.members.items()
-            if name != target
-            and member.status.position.term == position.term
-            and member.status.position.index >= position.index
-        )
-        return holding >= self.others_needed
-
-    def _replaced(self, term: int) -> bool:
-        """Tell whether so many targets have left a term that it can't confirm."""
-        gone = sum(1 for m in self.members.values() if m.status.term > term)
-        return len(self.members) - gone <= self.others_needed
-
-
-def _settle(future: asyncio.Future[bool], value: bool) -> None:
-    if not future.done():
-        future.set_result(value)
+            self._confirmations.settle()
