Put accepted settings of teams in force everywhere, by revision

Settings came from a file at start. Change: the teams' subtrees in the table service, changed by one conditional transaction over index, subtree and change id; one relay a zone reads the store, the others ask it; only a higher revision is installed; a host that can't confirm its revision for 12 s is strict; team_get and team_put for operators; a daemon is now built inside its event loop.

--- a/packages/fennelhill-bench/src/fennelhill_bench/deployment.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/deployment.py
@@ -7,6 +7,7 @@
 
 import msgspec
 from fennelhill_core.clock import Clock
+from fennelhill_core.platform import HostEntry, Row
 from fennelhill_core.settings import (
     EntryHost,
     Fleet,
@@ -22,7 +23,6 @@
 from fennelhill_core.streams import Dialer, StreamEndpoint, WebSocketDialer
 from fennelhilld.daemon import PEER_PATH, TARGET_PATH, Daemon, Outside
 from fennelhilld.failover.steward import GroupRow
-from fennelhilld.platform.messages import HostEntry, Row
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 from tornado.web import Application
--- a/packages/fennelhill-bench/src/fennelhill_bench/platform.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/platform.py
@@ -6,7 +6,7 @@
 from collections import deque
 
 from fennelhill_core.clock import MS_PER_S, Clock
-from fennelhilld.platform.messages import (
+from fennelhill_core.platform import (
     Commit,
     CommitReply,
     HostEntry,
--- a/packages/fennelhill-bench/src/fennelhill_bench/servers.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/servers.py
@@ -7,15 +7,15 @@
 
 import msgspec
 from fennelhill_core.clock import Clock
-from fennelhill_core.settings import Settings
-from fennelhill_core.streams import StreamEndpoint
-from fennelhilld.daemon import TARGET_PATH
-from fennelhilld.platform.messages import (
+from fennelhill_core.platform import (
     Commit,
     HostEntry,
     StoreFault,
     StoreUnavailableError,
 )
+from fennelhill_core.settings import Settings
+from fennelhill_core.streams import StreamEndpoint
+from fennelhilld.daemon import TARGET_PATH
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
--- a/packages/fennelhill-bench/tests/test_platform.py
+++ b/packages/fennelhill-bench/tests/test_platform.py
@@ -12,7 +12,7 @@
 )
 from fennelhill_bench.virtual_time import run_virtual
 from fennelhill_core.clock import Clock
-from fennelhilld.platform.messages import (
+from fennelhill_core.platform import (
     Commit,
     HostEntry,
     HostState,
--- a/packages/fennelhilld/src/fennelhilld/platform/clients.py
+++ b/packages/fennelhill-core/src/fennelhill_core/platform_clients.py
@@ -5,7 +5,7 @@
 import msgspec
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 
-from fennelhilld.platform.messages import (
+from fennelhill_core.platform import (
     Commit,
     CommitReply,
     HostEntry,
--- a/packages/fennelhill-core/src/fennelhill_core/settings.py
+++ b/packages/fennelhill-core/src/fennelhill_core/settings.py
@@ -5,7 +5,7 @@
 import enum
 import hashlib
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Literal
 
 import msgspec
 import yaml
@@ -160,12 +160,17 @@
         Request classes by name.
     weight : float
         Share of a target under overload, relative to other teams.
+    unconfirmed : str
+        What an entry host does that can't confirm that these settings are the
+        latest: ``strict`` reads no aged data and takes every write for
+        non-idempotent, ``serve`` goes on as before.
     """
 
     token_sha256: Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
     groups: list[Name]
     classes: dict[Name, RequestClass]
     weight: Annotated[float, Meta(gt=0)] = 1.0
+    unconfirmed: Literal["strict", "serve"] = "strict"
 
 
 class Limits(_Settings):
@@ -193,6 +198,8 @@
     shutdown_ms: PositiveMs = 10_000
     peer_silence_ms: PositiveMs = 1_500
     host_list_ms: PositiveMs = 1_000
+    settings_poll_ms: PositiveMs = 1_000
+    settings_currency_ms: PositiveMs = 12_000
 
 
 class Fleet(_Settings):
--- /dev/null
+++ b/packages/fennelhill-core/src/fennelhill_core/subtrees.py
@@ -0,0 +1,205 @@
+"""The teams' subtrees of settings in the table service: changes and revisions."""
+
+from __future__ import annotations
+
+import msgspec
+from result import Err, Ok, Result
+
+from fennelhill_core.platform import (
+    Commit,
+    StoreFault,
+    StoreUnavailableError,
+    TableService,
+)
+from fennelhill_core.settings import Settings, Team
+
+INDEX_KEY = "settings/revision"
+TEAM_KEY = "settings/teams/"
+CHANGE_KEY = "settings/changes/"
+ATTEMPTS = 3
+
+
+class Index(msgspec.Struct):
+    """The global revision, and the revision of each team's subtree.
+
+    Parameters
+    ----------
+    revision : int
+        Counts accepted changes.
+    teams : dict
+        Revision in which each team's subtree was last changed.
+    """
+
+    revision: int = 0
+    teams: dict[str, int] = {}
+
+
+class Subtree(msgspec.Struct):
+    """One team's subtree as it was accepted.
+
+    Parameters
+    ----------
+    revision : int
+        Revision of the change.
+    change_id : str
+        Name of the change.
+    team : Team
+        The content.
+    """
+
+    revision: int
+    change_id: str
+    team: Team
+
+
+class Conflict(msgspec.Struct):
+    """Why a change was not accepted.
+
+    Parameters
+    ----------
+    problems : list of str
+        What is wrong with the content; empty for a race that was lost.
+    held : Subtree or None
+        What another operator has put there meanwhile.
+    """
+
+    problems: list[str] = []
+    held: Subtree | None = None
+
+
+def with_teams(settings: Settings, teams: dict[str, Team]) -> Settings:
+    """Replace some teams of checked settings.
+
+    Parameters
+    ----------
+    settings : Settings
+        The settings file.
+    teams : dict
+        Teams by name, in place of or beside those of the file.
+
+    Returns
+    -------
+    Settings
+        Settings that are yet to be checked.
+    """
+    return msgspec.structs.replace(settings, teams={**settings.teams, **teams})
+
+
+class SubtreeStore:
+    """Reads and changes the subtrees; every method may raise `StoreUnavailableError`.
+
+    A change writes the index, the subtree and a row for its id in one conditional
+    transaction.  Racing operators meet at the index: one wins.  An operator whose
+    answer was lost sends the same change id again and gets the same verdict, even
+    if others have changed the subtree since.
+
+    Parameters
+    ----------
+    table : TableService
+        The platform's table service.
+    """
+
+    __slots__ = ("_table",)
+
+    def __init__(self, table: TableService) -> None:
+        self._table = table
+
+    async def index(self) -> Index:
+        """Read the index.
+
+        Returns
+        -------
+        Index
+            Revision 0 before the first change.
+        """
+        return (await self._index())[0]
+
+    async def subtree(self, team: str) -> Subtree | None:
+        """Read a team's subtree.
+
+        Parameters
+        ----------
+        team : str
+            Name of the team.
+
+        Returns
+        -------
+        Subtree or None
+            Nothing where it was never changed.
+        """
+        row = await self._table.read(TEAM_KEY + team)
+        return None if row is None else msgspec.json.decode(row.value, type=Subtree)
+
+    async def put(
+        self, settings: Settings, name: str, team: Team, expect: int, change_id: str
+    ) -> Result[int, Conflict]:
+        """Change a team's subtree.
+
+        Parameters
+        ----------
+        settings : Settings
+            The settings file, against which the change is checked.
+        name : str
+            Name of the team.
+        team : Team
+            The new content.
+        expect : int
+            Revision of the subtree that the operator has seen; 0 for none.
+        change_id : str
+            Unique name of the change; the same for each attempt.
+
+        Returns
+        -------
+        Result
+            The revision of the change, or why it was not accepted.
+        """
+        problems = await self._problems(settings, name, team)
+        if problems:
+            return Err(Conflict(problems))
+        for _ in range(ATTEMPTS):
+            done = await self._table.read(CHANGE_KEY + change_id)
+            if done is not None:
+                return Ok(int(done.value))
+            index, version = await self._index()
+            if index.teams.get(name, 0) != expect:
+                return Err(Conflict(held=await self.subtree(name)))
+            revision = index.revision + 1
+            if await self._commit(index, version, name, team, change_id):
+                return Ok(revision)
+            # Another subtree changed in between, or the answer was lost.
+        raise StoreUnavailableError(StoreFault.NO_ANSWER)
+
+    async def _problems(self, settings: Settings, name: str, team: Team) -> list[str]:
+        """Check the change together with what is in force beside it."""
+        others = {}
+        for other in (await self.index()).teams:
+            held = await self.subtree(other)
+            if other != name and held is not None:
+                others[other] = held.team
+        return with_teams(settings, {**others, name: team}).problems()
+
+    async def _index(self) -> tuple[Index, int]:
+        row = await self._table.read(INDEX_KEY)
+        if row is None:
+            return Index(), 0
+        return msgspec.json.decode(row.value, type=Index), row.version
+
+    async def _commit(
+        self, index: Index, version: int, name: str, team: Team, change_id: str
+    ) -> bool:
+        revision = index.revision + 1
+        index = Index(revision, {**index.teams, name: revision})
+        subtree = Subtree(revision, change_id, team)
+        put = {
+            INDEX_KEY: msgspec.json.encode(index).decode(),
+            TEAM_KEY + name: msgspec.json.encode(subtree).decode(),
+            CHANGE_KEY + change_id: str(revision),
+        }
+        expect = {INDEX_KEY: version, CHANGE_KEY + change_id: 0}
+        try:
+            return (await self._table.commit(Commit(expect, put))).committed
+        except StoreUnavailableError as error:
+            if error.fault is not StoreFault.NO_ANSWER:
+                raise
+            # The next attempt finds the change's own row if it took effect.
+            return False
--- a/packages/fennelhill/src/fennelhill/cli.py
+++ b/packages/fennelhill/src/fennelhill/cli.py
@@ -6,11 +6,16 @@
 import secrets
 import sys
 import time
+from pathlib import Path
 
 import fire
 import msgspec
+import yaml
 from fennelhill_core.codes import CODES
-from fennelhill_core.settings import Settings, SettingsError, hash_token
+from fennelhill_core.platform import StoreUnavailableError
+from fennelhill_core.platform_clients import HttpTableService
+from fennelhill_core.settings import Settings, SettingsError, Team, hash_token
+from fennelhill_core.subtrees import SubtreeStore
 
 from fennelhill.fleet import ask_all, merge_events, render_event
 
@@ -18,6 +23,7 @@
 EXIT_BAD_SETTINGS = 2
 TOKEN_BYTES = 24
 MS_PER_S = 1000
+POLL_S = 0.5
 
 
 class Fennelhill:
@@ -28,6 +34,8 @@
         fennelhill check fleet.yaml               is the settings file usable?
         fennelhill status fleet.yaml              who is up, who leads, who waits?
         fennelhill timeline fleet.yaml            what happened, and why?
+        fennelhill team_get fleet.yaml TEAM       a team's settings and their revision
+        fennelhill team_put fleet.yaml TEAM F.yaml --expect=REVISION
         fennelhill explain 2002                   what does a result code mean?
         fennelhill token                          a bearer token for a customer team
     """
@@ -89,6 +97,61 @@
             if reply.problem:
                 print(f"missing: {reply.host.id}: {reply.problem}", file=sys.stderr)
 
+    def team_get(self, settings: str, team: str) -> None:
+        """Print a team's subtree and the revision to name when changing it.
+
+        Parameters
+        ----------
+        settings : str
+            Path of the YAML file that the daemons were started with.
+        team : str
+            Name of the team.
+        """
+        held = asyncio.run(_store(_load(settings)).subtree(team))
+        if held is None:
+            print(f"{team}: never changed; the file's own is in force (--expect=0)")
+            return
+        print(f"# revision {held.revision}, change {held.change_id}")
+        print(yaml.safe_dump(msgspec.to_builtins(held.team), sort_keys=False), end="")
+
+    def team_put(
+        self,
+        settings: str,
+        team: str,
+        document: str,
+        expect: int = 0,
+        change_id: str = "",
+        wait_s: float = 19,
+    ) -> None:
+        """Change a team's subtree, and wait until it is in force on every host.
+
+        Parameters
+        ----------
+        settings : str
+            Path of the YAML file that the daemons were started with.
+        team : str
+            Name of the team.
+        document : str
+            Path of a YAML file with the new content.
+        expect : int
+            Revision of the subtree that `team_get` has printed.
+        change_id : str
+            Name of the change; give the same one to ask again after a lost answer.
+        wait_s : float
+            How long to wait for the hosts, in seconds.
+        """
+        loaded = _load(settings)
+        change_id = str(change_id) or secrets.token_hex(8)
+        print(f"change {change_id}")
+        content = _read_team(document)
+        revision = asyncio.run(_change(loaded, team, content, expect, change_id))
+        print(f"accepted as revision {revision}")
+        lacking = asyncio.run(_wait_in_force(loaded, revision, wait_s))
+        if lacking:
+            print(f"not confirmed by: {', '.join(lacking)}", file=sys.stderr)
+            raise SystemExit(EXIT_PROBLEM)
+        print("in force on every host")
+
     def explain(self, code: int) -> None:
         """Explain a result code.
 
@@ -118,8 +181,68 @@
         print(f"token_sha256: {hash_token(chosen)}")
 
 
+def _store(settings: Settings) -> SubtreeStore:
+    if not settings.platform.table_service:
+        print("settings: platform.table_service is not set", file=sys.stderr)
+        raise SystemExit(EXIT_BAD_SETTINGS)
+    return SubtreeStore(HttpTableService(settings.platform.table_service))
+
+
+def _read_team(path: str) -> Team:
+    try:
+        document = yaml.safe_load(Path(path).read_text(encoding="utf-8"))
+        return msgspec.convert(document, Team)
+    except (OSError, yaml.YAMLError, msgspec.ValidationError) as error:
+        print(f"{path}: {error}", file=sys.stderr)
+        raise SystemExit(EXIT_BAD_SETTINGS) from error
+
+
+async def _change(
+    settings: Settings, name: str, team: Team, expect: int, change_id: str
+) -> int:
+    try:
+        put = await _store(settings).put(settings, name, team, expect, change_id)
+    except StoreUnavailableError as error:
+        print(
+            f"the table service did not answer ({error.fault.value}); ask again "
+            f"with --change_id={change_id}",
+            file=sys.stderr,
+        )
+        raise SystemExit(EXIT_PROBLEM) from error
+    if put.is_ok():
+        return put.unwrap()
+    conflict = put.unwrap_err()
+    for problem in conflict.problems:
+        print(f"refused: {problem}", file=sys.stderr)
+    if conflict.held is not None:
+        held = conflict.held
+        print(
+            f"another change was faster: {held.change_id}, revision {held.revision}; "
+            "look at it with team_get",
+            file=sys.stderr,
+        )
+    raise SystemExit(EXIT_PROBLEM)
+
+
+async def _wait_in_force(settings: Settings, revision: int, wait_s: float) -> list[str]:
+    """Return the hosts that do not confirm a revision in time."""
+    give_up_s = time.monotonic() + wait_s
+    while True:
+        lacking = [
+            reply.host.id
+            for reply in await ask_all(settings, "/status")
+            if not reply.body
+            or msgspec.json.decode(reply.body)["settings_revision"] < revision
+        ]
+        if not lacking or time.monotonic() >= give_up_s:
+            return lacking
+        await asyncio.sleep(POLL_S)
+
+
 def _summarize(status: dict) -> str:
     state = "leaving" if status["closing"] else "serving"
+    state += f", settings revision {status['settings_revision']}"
+    state += " (unconfirmed)" if status["settings_strict"] else ""
     primaries = ", ".join(
         f"{name}: {group['primary'] or 'no primary'} (term {group['term']})"
         for name, group in sorted(status["groups"].items())
--- a/packages/fennelhilld/src/fennelhilld/cli.py
+++ b/packages/fennelhilld/src/fennelhilld/cli.py
@@ -52,14 +52,14 @@
             Least severe level that is logged.
         """
         configure_logs(log_level)
-        try:
-            daemon = Daemon.from_config(_load(settings), str(host_id))
-        except SettingsError as error:
-            _fail(error)
-        asyncio.run(_serve(daemon))
+        asyncio.run(_serve(_load(settings), str(host_id)))
 
 
-async def _serve(daemon: Daemon) -> None:
+async def _serve(settings: Settings, host_id: str) -> None:
+    try:
+        daemon = Daemon.from_config(settings, host_id)
+    except SettingsError as error:
+        _fail(error)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/currency/follower.py
@@ -0,0 +1,227 @@
+"""Follows the settings of the teams, and tells how sure they are in force."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import xxhash
+from fennelhill_core.clock import Clock
+from fennelhill_core.events import EventLog
+from fennelhill_core.platform import StoreUnavailableError, TableService
+from fennelhill_core.rpc import NoAnswer, NotSent
+from fennelhill_core.settings import EntryHost, Settings
+from fennelhill_core.subtrees import Subtree, SubtreeStore, with_teams
+from fennelhill_core.tasks import Tasks
+
+from fennelhilld.currency.messages import SettingsReply, SettingsSince
+from fennelhilld.membership.view import LiveView
+from fennelhilld.peers.streams import PeerStreams
+
+ASK_MS = 600.0
+RELAYS_ASKED = 2
+
+Install = Callable[[Settings], None]
+
+
+class SettingsFollower:
+    """Keeps this host's settings at the highest revision that it can learn of.
+
+    One host in each availability zone, chosen by rendezvous hash, reads the table
+    service; the others ask it.  Reads of the table service so grow with the zones
+    and not with the hosts.  Only a higher revision is ever installed.
+
+    Parameters
+    ----------
+    settings : Settings
+        The settings file, revision 0.
+    view : LiveView
+        Tells who is the relay.
+    peers : PeerStreams
+        Streams to other entry hosts.
+    table : TableService or None
+        The platform's table service; nothing where the file is all there is.
+    install : callable
+        Puts checked settings in force.
+    clock : Clock
+        Source of time.
+    events : EventLog
+        Where findings go.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_confirmed_ms",
+        "_events",
+        "_file",
+        "_install",
+        "_peers",
+        "_store",
+        "_strict",
+        "_subtrees",
+        "_tasks",
+        "_view",
+        "revision",
+    )
+
+    def __init__(
+        self,
+        settings: Settings,
+        view: LiveView,
+        peers: PeerStreams,
+        table: TableService | None,
+        install: Install,
+        clock: Clock,
+        events: EventLog,
+    ) -> None:
+        self._file = settings
+        self._view = view
+        self._peers = peers
+        self._store = None if table is None else SubtreeStore(table)
+        self._install = install
+        self._clock = clock
+        self._events = events
+        self._subtrees: dict[str, Subtree] = {}
+        self._confirmed_ms = clock.now_ms()
+        self._strict = False
+        self._tasks = Tasks()
+        self.revision = 0
+
+    def start(self) -> None:
+        """Begin to follow, if there is a table service."""
+        if self._store is not None:
+            self._tasks.spawn(self._follow())
+
+    def close(self) -> None:
+        """Stop following."""
+        self._tasks.cancel()
+
+    @property
+    def confirmed_age_ms(self) -> float:
+        """How long ago the revision in force was known to be the latest."""
+        if self._store is None:
+            return 0.0
+        return self._clock.now_ms() - self._confirmed_ms
+
+    @property
+    def strict(self) -> bool:
+        """Whether a later change may be in force elsewhere by now."""
+        return self.confirmed_age_ms > self._file.limits.settings_currency_ms
+
+    def reply(self, question: SettingsSince) -> SettingsReply:
+        """Tell another host what changed.
+
+        Parameters
+        ----------
+        question : SettingsSince
+            The revision of the other host.
+
+        Returns
+        -------
+        SettingsReply
+            What is in force here.
+        """
+        changed = {
+            name: subtree
+            for name, subtree in self._subtrees.items()
+            if subtree.revision > question.revision
+        }
+        return SettingsReply(self.revision, self.confirmed_age_ms, changed)
+
+    def take(self, reply: SettingsReply, asked_ms: float) -> bool:
+        """Install what another host or the store has told, if it is newer.
+
+        Parameters
+        ----------
+        reply : SettingsReply
+            What it told.
+        asked_ms : float
+            When it was asked, on this host's clock.
+
+        Returns
+        -------
+        bool
+            Whether this host is now at that revision or beyond.
+        """
+        if reply.revision > self.revision:
+            subtrees = {**self._subtrees, **reply.subtrees}
+            teams = {name: subtree.team for name, subtree in subtrees.items()}
+            settings = with_teams(self._file, teams)
+            problems = settings.problems()
+            if problems:
+                # Accepted against another file than this host has.
+                self._events.record("settings.rejected", problems=problems)
+                return False
+            self._install(settings)
+            self._subtrees = subtrees
+            self.revision = reply.revision
+            self._events.record("settings.installed", revision=self.revision)
+        if reply.revision == self.revision:
+            known_ms = asked_ms - reply.confirmed_age_ms
+            self._confirmed_ms = max(self._confirmed_ms, known_ms)
+        return True
+
+    async def _follow(self) -> None:
+        while True:
+            if not await self._ask_relays():
+                await self._ask_store()
+            if self.strict != self._strict:
+                self._strict = self.strict
+                kind = "settings.unconfirmed" if self._strict else "settings.confirmed"
+                self._events.record(kind, revision=self.revision)
+            await self._clock.sleep_ms(self._file.limits.settings_poll_ms)
+
+    def _relays(self) -> list[EntryHost]:
+        """Order the usable hosts of this zone, the relay first."""
+        zone = self._view.host.zone
+        hosts = [
+            host
+            for host in self._view.hosts.values()
+            if host.zone == zone and self._view.usable(host.id)
+        ]
+        return sorted(
+            hosts, key=lambda h: xxhash.xxh64_intdigest(f"relay/{h.id}".encode())
+        )
+
+    async def _ask_relays(self) -> bool:
+        """Ask the relay of this zone, and the next one if it is gone."""
+        for host in self._relays()[:RELAYS_ASKED]:
+            if host.id == self._view.host.id:
+                return False
+            if await self._ask(host):
+                return True
+        return False
+
+    async def _ask(self, host: EntryHost) -> bool:
+        asked_ms = self._clock.now_ms()
+        question = SettingsSince(self.revision)
+        try:
+            reply = await self._peers.call(
+                host, "settings_since", question, ASK_MS, SettingsReply
+            )
+        except (NoAnswer, NotSent):
+            return False
+        self.take(reply, asked_ms)
+        # A relay that does not reach the store helps no more than none.
+        return reply.confirmed_age_ms < self._file.limits.settings_currency_ms / 2
+
+    async def _ask_store(self) -> None:
+        asked_ms = self._clock.now_ms()
+        try:
+            index = await self._store.index()
+            changed = {}
+            for team, revision in index.teams.items():
+                if revision > self.revision:
+                    changed[team] = await self._store.subtree(team)
+        except StoreUnavailableError:
+            await self._ask_anybody()
+            return
+        # A subtree that changed again meanwhile is newer than the index that was
+        # read; the next look brings the rest.
+        self.take(SettingsReply(index.revision, 0.0, changed), asked_ms)
+
+    async def _ask_anybody(self) -> None:
+        """Without the store, learn the highest revision that other hosts know."""
+        for host in self._view.hosts.values():
+            if host.id != self._view.host.id and self._view.usable(host.id):
+                await self._ask(host)
+                return
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/currency/messages.py
@@ -0,0 +1,36 @@
+"""Messages between entry hosts about settings."""
+
+from __future__ import annotations
+
+import msgspec
+from fennelhill_core.subtrees import Subtree
+
+
+class SettingsSince(msgspec.Struct):
+    """Ask for what changed after a revision.
+
+    Parameters
+    ----------
+    revision : int
+        The revision that is in force at the asking host.
+    """
+
+    revision: int
+
+
+class SettingsReply(msgspec.Struct):
+    """What changed after a revision.
+
+    Parameters
+    ----------
+    revision : int
+        The revision in force at the answering host.
+    confirmed_age_ms : float
+        How long ago that host knew its revision to be the latest.
+    subtrees : dict
+        Changed subtrees by team.
+    """
+
+    revision: int
+    confirmed_age_ms: float
+    subtrees: dict[str, Subtree] = {}
--- a/packages/fennelhilld/src/fennelhilld/daemon.py
+++ b/packages/fennelhilld/src/fennelhilld/daemon.py
@@ -10,6 +10,12 @@
 import msgspec
 from fennelhill_core.clock import Clock
 from fennelhill_core.events import EventLog
+from fennelhill_core.platform import (
+    HostList,
+    StoreUnavailableError,
+    TableService,
+)
+from fennelhill_core.platform_clients import HttpHostList, HttpTableService
 from fennelhill_core.rpc import RpcServer
 from fennelhill_core.settings import EntryHost, Settings, SettingsError
 from fennelhill_core.streams import (
@@ -23,6 +29,8 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application
 
+from fennelhilld.currency.follower import SettingsFollower
+from fennelhilld.currency.messages import SettingsReply, SettingsSince
 from fennelhilld.entry.http import NotFoundHandler, caller_routes
 from fennelhilld.entry.service import EntryService
 from fennelhilld.membership.view import LiveView
@@ -34,12 +42,6 @@
     WorkReply,
 )
 from fennelhilld.peers.streams import PeerStreams
-from fennelhilld.platform.clients import HttpHostList, HttpTableService
-from fennelhilld.platform.messages import (
-    HostList,
-    StoreUnavailableError,
-    TableService,
-)
 from fennelhilld.pooling.duties import Duties
 from fennelhilld.routing.router import Router
 from fennelhilld.targets.driver import TARGET_DRIVERS
@@ -162,7 +164,23 @@
             self.events,
         )
         self.router = Router(self.view, settings, self.peers, self.duties.serve, clock)
-        self.entry = EntryService(host.id, settings, self.router, clock, random_state)
+        self.entry = EntryService(
+            host.id,
+            settings,
+            self.router,
+            clock,
+            random_state,
+            lambda: self.follower.strict,
+        )
+        self.follower = SettingsFollower(
+            settings,
+            self.view,
+            self.peers,
+            outside.table,
+            self.entry.install,
+            clock,
+            self.events,
+        )
         self._host_list = outside.host_list
         self._tasks = Tasks()
         self._server: HTTPServer | None = None
@@ -171,6 +189,7 @@
                 "hello": self._hello,
                 "work": self._work,
                 "primary_seen": self._primary_seen,
+                "settings_since": self._settings_since,
             }
         )
         self._register_gauges()
@@ -206,6 +225,7 @@
     def start(self) -> None:
         """Start all tasks; callers and peers are served once `listen` was called."""
         self.duties.start()
+        self.follower.start()
         if self._host_list is not None:
             self._tasks.spawn(self._follow_host_list())
         self.events.record("daemon.started")
@@ -275,6 +295,7 @@
         if self._server is not None:
             self._server.stop()
         self._tasks.cancel()
+        self.follower.close()
         self.duties.close()
         self.router.close()
         self.peers.close()
@@ -318,6 +339,9 @@
             "host": self.host.id,
             "zone": self.host.zone,
             "closing": self.closing,
+            "settings_revision": self.follower.revision,
+            "settings_confirmed_age_ms": round(self.follower.confirmed_age_ms),
+            "settings_strict": self.follower.strict,
             "usable_hosts": [h for h in self.view.hosts if self.view.usable(h)],
             "groups": groups,
             "owns": owners,
@@ -337,6 +361,9 @@
     async def _work(self, params: msgspec.Raw) -> WorkReply:
         return await self.duties.serve(msgspec.json.decode(params, type=Work))
 
+    async def _settings_since(self, params: msgspec.Raw) -> SettingsReply:
+        return self.follower.reply(msgspec.json.decode(params, type=SettingsSince))
+
     async def _primary_seen(self, params: msgspec.Raw) -> PrimarySeenReply:
         question = msgspec.json.decode(params, type=PrimarySeen)
         return self.duties.primary_seen(question)
--- a/packages/fennelhilld/src/fennelhilld/entry/service.py
+++ b/packages/fennelhilld/src/fennelhilld/entry/service.py
@@ -4,7 +4,9 @@
 
 import random
 import re
+from collections.abc import Callable
 
+import msgspec
 from fennelhill_core.clock import Clock
 from fennelhill_core.codes import (
     CONNECTION_LOST,
@@ -18,6 +20,7 @@
     Refusal,
 )
 from fennelhill_core.settings import (
+    Acknowledgement,
     Kind,
     RequestClass,
     Settings,
@@ -69,6 +72,8 @@
         Source of time.
     random_state : random.Random
         Chooses idempotency keys for callers that send none.
+    unconfirmed : callable
+        Whether a later change of the settings may be in force elsewhere.
     """
 
     __slots__ = (
@@ -78,6 +83,7 @@
         "_settings",
         "_signer",
         "_teams",
+        "_unconfirmed",
         "host",
     )
 
@@ -88,6 +94,7 @@
         router: Router,
         clock: Clock,
         random_state: random.Random,
+        unconfirmed: Callable[[], bool],
     ) -> None:
         self.host = host
         self._settings = settings
@@ -95,6 +102,17 @@
         self._clock = clock
         self._random = random_state
         self._signer = Signer.from_config(settings.fleet)
+        self._unconfirmed = unconfirmed
+        self.install(settings)
+
+    def install(self, settings: Settings) -> None:
+        """Put the teams of checked settings in force, for every later request.
+
+        Parameters
+        ----------
+        settings : Settings
+            The settings.
+        """
         self._teams = {
             team.token_sha256: (name, team) for name, team in settings.teams.items()
         }
@@ -428,6 +446,14 @@
             known = ", ".join(sorted(caller.team.classes))
             detail = f"Fennelhill-Class: {caller.class_name!r}; there are {known}"
             return Err(Refusal.of(UNKNOWN_CLASS, detail))
+        if caller.team.unconfirmed == "strict" and self._unconfirmed():
+            # Whatever the latest settings say, this reading breaks none of them.
+            found = msgspec.structs.replace(
+                found,
+                allowed_age_ms=0.0,
+                idempotent=False,
+                ack=Acknowledgement.CONFIRMED,
+            )
         return Ok(found)
 
     def _work(
--- a/packages/fennelhilld/src/fennelhilld/failover/steward.py
+++ b/packages/fennelhilld/src/fennelhilld/failover/steward.py
@@ -15,18 +15,18 @@
 import xxhash
 from fennelhill_core.clock import Clock
 from fennelhill_core.events import EventLog
+from fennelhill_core.platform import (
+    Commit,
+    StoreFault,
+    StoreUnavailableError,
+    TableService,
+)
 from fennelhill_core.rpc import NoAnswer, NotSent
 from fennelhill_core.settings import EntryHost, Limits
 from fennelhill_core.tasks import Tasks
 
 from fennelhilld.membership.view import LiveView
 from fennelhilld.peers.messages import PrimarySeen, PrimarySeenReply
-from fennelhilld.platform.messages import (
-    Commit,
-    StoreFault,
-    StoreUnavailableError,
-    TableService,
-)
 from fennelhilld.targets.messages import (
     ControlReply,
     Fence,
--- a/packages/fennelhilld/src/fennelhilld/membership/tests/test_view.py
+++ b/packages/fennelhilld/src/fennelhilld/membership/tests/test_view.py
@@ -8,6 +8,7 @@
 from fennelhill_bench.virtual_time import run_virtual
 from fennelhill_core.clock import Clock
 from fennelhill_core.events import EventLog
+from fennelhill_core.platform import HostEntry, HostState
 from fennelhill_core.settings import (
     EntryHost,
     Fleet,
@@ -16,7 +17,6 @@
     Target,
 )
 from fennelhilld.membership.view import OWNER_POLICIES, LiveView
-from fennelhilld.platform.messages import HostEntry, HostState
 
 
 def fleet(hosts: int, zones: int = 3) -> Settings:
--- a/packages/fennelhilld/src/fennelhilld/membership/view.py
+++ b/packages/fennelhilld/src/fennelhilld/membership/view.py
@@ -7,11 +7,10 @@
 import xxhash
 from fennelhill_core.clock import Clock
 from fennelhill_core.events import EventLog
+from fennelhill_core.platform import HostEntry, HostState
 from fennelhill_core.registry import Registry
 from fennelhill_core.settings import EntryHost, Settings, Target
 
-from fennelhilld.platform.messages import HostEntry, HostState
-
 
 class LiveView:
     """What this entry host believes of the others.
--- a/packages/fennelhilld/src/fennelhilld/pooling/duties.py
+++ b/packages/fennelhilld/src/fennelhilld/pooling/duties.py
@@ -8,6 +8,7 @@
 from fennelhill_core.clock import Clock
 from fennelhill_core.codes import LEAVING, NOT_PRIMARY, UNKNOWN_GROUP, Refusal
 from fennelhill_core.events import EventLog
+from fennelhill_core.platform import TableService
 from fennelhill_core.settings import Settings, Target
 from fennelhill_core.tasks import Tasks
 from result import Err, Result
@@ -23,7 +24,6 @@
     Work,
     WorkReply,
 )
-from fennelhilld.platform.messages import TableService
 from fennelhilld.pooling.owner import TargetOwner
 from fennelhilld.reads.serve import serve_read
 from fennelhilld.targets.driver import TargetDriver
--- a/scenarios/test_processes.py
+++ b/scenarios/test_processes.py
@@ -6,7 +6,9 @@
 import subprocess
 import sys
 
+import msgspec
 import pytest
+import yaml
 from fennelhill_bench.clients import Call, HttpClient
 from fennelhill_bench.deployment import Plan
 from fennelhill_bench.processes import Processes
@@ -72,6 +74,22 @@
         line = command("timeline", str(processes.path))
         assert "daemon.started" in line.stdout
 
+    def test_operators_change_a_teams_settings_everywhere(self, processes, tmp_path):
+        team = processes.settings.teams["curtiembre"]
+        document = tmp_path / "team.yaml"
+        document.write_text(yaml.safe_dump(msgspec.to_builtins(team)))
+        arguments = ("team_put", str(processes.path), "curtiembre", str(document))
+        accepted = command(*arguments, "--change_id=c1")
+        assert accepted.returncode == 0, accepted.stderr
+        assert "in force on every host" in accepted.stdout
+        # The same change again, and another from a revision that has passed.
+        assert command(*arguments, "--change_id=c1").returncode == 0
+        late = command(*arguments, "--change_id=c2")
+        assert late.returncode == 1
+        assert "another change was faster: c1" in late.stderr
+        shown = command("team_get", str(processes.path), "curtiembre")
+        assert "# revision 1, change c1" in shown.stdout
+
     def test_a_daemon_that_gets_sigterm_leaves_cleanly(self, processes):
         assert processes.stop_daemon("bog-c-1") == 0
         (wrote,) = call_all(processes, [("bog-a-1", write("INSERT INTO p VALUES (8)"))])
