Read the primary under its term, and say 'not run' for what a peer refused

Cause: found by reading: a read at the primary carried no term. A primary that was replaced and follows its successor already answers from behind it, and the round that confirms the term finds the successor's term confirmed. A test that brings this about was red: it read 0 rows where 1 was written. Also: code 1024 was never given out; a one-shot write whose target gave up its transaction was told of a transaction (1018). Change: reads at the primary carry the term that the owner believes in, and the target refuses another; a peer that does not understand a request counts as not sent; 1024 is gone; the write is told 1022; three unused definitions are gone. Conclusion: the promise was broken for a moment after each failover, for reads without a token or an age.

--- a/packages/fennelhill-bench/src/fennelhill_bench/database.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/database.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 import msgspec
-from fennelhill_core.tokens import Position
 from fennelhilld.targets.messages import Fault, Rows, Statement
 
 _FORBIDDEN = {
@@ -262,21 +261,3 @@
 
 def _authorize(action: int, *_: object) -> int:
     return sqlite3.SQLITE_DENY if action in _FORBIDDEN else sqlite3.SQLITE_OK
-
-
-def position_of(log: list[LogEntry], term: int) -> Position:
-    """Return the position of a log's end.
-
-    Parameters
-    ----------
-    log : list of LogEntry
-        The log.
-    term : int
-        Term of the primary that the log is reconciled with.
-
-    Returns
-    -------
-    Position
-        The position.
-    """
-    return Position(term, len(log))
--- a/packages/fennelhill-core/src/fennelhill_core/codes.py
+++ b/packages/fennelhill-core/src/fennelhill_core/codes.py
@@ -222,13 +222,6 @@
     "Too many requests are being retried; come back after Retry-After.",
     "Something fails widely; look for the first failure in the time line.",
 )
-PEER_PROTOCOL = _register(
-    1024,
-    "peer_protocol",
-    502,
-    "Two entry hosts did not understand each other; nothing was sent on.",
-    "Compare the versions of the daemons.",
-)
 TARGET_UNREACHABLE = _register(
     1025,
     "target_unreachable",
--- a/packages/fennelhill-core/src/fennelhill_core/rpc.py
+++ b/packages/fennelhill-core/src/fennelhill_core/rpc.py
@@ -14,6 +14,11 @@
 from fennelhill_core.tasks import Tasks
 
 JSONRPC = "2.0"
+NO_SUCH_METHOD = -32601
+INVALID_PARAMS = -32602
+INTERNAL_ERROR = -32603
+# After these errors the method has certainly not run.
+NOTHING_RAN = (NO_SUCH_METHOD, INVALID_PARAMS)
 MAX_FORGOTTEN_IDS = 10_000
 
 
@@ -256,18 +261,21 @@
         handler = self._handlers.get(frame.method or "")
         try:
             if handler is None:
-                error = {"code": -32601, "message": f"no method {frame.method!r}"}
+                error = {
+                    "code": NO_SUCH_METHOD,
+                    "message": f"no method {frame.method!r}",
+                }
                 response = Response(frame.id or 0, error=error)
             else:
                 result = await handler(frame.params)
                 response = Response(frame.id or 0, msgspec.Raw(_encoder.encode(result)))
         except msgspec.ValidationError as invalid:
-            error = {"code": -32602, "message": str(invalid)}
+            error = {"code": INVALID_PARAMS, "message": str(invalid)}
             response = Response(frame.id or 0, error=error)
         except Exception as bug:
             # Without an answer the other end would wait for its whole deadline.
             logger.opt(exception=bug).error("handler of {} failed", frame.method)
-            error = {"code": -32603, "message": repr(bug)}
+            error = {"code": INTERNAL_ERROR, "message": repr(bug)}
             response = Response(frame.id or 0, error=error)
         if frame.id is None:
             return
--- a/packages/fennelhilld/src/fennelhilld/entry/messages.py
+++ b/packages/fennelhilld/src/fennelhilld/entry/messages.py
@@ -6,7 +6,7 @@
 
 import msgspec
 from fennelhill_core.codes import CODES, Refusal
-from fennelhill_core.settings import RequestClass, Team
+from fennelhill_core.settings import Team
 
 
 class StatementBody(msgspec.Struct, forbid_unknown_fields=True):
@@ -55,13 +55,6 @@
     key: str = ""
 
 
-class ClassChoice(msgspec.Struct):
-    """A request class that the caller may use."""
-
-    name: str
-    settings: RequestClass
-
-
 class CallerAnswer(msgspec.Struct, omit_defaults=True):
     """Body of an answered call.
 
--- a/packages/fennelhilld/src/fennelhilld/peers/streams.py
+++ b/packages/fennelhilld/src/fennelhilld/peers/streams.py
@@ -7,7 +7,7 @@
 
 import msgspec
 from fennelhill_core.clock import Clock
-from fennelhill_core.rpc import NoAnswer, NotSent, RpcClient, RpcError
+from fennelhill_core.rpc import NOTHING_RAN, NoAnswer, NotSent, RpcClient, RpcError
 from fennelhill_core.settings import EntryHost, Limits
 from fennelhill_core.streams import Dialer, DialError, dial_within
 
@@ -103,7 +103,12 @@
         try:
             raw = await client.call(method, params, limit_ms)
             return msgspec.json.decode(raw, type=kind)
-        except (RpcError, msgspec.DecodeError) as error:
+        except RpcError as error:
+            if error.error.get("code") in NOTHING_RAN:
+                # The other host is of another version and did not understand.
+                raise NotSent from error
+            raise NoAnswer(str(error)) from error
+        except msgspec.DecodeError as error:
             raise NoAnswer(str(error)) from error
 
     def close(self) -> None:
--- a/packages/fennelhilld/src/fennelhilld/reads/serve.py
+++ b/packages/fennelhilld/src/fennelhilld/reads/serve.py
@@ -47,6 +47,9 @@
     deadline_ms = owner.clock.now_ms() + work.remaining_ms
     primary = watch.primary()
     at_primary = primary is not None and primary.target.id == owner.target.id
+    # The target itself refuses a term that has passed.  Without it, a primary that
+    # was replaced and follows already would answer, behind its successor.
+    term = primary.status.term if at_primary else 0
     if not at_primary:
         refusal = await _wait_for_replica(owner, watch, work, deadline_ms)
         if refusal is not None:
@@ -54,7 +57,7 @@
     async with owner.slot(work, deadline_ms) as granted:
         if granted.is_err():
             return Err(granted.unwrap_err())
-        ran = await _run_with_retry(owner, work, deadline_ms)
+        ran = await _run_with_retry(owner, work, term, deadline_ms)
     if ran.is_err():
         return Err(ran.unwrap_err())
     reply = ran.unwrap()
@@ -104,12 +107,13 @@
 
 
 async def _run_with_retry(
-    owner: TargetOwner, work: Work, deadline_ms: float
+    owner: TargetOwner, work: Work, term: int, deadline_ms: float
 ) -> Result[BatchReply, Refusal]:
     """Run a read; a connection that goes silent costs one retry on another."""
     statement = Statement(work.sql, work.params)
     batch = Batch(
         [statement],
+        term,
         begin=Begin.READ,
         end=End.COMMIT,
         reset=True,
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/reads/tests/test_serve.py
@@ -0,0 +1,63 @@
+"""Tests that reads at the primary are current, whatever the watch still believes."""
+
+from __future__ import annotations
+
+import pytest
+from fennelhill_bench.clients import Call
+from fennelhill_bench.database import LogEntry
+from fennelhill_bench.deployment import Plan
+from fennelhill_bench.load import ORDER_SQL
+from fennelhill_bench.world import World
+
+GROUP = "orders-1"
+COUNT_SQL = "SELECT count(*) FROM orders"
+
+
+@pytest.fixture
+def world():
+    world = World(Plan.bogota(groups=[GROUP]))
+    world.create_tables()
+    yield world
+    world.close()
+
+
+def replace_primary(world):
+    """Change the primary in an instant, as a steward elsewhere may have done."""
+    old, *others = world.deployment.group(GROUP)
+    new = others[0]
+    term = old.term + 1
+    for target in (old, *others):
+        assert target.fence(term, "elsewhere")
+    assert new.promote(term, "elsewhere")
+    for target in (old, others[1]):
+        target.spec.lag_ms = 60_000.0
+        assert target.follow(term, new.id)
+    return old, new
+
+
+class TestPrimaryReads:
+    def test_a_replaced_primary_that_follows_already_is_not_read(self, world):
+        owner = world.owner_of(world.deployment.primary(GROUP).id)
+        watch = world.deployment.daemons[owner].duties.watches[GROUP]
+        believed = watch.primary().status
+        old, new = replace_primary(world)
+        world.wait(0.02)
+        # Reconciled with its successor, and behind it: the watch may not know yet.
+        assert old.log_term == new.term
+        watch.members[old.id].status = believed
+        new.database.apply(
+            LogEntry(new.term, world.loop.time(), [(ORDER_SQL, ["r", "s"])])
+        )
+        call = Call("execute", GROUP, COUNT_SQL, [], "order-read")
+        outcome = world.call(owner, call)
+        assert outcome.answer is None or outcome.answer.rows == [[1]]
+
+    def test_reads_without_an_age_are_served_again_after_the_change(self, world):
+        _, new = replace_primary(world)
+        new.database.apply(
+            LogEntry(new.term, world.loop.time(), [(ORDER_SQL, ["r", "s"])])
+        )
+        world.wait(1.0)
+        call = Call("execute", GROUP, COUNT_SQL, [], "order-read")
+        outcome = world.call(world.hosts()[0], call)
+        assert outcome.answer.rows == [[1]]
--- a/packages/fennelhilld/src/fennelhilld/watching/watch.py
+++ b/packages/fennelhilld/src/fennelhilld/watching/watch.py
@@ -343,11 +343,6 @@
             return False
         return covers(member.status.position, need)
 
-    async def ask_now(self) -> None:
-        """Ask all targets for their status and wait until enough have answered."""
-        this_round = await asyncio.shield(self._joined_round())
-        await asyncio.shield(this_round.done)
-
     # Tasks.
 
     async def _keep_control(self, member: Member) -> None:
--- a/packages/fennelhilld/src/fennelhilld/writes/serve.py
+++ b/packages/fennelhilld/src/fennelhilld/writes/serve.py
@@ -213,6 +213,10 @@
     second.end, second.reset = End.COMMIT, True
     left_ms = limit_ms - (owner.clock.now_ms() - started_ms)
     committed = await lease.run(second, left_ms)
+    if committed.fault is Fault.NO_TRANSACTION:
+        # This process was held up for so long that the target gave the work up.
+        detail = "the target ended the transaction"
+        return Err(Refusal.of(TARGET_BUSY, detail, RETRY_AFTER_MS))
     if committed.fault is not Fault.NONE:
         return Err(refuse_fault(owner, committed))
     return Ok(Answer(kept.columns, kept.rows, kept.changed, committed.position))
