--- a/packages/fennelhill-core/src/fennelhill_core/settings.py
+++ b/packages/fennelhill-core/src/fennelhill_core/settings.py
@@ -191,7 +191,7 @@
     sample_ms: PositiveMs = 150
     idle_sample_ms: PositiveMs = 500
     sample_timeout_ms: PositiveMs = 450
-    primary_silence_ms: PositiveMs = 700
+    primary_silence_ms: PositiveMs = 600
     retry_ratio: Annotated[float, Meta(ge=0, le=1)] = 0.2
     retry_burst: Count = 20
     key_retention_ms: PositiveMs = 24 * 3600 * 1000
--- a/packages/fennelhilld/src/fennelhilld/failover/steward.py
+++ b/packages/fennelhilld/src/fennelhilld/failover/steward.py
@@ -38,6 +38,7 @@
 from fennelhilld.watching.watch import GroupWatch
 
 STEP_MS = 100.0
+SILENT_STEP_MS = 20.0
 RANK_DELAY_MS = 400.0
 ORDER_TIMEOUT_MS = 400.0
 RETRY_MS = 300.0
@@ -140,7 +141,9 @@
     async def _run(self) -> None:
         followed_ms = self._clock.now_ms()
         while True:
-            await self._clock.sleep_ms(STEP_MS)
+            # A primary that answers needs no close look, one that is silent does.
+            silent = self._silence_ms() > 0
+            await self._clock.sleep_ms(SILENT_STEP_MS if silent else STEP_MS)
             now_ms = self._clock.now_ms()
             overdue = now_ms >= self._next_try_ms and self._overdue()
             if overdue and await self._agreed():
