Call a statement unknown that may be part of an open transaction

Cause: found by reading: a statement whose hop gave no answer was refused as not run (1018), while its transaction could still be open with the statement in it; a caller that then commits through another host commits it too. Code 1023 could never be given. Conclusion: 'not run' is said of a statement only where it was not sent, or the target refused it.

--- a/packages/fennelhill-core/src/fennelhill_core/codes.py
+++ b/packages/fennelhill-core/src/fennelhill_core/codes.py
@@ -215,13 +215,6 @@
     "The target could not get its locks in time; it changed nothing.",
     "A long transaction holds the locks; see limits.transaction_idle_ms.",
 )
-RETRY_BUDGET_SPENT = _register(
-    1023,
-    "retry_budget_spent",
-    503,
-    "Too many requests are being retried; come back after Retry-After.",
-    "Something fails widely; look for the first failure in the time line.",
-)
 TARGET_UNREACHABLE = _register(
     1025,
     "target_unreachable",
--- a/packages/fennelhill-core/tests/test_codes.py
+++ b/packages/fennelhill-core/tests/test_codes.py
@@ -5,6 +5,7 @@
 import re
 from pathlib import Path
 
+from fennelhill_core import codes
 from fennelhill_core.codes import CODES, Outcome, Refusal
 
 TABLE = Path(__file__).parents[3] / "docs" / "ERRORS.md"
@@ -20,6 +21,24 @@
         }
         assert documented == registered
 
+    def test_are_all_given_out_somewhere(self):
+        sources = [
+            path.read_text()
+            for path in TABLE.parents[1].glob("packages/fennelhill*/src/**/*.py")
+            if path.name != "codes.py" and "tests" not in path.parts
+        ]
+        names = {
+            code: name
+            for name, code in vars(codes).items()
+            if name.isupper() and isinstance(code, codes.Code)
+        }
+        unused = [
+            names[code]
+            for code in CODES.values()
+            if not any(re.search(rf"\b{names[code]}\b", text) for text in sources)
+        ]
+        assert unused == []
+
     def test_carry_their_promise_in_the_first_digit(self):
         promises = {1: Outcome.NOT_RUN, 2: Outcome.UNKNOWN, 3: Outcome.FAILED}
         for number in CODES:
--- a/packages/fennelhilld/src/fennelhilld/routing/router.py
+++ b/packages/fennelhilld/src/fennelhilld/routing/router.py
@@ -17,7 +17,6 @@
     OVERLOADED,
     OWNER_UNREACHABLE,
     REPLICA_BEHIND,
-    RETRY_BUDGET_SPENT,
     TARGET_UNREACHABLE,
     UNKNOWN_TRANSACTION,
     Outcome,
@@ -252,7 +251,6 @@
                 # Held requests are paced by the doubt about the primary; the budget
                 # bounds those that may have cost a target something.
                 if refusal.outcome is Outcome.UNKNOWN and not budget.spend():
-                    routed = Err(_budget_spent(refusal))
                     break
                 self.retries += 1
             target = await self._primary(work, deadline_ms)
@@ -317,9 +315,12 @@
             # Its host is gone, and the target rolled back with the connection.
             return Err(Refusal.of(UNKNOWN_TRANSACTION, f"{host.id} was lost"))
         except NoAnswer as error:
-            if work.operation is Operation.COMMIT:
-                return Err(Refusal.of(CONNECTION_LOST, str(error), 200))
-            return Err(Refusal.of(UNKNOWN_TRANSACTION, str(error)))
+            if work.operation is Operation.ROLLBACK:
+                # Nobody commits it any more, so it ends by its idle limit.
+                return Err(Refusal.of(UNKNOWN_TRANSACTION, str(error)))
+            # The transaction may be open still, with this statement in it: a caller
+            # who commits it through another host commits the statement too.
+            return Err(Refusal.of(CONNECTION_LOST, str(error), 200))
         return self._take(work, reply)
 
     def _budget(self, team: str) -> RetryBudget:
@@ -453,13 +454,6 @@
     return repeatable and refusal.outcome is Outcome.UNKNOWN
 
 
-def _budget_spent(refusal: Refusal) -> Refusal:
-    """Refuse a retry; where the first attempt may have run, that stays unknown."""
-    if refusal.not_run:
-        return Refusal.of(RETRY_BUDGET_SPENT, refusal.detail, 1_000)
-    return refusal
-
-
 def _final(refusal: Refusal | None, unknown: Refusal | None, group: str) -> Refusal:
     """Choose the refusal that is true of all attempts together."""
     if refusal is None or refusal.code in _REDIRECTS:
--- a/packages/fennelhilld/src/fennelhilld/routing/tests/test_router.py
+++ b/packages/fennelhilld/src/fennelhilld/routing/tests/test_router.py
@@ -12,6 +12,7 @@
 from fennelhill_core.codes import Refusal
 from fennelhill_core.events import EventLog
 from fennelhill_core.rpc import NoAnswer, NotSent
+from fennelhill_core.tokens import TransactionId
 from fennelhilld.membership.view import LiveView
 from fennelhilld.peers.messages import (
     Answer,
@@ -68,6 +69,36 @@
     return run_virtual(scenario())
 
 
+def route_statement(step, operation):
+    async def scenario():
+        plan = Plan.bogota(groups=[GROUP])
+        settings = plan.settings([f"127.0.0.1:{n + 1}" for n in range(9)])
+        host, clock = settings.entry_hosts[0], Clock()
+        view = LiveView(host, settings, clock, EventLog(host.id, host.zone, clock))
+        peers = ScriptedPeers([step])
+        router = Router(view, settings, peers, peers.serve, clock)
+        other = settings.entry_hosts[1].id
+        opened = TransactionId("curtiembre", GROUP, other, f"{GROUP}-a", 1)
+        work = Work(operation, GROUP, "", "curtiembre", transaction=1)
+        return await router.route_transaction(opened, work)
+
+    return run_virtual(scenario()).unwrap_err()
+
+
+class TestRouteTransaction:
+    @pytest.mark.parametrize("operation", [Operation.STATEMENT, Operation.COMMIT])
+    def test_what_may_be_part_of_an_open_transaction_is_not_called_not_run(
+        self, operation
+    ):
+        refusal = route_statement(NoAnswer("lost"), operation)
+        assert refusal.outcome is codes.Outcome.UNKNOWN
+
+    @pytest.mark.parametrize("operation", [Operation.STATEMENT, Operation.COMMIT])
+    def test_what_was_not_sent_did_not_run(self, operation):
+        refusal = route_statement(NotSent(), operation)
+        assert refusal.code == codes.UNKNOWN_TRANSACTION.number
+
+
 class TestRoute:
     def test_asks_again_with_the_key_after_a_lost_answer(self):
         routed, peers, _ = route([NoAnswer("lost"), Answer(changed=1)])
