Give an entry host's knowledge and the statement check modules of their own

Cause: routing/router.py and entry/service.py did two jobs each. Change: routing/knowledge.py and entry/statements.py; the task of a peer link is no longer called after one of its messages. Conclusion: no change of behaviour.

--- a/packages/fennelhilld/src/fennelhilld/entry/service.py
+++ b/packages/fennelhilld/src/fennelhilld/entry/service.py
@@ -12,7 +12,6 @@
     CONNECTION_LOST,
     INVALID_FIELD,
     INVALID_HEADER,
-    STATEMENT_NOT_ALLOWED,
     UNAUTHENTICATED,
     UNKNOWN_CLASS,
     UNKNOWN_GROUP,
@@ -35,6 +34,7 @@
     CallerReply,
     StatementBody,
 )
+from fennelhilld.entry.statements import check_statement
 from fennelhilld.peers.messages import Answer, Operation, Work
 from fennelhilld.routing.router import Router
 from fennelhilld.writes.keys import digest_of
@@ -44,16 +44,6 @@
 KEY_BITS = 96
 TRANSACTION_DEADLINE_MS = 2_000.0
 
-# A statement that controls the transaction or the connection would undo what the
-# proxy promises.  Targets refuse them too; this answer is earlier and clearer.
-_CONTROL = re.compile(
-    r"(?:\s|--[^\n]*\n|/\*[^*]*\*+(?:[^/*][^*]*\*+)*/|;)*+"
-    r"(begin|start|commit|end|rollback|abort|savepoint|release|attach|detach|pragma"
-    r"|vacuum|set|reset|discard)\b",
-    re.IGNORECASE,
-)
-_KEY_TABLE = re.compile(r"fennelhill_", re.IGNORECASE)
-
 Reply = Result[CallerReply, Refusal]
 
 
@@ -195,7 +185,7 @@
         Result
             The answer.
         """
-        refusal = self._check_group(caller, group) or _check_statement(body)
+        refusal = self._check_group(caller, group) or check_statement(body)
         if refusal is not None:
             return Err(refusal)
         chosen = self._class(caller)
@@ -250,7 +240,7 @@
         Result
             The answer.
         """
-        refusal = _check_statement(body)
+        refusal = check_statement(body)
         if refusal is not None:
             return Err(refusal)
         opened = self._signer.open_transaction(transaction, caller.team_name)
@@ -495,14 +485,6 @@
     return not refusal.not_run or refusal.code == UNKNOWN_TRANSACTION.number
 
 
-def _check_statement(body: StatementBody) -> Refusal | None:
-    if not body.sql.strip():
-        return Refusal.of(INVALID_FIELD, "sql: empty")
-    if _CONTROL.match(body.sql) or _KEY_TABLE.search(body.sql):
-        return Refusal.of(STATEMENT_NOT_ALLOWED, body.sql.strip()[:40])
-    return None
-
-
 def _plain(answer: Answer, served_by: str) -> CallerAnswer:
     return CallerAnswer(
         answer.columns, answer.rows, answer.changed, served_by, answer.replayed
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/entry/statements.py
@@ -0,0 +1,39 @@
+"""Which statements callers may send."""
+
+from __future__ import annotations
+
+import re
+
+from fennelhill_core.codes import INVALID_FIELD, STATEMENT_NOT_ALLOWED, Refusal
+
+from fennelhilld.entry.messages import StatementBody
+
+# A statement that controls the transaction or the connection would undo what the
+# proxy promises.  Targets refuse them too; this answer is earlier and clearer.
+_CONTROL = re.compile(
+    r"(?:\s|--[^\n]*\n|/\*[^*]*\*+(?:[^/*][^*]*\*+)*/|;)*+"
+    r"(begin|start|commit|end|rollback|abort|savepoint|release|attach|detach|pragma"
+    r"|vacuum|set|reset|discard)\b",
+    re.IGNORECASE,
+)
+_KEY_TABLE = re.compile(r"fennelhill_", re.IGNORECASE)
+
+
+def check_statement(body: StatementBody) -> Refusal | None:
+    """Refuse what a caller may not send to a target.
+
+    Parameters
+    ----------
+    body : StatementBody
+        The statement.
+
+    Returns
+    -------
+    Refusal or None
+        Nothing where the statement may be sent.
+    """
+    if not body.sql.strip():
+        return Refusal.of(INVALID_FIELD, "sql: empty")
+    if _CONTROL.match(body.sql) or _KEY_TABLE.search(body.sql):
+        return Refusal.of(STATEMENT_NOT_ALLOWED, body.sql.strip()[:40])
+    return None
--- a/packages/fennelhilld/src/fennelhilld/peers/streams.py
+++ b/packages/fennelhilld/src/fennelhilld/peers/streams.py
@@ -24,12 +24,12 @@
 class _Link:
     """The stream to one entry host."""
 
-    __slots__ = ("client", "heartbeat", "opening", "used_ms")
+    __slots__ = ("client", "opening", "task", "used_ms")
 
     def __init__(self, now_ms: float) -> None:
         self.client: RpcClient | None = None
         self.opening = asyncio.Lock()
-        self.heartbeat: asyncio.Task | None = None
+        self.task: asyncio.Task | None = None
         self.used_ms = now_ms
 
 
@@ -114,8 +114,8 @@
     def close(self) -> None:
         """Close all streams."""
         for link in self._links.values():
-            if link.heartbeat is not None:
-                link.heartbeat.cancel()
+            if link.task is not None:
+                link.task.cancel()
             if link.client is not None:
                 link.client.close()
 
@@ -133,11 +133,9 @@
                 self._suspect(host, str(error))
                 raise NotSent from error
             link.client = RpcClient(stream)
-            if link.heartbeat is not None:
-                link.heartbeat.cancel()
-            link.heartbeat = asyncio.ensure_future(
-                self._look_after(link, link.client, host)
-            )
+            if link.task is not None:
+                link.task.cancel()
+            link.task = asyncio.ensure_future(self._look_after(link, link.client, host))
             return link.client
 
     async def _look_after(
--- a/packages/fennelhilld/src/fennelhilld/routing/tests/test_policies.py
+++ b/packages/fennelhilld/src/fennelhilld/routing/tests/test_policies.py
@@ -5,8 +5,8 @@
 import pytest
 from fennelhill_core.tokens import Position
 from fennelhilld.peers.messages import GroupView, TargetView
+from fennelhilld.routing.knowledge import DOUBT_MS, GroupKnowledge
 from fennelhilld.routing.policies import READ_POLICIES, Candidate, ReadRequest
-from fennelhilld.routing.router import DOUBT_MS, GroupKnowledge
 
 
 def candidate(name, zone="a", index=10, age_ms=50.0, seen_ms=0.0, wait_ms=0.0):
--- a/packages/fennelhilld/src/fennelhilld/routing/tests/test_router.py
+++ b/packages/fennelhilld/src/fennelhilld/routing/tests/test_router.py
@@ -22,7 +22,8 @@
     Work,
     WorkReply,
 )
-from fennelhilld.routing.router import DOUBT_MS, Router
+from fennelhilld.routing.knowledge import DOUBT_MS
+from fennelhilld.routing.router import Router
 
 GROUP = "orders-1"
 PEER_MS = 20
