Leave no process of the bench behind when a start fails

Cause: a stand-in process of an earlier failed run was still there: a context manager that fails on entering is never left, so nothing ended what had started already. Conclusion: only the bench was concerned.

--- a/packages/fennelhill-bench/src/fennelhill_bench/processes.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/processes.py
@@ -70,6 +70,15 @@
         self.path.write_text(self.settings.to_yaml(), encoding="utf-8")
 
     def __enter__(self) -> Processes:
+        try:
+            self._start()
+        except BaseException:
+            # Without this, what has started already would outlive the failure.
+            self.close()
+            raise
+        return self
+
+    def _start(self) -> None:
         flags = ["--instant"] if self._instant else []
         self._stand_ins = self._spawn(
             "fennelhill_bench", "serve", f"--settings={self.path}", *flags
@@ -77,7 +86,6 @@
         self._wait_for(self.settings.platform.table_service, self._stand_ins)
         for host in self.settings.entry_hosts:
             self.start_daemon(host.id)
-        return self
 
     def __exit__(
         self,
@@ -85,6 +93,10 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """End every process that was started here."""
         for process in [*self.daemons.values(), self._stand_ins]:
             if process is not None and process.poll() is None:
                 process.kill()
