Tell what a key says only once a second target holds it

A cancellation that no replica holds is dropped by a failover, and a copy of the request could then run, or have run, although the caller was told that it never will. Change: such a refusal is confirmed like a write, for one-shot writes and for commits; otherwise it is 2002. Conclusion: 1020 and 1021 are as lasting as an acknowledgement.

--- a/packages/fennelhilld/src/fennelhilld/transactions/serve.py
+++ b/packages/fennelhilld/src/fennelhilld/transactions/serve.py
@@ -30,7 +30,7 @@
 from fennelhilld.targets.messages import Batch, BatchReply, Begin, End, Fault, Statement
 from fennelhilld.watching.watch import GroupWatch
 from fennelhilld.writes import keys
-from fennelhilld.writes.serve import acknowledge, ensure_key_table
+from fennelhilld.writes.serve import acknowledge, confirm_key, ensure_key_table
 
 MAX_NONCE = 2**53
 LOOK_AGAIN_MS = 100.0
@@ -376,7 +376,9 @@
             return Err(Refusal.of(KEY_REUSED, "the key was released; ask again"))
         if found.is_ok():
             found.unwrap().position = reply.position
-        return found
+            return found
+        owner, watch = transaction.owner, transaction.watch
+        return Err(await confirm_key(owner, watch, found.unwrap_err(), deadline_ms))
 
     async def _hold(
         self,
--- a/packages/fennelhilld/src/fennelhilld/writes/serve.py
+++ b/packages/fennelhilld/src/fennelhilld/writes/serve.py
@@ -104,10 +104,46 @@
             return Err(granted.unwrap_err())
         ran = await _run_with_retry(owner, work, term, deadline_ms, run)
     if ran.is_err():
+        if ran.unwrap_err().code in _SAID_BY_KEY:
+            return Err(await confirm_key(owner, watch, ran.unwrap_err(), deadline_ms))
         return ran
     return await acknowledge(owner, watch, work, ran.unwrap(), deadline_ms)
 
 
+async def confirm_key(
+    owner: TargetOwner, watch: GroupWatch, refusal: Refusal, deadline_ms: float
+) -> Refusal:
+    """Tell what a key says only once no failover can take it back.
+
+    Parameters
+    ----------
+    owner : TargetOwner
+        Owner of the target's pool.
+    watch : GroupWatch
+        What is known of the group.
+    refusal : Refusal
+        What the key says.
+    deadline_ms : float
+        When the answer must be ready, on this host's clock.
+
+    Returns
+    -------
+    Refusal
+        The same, or `UNCONFIRMED`: the key may be seen at this target alone.
+    """
+    control = watch.members[owner.target.id].control
+    limit_ms = deadline_ms - owner.clock.now_ms()
+    if control is not None and limit_ms > 0:
+        try:
+            status = await control.status(limit_ms)
+        except (NoAnswer, NotSent):
+            return Refusal.of(UNCONFIRMED, refusal.detail, 500)
+        limit_ms = deadline_ms - owner.clock.now_ms()
+        if await watch.confirm_write(owner.target.id, status.position, limit_ms):
+            return refusal
+    return Refusal.of(UNCONFIRMED, refusal.detail, 500)
+
+
 async def acknowledge(
     owner: TargetOwner,
     watch: GroupWatch,
--- a/packages/fennelhilld/src/fennelhilld/writes/tests/test_serve.py
+++ b/packages/fennelhilld/src/fennelhilld/writes/tests/test_serve.py
@@ -124,6 +124,16 @@
         assert told.code == codes.UNCONFIRMED.number
         assert told.error.outcome == "outcome unknown"
 
+    def test_a_cancelled_key_that_no_replica_holds_is_not_called_final(self, world):
+        primary = world.deployment.primary(GROUP)
+        for target in world.deployment.group(GROUP):
+            if target is not primary:
+                target.spec.lag_ms = 60_000.0
+        assert outcome_of(world, "k1").code == codes.UNCONFIRMED.number
+        # A failover could drop the cancellation, and a copy of the request run.
+        told = order(world, "r", "k1")
+        assert told.error.outcome == "outcome unknown"
+
     def test_one_replica_is_enough(self, world):
         primary = world.deployment.primary(GROUP)
         replicas = [t for t in world.deployment.group(GROUP) if t is not primary]
