Let the review of owned targets go on during a switchover

Cause: found on the last reading: the review of what a host owns waited for each switchover, a second or two, in which no target of a lost host was taken over. Change: a switchover runs in a task of its own, one at a time for each owner.

--- a/packages/fennelhilld/src/fennelhilld/failover/switchover.py
+++ b/packages/fennelhilld/src/fennelhilld/failover/switchover.py
@@ -78,7 +78,7 @@
         if primary is None or not primary.status.leaving:
             return
         owner = owners.get(primary.target.id)
-        if owner is None or self._clock.now_ms() < self._retry_at_ms:
+        if owner is None or owner.held or self._clock.now_ms() < self._retry_at_ms:
             return
         self._retry_at_ms = self._clock.now_ms() + RETRY_MS
         owner.held = True
--- a/packages/fennelhilld/src/fennelhilld/pooling/duties.py
+++ b/packages/fennelhilld/src/fennelhilld/pooling/duties.py
@@ -274,7 +274,8 @@
                     self._drop_unused(target)
             self._drop_unwatched()
             for switchover in self._switchovers.values():
-                await switchover.run_if_due(self.owners)
+                # It may take a second or two, in which other targets need a review.
+                self._tasks.spawn(switchover.run_if_due(self.owners))
             await self._clock.sleep_ms(REVIEW_MS)
 
     def _drop_unused(self, target: Target) -> None:
