--- a/packages/fennelhill-bench/src/fennelhill_bench/virtual_time.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/virtual_time.py
@@ -36,6 +36,16 @@
 
     __slots__ = ()
 
+    def elapsed_ms(self) -> float:
+        """Return virtual time, which also counts pauses.
+
+        Returns
+        -------
+        float
+            Milliseconds.
+        """
+        return self.now_ms()
+
     def wall_ms(self) -> int:
         """Return virtual wall time.
 
--- a/packages/fennelhill-core/src/fennelhill_core/clock.py
+++ b/packages/fennelhill-core/src/fennelhill_core/clock.py
@@ -21,6 +21,14 @@
         """Monotonic time in milliseconds, comparable only on this host."""
         return asyncio.get_running_loop().time() * MS_PER_S
 
+    def elapsed_ms(self) -> float:
+        """Time in milliseconds that also counts while this host is suspended.
+
+        Ages of data are measured with it: the monotonic clock stands still in a
+        suspended host, and what it calls fresh may be seconds old.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * MS_PER_S
+
     def wall_ms(self) -> int:
         """Wall time in milliseconds since the epoch, for people and retention."""
         return int(time.time() * MS_PER_S)
--- a/packages/fennelhill-core/src/fennelhill_core/codes.py
+++ b/packages/fennelhill-core/src/fennelhill_core/codes.py
@@ -229,6 +229,27 @@
     "The primary could not prove that it still leads; come back later.",
     "The primary's zone may be cut off.",
 )
+MALFORMED_STATEMENT = _register(
+    1027,
+    "malformed_statement",
+    400,
+    "The statement is malformed, or not allowed in this state of the transaction.",
+    "A caller's client is broken; nothing to do here.",
+)
+UNKNOWN_PREPARED = _register(
+    1028,
+    "unknown_prepared",
+    404,
+    "The session has prepared no statement of this name.",
+    "A caller's client is broken; nothing to do here.",
+)
+TRANSACTION_ABORTED = _register(
+    1029,
+    "transaction_aborted",
+    409,
+    "The transaction was rolled back before its commit was sent; run it again.",
+    "Its target or link was lost, it rested too long, or this host shuts down.",
+)
 CONNECTION_LOST = _register(
     2001,
     "connection_lost",
@@ -250,6 +271,13 @@
     "No answer came before the deadline; ask for the outcome of the key.",
     "The target is slow or a connection went silent.",
 )
+READ_UNANSWERED = _register(
+    2005,
+    "read_unanswered",
+    504,
+    "No target answered the read in time; it changed nothing, so ask again.",
+    "Targets are slow or links went silent; see request.retried in the log.",
+)
 INTERNAL = _register(
     2004,
     "internal",
@@ -271,6 +299,13 @@
     "The answer is larger than the limit; the work was rolled back.",
     "limits.answer_rows sets the bound.",
 )
+TARGET_TIMED_OUT = _register(
+    3003,
+    "target_timed_out",
+    504,
+    "The target started the statement and gave it up at its own limit.",
+    "The target is overloaded, or the statement waits for another transaction.",
+)
 
 
 class Refusal(msgspec.Struct):
--- a/packages/fennelhill-core/src/fennelhill_core/logs.py
+++ b/packages/fennelhill-core/src/fennelhill_core/logs.py
@@ -1,33 +1,137 @@
-"""Structured logs: one JSON object a line on standard error."""
+"""Structured logs: one JSON object a line, bounded and never blocking."""
 
 from __future__ import annotations
 
+import os
 import sys
+import time
+from typing import TextIO
 
 import msgspec
 from loguru import logger
 
+# A daemon serves some hundred statements a second; a line for each decision of an
+# ordinary day fits, and a flood of refusals costs no more than this.
+MAX_LINES_PER_S = 100
+# Kinds that tell of a belief rather than of one request always have this reserve.
+RESERVED_LINES_PER_S = 50
+REQUEST_PREFIX = "request."
 
-def configure_logs(level: str = "INFO") -> None:
-    """Send all logs to standard error as JSON lines.
+
+class LineBudget:
+    """Counts lines against a bound for each second, and what was left out.
+
+    Lines on single requests are dropped first, so that a flood of them never
+    hides a change of leader or of configuration.
+    """
+
+    __slots__ = ("_lines", "_second", "dropped")
+
+    def __init__(self) -> None:
+        self._second = 0
+        self._lines = 0
+        self.dropped = 0
+
+    def admits(self, message: str, now_s: float) -> bool:
+        """Tell whether a line may be written now.
+
+        Parameters
+        ----------
+        message : str
+            Kind of the line.
+        now_s : float
+            Steady time in seconds.
+
+        Returns
+        -------
+        bool
+            False where the bound of this second is reached.
+        """
+        second = int(now_s)
+        if second != self._second:
+            self._second = second
+            self._lines = 0
+        bound = MAX_LINES_PER_S
+        if not message.startswith(REQUEST_PREFIX):
+            bound += RESERVED_LINES_PER_S
+        if self._lines >= bound:
+            self.dropped += 1
+            return False
+        self._lines += 1
+        return True
+
+    def take_dropped(self) -> int:
+        """Return the count of lines left out since the last call.
+
+        Returns
+        -------
+        int
+            The count.
+        """
+        dropped, self.dropped = self.dropped, 0
+        return dropped
+
+
+class BoundedSink:
+    """Writes JSON lines to a descriptor that must never hold the daemon up.
+
+    Parameters
+    ----------
+    descriptor : int
+        Where lines go; it is made non-blocking.
+    """
+
+    __slots__ = ("_budget", "_descriptor")
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+        self._budget = LineBudget()
+        os.set_blocking(descriptor, False)
+
+    def write(self, message: object) -> None:
+        """Write a record, or count it as left out.
+
+        Parameters
+        ----------
+        message : loguru message
+            The record.
+        """
+        record = message.record  # type: ignore[attr-defined]
+        if not self._budget.admits(record["message"], time.monotonic()):
+            return
+        line = _encode(record)
+        dropped = self._budget.take_dropped()
+        if dropped:
+            line["lines_left_out"] = dropped
+        try:
+            os.write(self._descriptor, msgspec.json.encode(line, enc_hook=str) + b"\n")
+        except OSError:
+            # Nobody reads the log now.  The count goes into the next line.
+            self._budget.dropped += dropped + 1
+
+
+def configure_logs(level: str = "INFO", stream: TextIO | None = None) -> None:
+    """Send all logs to a stream as JSON lines.
 
     Parameters
     ----------
     level : str
         Least severe level that is written.
+    stream : TextIO or None
+        Standard error where none is given.
     """
+    sink = BoundedSink((stream or sys.stderr).fileno())
     logger.remove()
-    logger.add(_write_line, level=level, format="{message}", catch=False)
+    logger.add(sink.write, level=level, format="{message}", catch=False)
 
 
-def _write_line(message: object) -> None:
-    record = message.record  # type: ignore[attr-defined]
+def _encode(record: dict) -> dict:
     line = {
-        "at": record["time"].isoformat(),
+        "at": record["time"].isoformat(timespec="milliseconds"),
         "level": record["level"].name,
         "message": record["message"],
         **record["extra"],
     }
     if record["exception"] is not None:
         line["exception"] = repr(record["exception"].value)
-    sys.stderr.write(msgspec.json.encode(line, enc_hook=str).decode() + "\n")
+    return line
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/catalog/__init__.py
@@ -0,0 +1,1 @@
+"""Catalog: databases, groups and limits in force."""
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/catalog/state.py
@@ -0,0 +1,140 @@
+"""Databases, groups and limits in force."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+DEFAULT_TRANSACTION_IDLE_MS = 3_000.0  # until a catalog says otherwise
+
+
+class ReadKind(enum.Enum):
+    """How current the reads of a database must be."""
+
+    CURRENT = "current"
+    MAX_AGE = "max_age"
+    OWN_WRITES = "own_writes"
+
+
+class Database(msgspec.Struct, frozen=True):
+    """A database as clients name it.
+
+    Parameters
+    ----------
+    name : str
+        Name that clients connect to.
+    group : str
+        Database group that holds it.
+    reads : ReadKind
+        How current reads must be.
+    max_age_ms : float
+        Oldest data that a read accepts, in milliseconds; 0 for the newest only.
+    statement_timeout_ms : float
+        Limit of one statement, in milliseconds.
+    goal_ms : float
+        Time within which clients want an operation done, in milliseconds.
+    priority : int
+        0 is served first.
+    """
+
+    name: str
+    group: str
+    reads: ReadKind = ReadKind.CURRENT
+    max_age_ms: float = 0.0
+    statement_timeout_ms: float = 1_000.0
+    goal_ms: float = 500.0
+    priority: int = 0
+
+
+class Group(msgspec.Struct, frozen=True):
+    """A database group: one primary and its replicas.
+
+    Parameters
+    ----------
+    name : str
+        Name of the group.
+    max_connections : int
+        Connections that each of its targets accepts from all daemons together.
+    """
+
+    name: str
+    max_connections: int = 16
+
+
+class Catalog(msgspec.Struct, frozen=True):
+    """One version of the configuration, in full.
+
+    Parameters
+    ----------
+    version : int
+        Rises with every change.
+    databases : dict
+        `Database` by name.
+    groups : dict
+        `Group` by name.
+    transaction_idle_ms : float
+        A transaction that rests longer may be ended, in milliseconds.
+    message_bytes : int
+        Largest message that is accepted.
+    first_message_ms : float
+        Limit for the first message of a connection, in milliseconds.
+    """
+
+    version: int
+    databases: dict[str, Database]
+    groups: dict[str, Group]
+    transaction_idle_ms: float = DEFAULT_TRANSACTION_IDLE_MS
+    message_bytes: int = 1024 * 1024
+    first_message_ms: float = 3_000.0
+
+
+class CatalogHolder:
+    """Holds the newest catalog; an older or equal version is never installed."""
+
+    __slots__ = ("current", "installed_ms")
+
+    def __init__(self) -> None:
+        self.current: Catalog | None = None
+        self.installed_ms = 0.0
+
+    def install(self, catalog: Catalog, now_ms: float) -> bool:
+        """Install a catalog if it is newer.
+
+        Parameters
+        ----------
+        catalog : Catalog
+            The candidate.
+        now_ms : float
+            Time on this host's steady clock.
+
+        Returns
+        -------
+        bool
+            Whether it was installed.
+        """
+        if self.current is not None and catalog.version <= self.current.version:
+            return False
+        self.current = catalog
+        self.installed_ms = now_ms
+        return True
+
+    @property
+    def version(self) -> int:
+        """Version in force; 0 before the first."""
+        return self.current.version if self.current else 0
+
+    def database(self, name: str) -> Database | None:
+        """Look up a database.
+
+        Parameters
+        ----------
+        name : str
+            As clients name it.
+
+        Returns
+        -------
+        Database or None
+            Nothing where the catalog in force has none.
+        """
+        return self.current.databases.get(name) if self.current else None
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/directory/__init__.py
@@ -0,0 +1,1 @@
+"""Directory: the targets that the platform lists."""
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/freshness/__init__.py
@@ -0,0 +1,1 @@
+"""Freshness: proof of how current a replica's data is."""
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/freshness/floors.py
@@ -0,0 +1,204 @@
+"""The position that a replica must hold for a read to be fresh enough."""
+
+from __future__ import annotations
+
+from collections import deque
+
+import msgspec
+from fennelhill_core.tokens import Position
+
+MAX_SAMPLES = 128  # covers the longest allowed age at 40 samples a second
+SAMPLE_SPACING_MS = 20.0  # denser samples would not lower a floor noticeably
+# Clocks of two hosts may run apart by far less than this over an allowed age.
+AGE_MARGIN_MS = 30.0
+
+
+class PositionSample(msgspec.Struct, frozen=True):
+    """A target that led answered this position to something sent at a time.
+
+    It covers every commit that was acknowledged before the sending.
+
+    Parameters
+    ----------
+    sent_ms : float
+        Sending time on a clock that counts suspended time.
+    position : Position
+        End of the primary's log in the answer.
+    """
+
+    sent_ms: float
+    position: Position
+
+
+class ReadFloor(msgspec.Struct, frozen=True):
+    """What a replica's log must hold.
+
+    Parameters
+    ----------
+    position : Position
+        The position.
+    age_ms : float
+        How long ago the primary is known to have reached it.
+    """
+
+    position: Position
+    age_ms: float
+
+
+class GroupFreshness:
+    """Samples of one group's primary, and the floors that follow from them.
+
+    A commit that was acknowledged before a time is covered by every sample sent
+    at that time or later, so the *oldest* sample that is young enough gives the
+    lowest sufficient floor.  Positions of an earlier term may have been rolled
+    back; once a newer term has been seen, only its samples make floors, which
+    cover all that survived the change.
+    """
+
+    __slots__ = ("_newest_term_start", "_samples", "term")
+
+    def __init__(self) -> None:
+        self._samples: deque[PositionSample] = deque(maxlen=MAX_SAMPLES)
+        self._newest_term_start: PositionSample | None = None
+        self.term = 0
+
+    def add(self, sent_ms: float, position: Position) -> None:
+        """Keep a sample from a target that was proven to lead.
+
+        Parameters
+        ----------
+        sent_ms : float
+            When the command was sent.
+        position : Position
+            Position in the answer.
+        """
+        if position.term < self.term:
+            return
+        sample = PositionSample(sent_ms, position)
+        if position.term > self.term:
+            self.term = position.term
+            self._samples.clear()
+            self._newest_term_start = sample
+        if self._samples:
+            newest = self._samples[-1]
+            if sent_ms < newest.sent_ms + SAMPLE_SPACING_MS:
+                return
+        self._samples.append(sample)
+
+    def floor(
+        self, now_ms: float, max_age_ms: float, own: Position | None
+    ) -> ReadFloor | None:
+        """Return what a replica must hold for a read that begins now.
+
+        Parameters
+        ----------
+        now_ms : float
+            Time on the clock of the samples.
+        max_age_ms : float
+            Age that the read accepts, in milliseconds.
+        own : Position or None
+            The session's own last commit in this group.
+
+        Returns
+        -------
+        ReadFloor or None
+            Nothing where no sample proves the age: only the primary will do.
+        """
+        oldest_ms = now_ms - max_age_ms + AGE_MARGIN_MS
+        while len(self._samples) > 1 and self._samples[0].sent_ms < now_ms - 60_000.0:
+            self._samples.popleft()
+        found = None
+        for sample in self._samples:
+            if sample.sent_ms >= oldest_ms:
+                found = sample
+                break
+        if found is None:
+            return None
+        floor = ReadFloor(found.position, now_ms - found.sent_ms)
+        if own is None:
+            return floor
+        needed = self._surviving(own)
+        if needed <= floor.position:
+            return floor
+        return ReadFloor(needed, self._age_of(needed, now_ms))
+
+    def _surviving(self, own: Position) -> Position:
+        # A commit of an earlier term is either in the log with which the newest
+        # term began, or was rolled back.
+        if own.term < self.term and self._newest_term_start is not None:
+            return self._newest_term_start.position
+        return own
+
+    def _age_of(self, position: Position, now_ms: float) -> float:
+        for sample in self._samples:
+            if sample.position >= position:
+                return now_ms - sample.sent_ms
+        return 0.0
+
+
+class LagEstimate:
+    """Predicts whether a replica already holds a position of a certain age.
+
+    A refused read costs a round trip, so a replica is only asked for what it
+    probably has.  The estimate rises at once with a refusal, and halves with each
+    `HALF_LIFE_MS` without one, so that a replica that has caught up is found again.
+    """
+
+    __slots__ = ("_at_ms", "_lag_ms")
+
+    RISE = 1.25
+    STEP_MS = 10.0  # a refusal says that it lacks more than was asked
+    MAX_MS = 20_000.0
+    HALF_LIFE_MS = 800.0  # a replica far behind is asked about once in a second
+
+    def __init__(self) -> None:
+        self._lag_ms = 0.0
+        self._at_ms = 0.0
+
+    def lag_ms(self, now_ms: float) -> float:
+        """Return the estimate.
+
+        Parameters
+        ----------
+        now_ms : float
+            Time on this host's clock.
+
+        Returns
+        -------
+        float
+            Milliseconds.
+        """
+        if self._lag_ms == 0.0:
+            return 0.0
+        return self._lag_ms * 0.5 ** ((now_ms - self._at_ms) / self.HALF_LIFE_MS)
+
+    def refused(self, age_ms: float, now_ms: float) -> None:
+        """Note that the replica lacked a position of this age.
+
+        Parameters
+        ----------
+        age_ms : float
+            How long ago the primary had reached the position.
+        now_ms : float
+            Time on this host's clock.
+        """
+        risen_ms = max(self.lag_ms(now_ms), age_ms * self.RISE + self.STEP_MS)
+        self._lag_ms = min(self.MAX_MS, risen_ms)
+        self._at_ms = now_ms
+
+    def holds(self, age_ms: float, now_ms: float) -> bool:
+        """Predict whether the replica holds a position of this age.
+
+        Parameters
+        ----------
+        age_ms : float
+            How long ago the primary reached the position.
+        now_ms : float
+            Time on this host's clock.
+
+        Returns
+        -------
+        bool
+            The prediction.
+        """
+        return age_ms >= self.lag_ms(now_ms)
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/leadership/__init__.py
@@ -0,0 +1,1 @@
+"""Leadership: which target leads each group, as far as proven."""
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/leadership/state.py
@@ -0,0 +1,155 @@
+"""Which target leads a group, as far as this host can prove it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+
+class GroupLeadership:
+    """The leader of one group: who, since which term, and how it answers.
+
+    Parameters
+    ----------
+    group : str
+        Name of the group.
+    notified : callable
+        Called with a word on each change of belief, for the log.
+    """
+
+    __slots__ = (
+        "_changed",
+        "_notified",
+        "changed_ms",
+        "failing_since_ms",
+        "group",
+        "holding_until_ms",
+        "leader_id",
+        "proven_ms",
+        "term",
+    )
+
+    def __init__(self, group: str, notified: Callable[..., None]) -> None:
+        self.group = group
+        self.leader_id: str | None = None
+        self.term = 0
+        self.proven_ms = float("-inf")
+        self.changed_ms = float("-inf")
+        self.failing_since_ms: float | None = None
+        self.holding_until_ms = 0.0
+        self._notified = notified
+        self._changed = asyncio.Event()
+
+    def proven(self, target_id: str, term: int, sent_ms: float) -> None:
+        """Note that a target answered as the leader.
+
+        Parameters
+        ----------
+        target_id : str
+            The target.
+        term : int
+            Term of its answer.
+        sent_ms : float
+            When the question was sent.
+        """
+        if target_id != self.leader_id:
+            # A late answer of a former leader says nothing of now.
+            if term < self.term or sent_ms < self.changed_ms:
+                return
+            self._follow(target_id, term, sent_ms, "answered as the leader")
+        self.term = max(self.term, term)
+        self.proven_ms = max(self.proven_ms, sent_ms)
+        if self.failing_since_ms is not None and sent_ms > self.failing_since_ms:
+            self.failing_since_ms = None
+
+    def reported(self, target_id: str, now_ms: float) -> None:
+        """Note that the platform's list says that a target leads.
+
+        Parameters
+        ----------
+        target_id : str
+            The target.
+        now_ms : float
+            Time on this host's clock.
+        """
+        if target_id != self.leader_id:
+            self._follow(target_id, self.term, now_ms, "listed as the primary")
+
+    def not_leading(self, target_id: str) -> None:
+        """Note that a target refused because it does not lead.
+
+        Parameters
+        ----------
+        target_id : str
+            The target.
+        """
+        if target_id == self.leader_id:
+            self.leader_id = None
+            self._notified("leadership.lost", target=target_id, term=self.term)
+
+    def failed(self, target_id: str, now_ms: float) -> bool:
+        """Note that the leader did not answer.
+
+        Parameters
+        ----------
+        target_id : str
+            The target that was asked.
+        now_ms : float
+            Time on this host's clock.
+
+        Returns
+        -------
+        bool
+            Whether this is the first failure since its last answer.
+        """
+        if target_id != self.leader_id or self.failing_since_ms is not None:
+            return False
+        self.failing_since_ms = now_ms
+        return True
+
+    def hold_writes(self, until_ms: float) -> None:
+        """Keep new writes waiting while the leader is being replaced.
+
+        Parameters
+        ----------
+        until_ms : float
+            At the latest until then.
+        """
+        self.holding_until_ms = until_ms
+        if until_ms == 0.0:
+            self._wake()
+
+    async def wait_change(self, limit_ms: float) -> None:
+        """Wait until another target leads or a hold ends.
+
+        Parameters
+        ----------
+        limit_ms : float
+            Longest wait in milliseconds.
+        """
+        changed = self._changed
+        try:
+            async with asyncio.timeout(max(0.0, limit_ms) / 1000.0):
+                await changed.wait()
+        except TimeoutError:
+            return
+
+    def _follow(self, target_id: str, term: int, at_ms: float, reason: str) -> None:
+        before = self.leader_id
+        self.changed_ms = at_ms
+        self.leader_id = target_id
+        self.term = max(term, self.term)
+        self.failing_since_ms = None
+        self.holding_until_ms = 0.0
+        self._notified(
+            "leadership.changed",
+            target=target_id,
+            before=before,
+            term=self.term,
+            reason=reason,
+        )
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/links/__init__.py
@@ -0,0 +1,1 @@
+"""Links: pooled connections to targets, with session state replayed."""
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/links/lease.py
@@ -0,0 +1,113 @@
+"""A borrowed link, and exchanging commands on it."""
+
+from __future__ import annotations
+
+from fennelhill_core.clock import Clock, timeout_ms
+
+from fennelhilld.links.messages import (
+    Command,
+    CommandKind,
+    LinkLostError,
+    TargetAnswer,
+)
+from fennelhilld.links.pool import TargetPool
+from fennelhilld.links.state import PooledLink
+
+_OWN = frozenset(CommandKind) - {CommandKind.STATEMENT, CommandKind.COMMIT}
+_REPLAY = frozenset({CommandKind.SET_VALUE, CommandKind.PREPARE, CommandKind.RESET})
+
+
+class Exchange:
+    """What came back for commands that were sent in one piece.
+
+    Parameters
+    ----------
+    sent_ms : float
+        Sending time on the clock that counts suspended time.
+    took_ms : float
+        Time until the last awaited answer.
+    answers : list of TargetAnswer
+        Answers to all commands but those that replay session state.
+    """
+
+    __slots__ = ("answers", "sent_ms", "took_ms")
+
+    def __init__(
+        self, sent_ms: float, took_ms: float, answers: list[TargetAnswer]
+    ) -> None:
+        self.sent_ms = sent_ms
+        self.took_ms = took_ms
+        self.answers = answers
+
+
+class Lease:
+    """A link on loan.  After any doubt about an answer it is never used again."""
+
+    __slots__ = ("_broken", "_clock", "_pool", "link", "sent")
+
+    def __init__(self, pool: TargetPool, link: PooledLink, clock: Clock) -> None:
+        self.link = link
+        self.sent = False
+        self._pool = pool
+        self._clock = clock
+        self._broken = False
+
+    async def exchange(self, commands: list[Command], limit_ms: float) -> Exchange:
+        """Send commands in one piece and read all answers.
+
+        Parameters
+        ----------
+        commands : list of Command
+            What to send.
+        limit_ms : float
+            Limit for all answers, in milliseconds.
+
+        Returns
+        -------
+        Exchange
+            The answers.
+
+        Raises
+        ------
+        LinkLostError
+            If an answer is missing, late or does not fit its command.
+        """
+        started_ms = self._clock.now_ms()
+        sent_ms = self._clock.elapsed_ms()
+        answers = []
+        try:
+            async with timeout_ms(limit_ms):
+                if self.link.link.closed:
+                    raise LinkLostError("the link was closed by the target")
+                self.sent = True
+                await self.link.link.send(commands)
+                for command in commands:
+                    answer = await self.link.link.receive()
+                    _check(command, answer)
+                    if command.kind not in _REPLAY:
+                        answers.append(answer)
+        except TimeoutError:
+            self._broken = True
+            raise LinkLostError(f"no answer within {limit_ms:.0f} ms") from None
+        except BaseException:
+            self._broken = True
+            raise
+        return Exchange(sent_ms, self._clock.now_ms() - started_ms, answers)
+
+    def release(self) -> None:
+        """Give the link back."""
+        self._pool.release(self.link, self._broken)
+
+    def discard(self) -> None:
+        """Close the link; the target rolls back what is open on it."""
+        self._broken = True
+        self._pool.release(self.link, broken=True)
+
+
+def _check(command: Command, answer: TargetAnswer) -> None:
+    if answer.fault is not None:
+        if command.kind in _REPLAY:
+            raise LinkLostError(f"replaying the session failed: {answer.detail}")
+        return
+    if bool(answer.signature) == (command.kind in _OWN):
+        raise LinkLostError(f"an answer does not fit {command.kind.value}")
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/links/messages.py
@@ -0,0 +1,182 @@
+"""What the daemon sends to targets, and what a driver must offer."""
+
+from __future__ import annotations
+
+import enum
+from typing import Protocol
+
+import msgspec
+from fennelhill_core.tokens import Position
+
+from fennelhilld.statements.messages import Statement, TransactionState
+
+
+class CommandKind(enum.Enum):
+    """Kind of a command to a target."""
+
+    STATEMENT = "statement"
+    BEGIN = "begin"
+    BEGIN_READ_ONLY = "begin_read_only"
+    COMMIT = "commit"
+    ROLLBACK = "rollback"
+    SET_VALUE = "set_value"
+    PREPARE = "prepare"
+    RESET = "reset"
+    STATUS = "status"
+
+
+class Command(msgspec.Struct):
+    """One command on a link.
+
+    Parameters
+    ----------
+    kind : CommandKind
+        What the target shall do.
+    statement : Statement or None
+        The client's statement that is passed on; nothing for own commands.
+    name : str
+        Session value, or the link's name of a prepared statement.
+    value : str
+        Content of a session value, or the shape of a prepared statement.
+    writes : bool
+        Whether a prepared statement changes data.
+    after : Position or None
+        Position that the target's log must hold, or it refuses.
+    """
+
+    kind: CommandKind
+    statement: Statement | None = None
+    name: str = ""
+    value: str = ""
+    writes: bool = False
+    after: Position | None = None
+
+
+class TargetFault(enum.Enum):
+    """Why a target refused or failed a command."""
+
+    BUSY = "busy"
+    UNKNOWN_PREPARED = "unknown_prepared"
+    BEHIND = "behind"
+    NOT_LEADING = "not_leading"
+    WRONG_TARGET = "wrong_target"
+    TOO_MANY_CONNECTIONS = "too_many_connections"
+    FAILED = "failed"
+    TIMED_OUT = "timed_out"
+    ABORTED = "aborted"
+    MALFORMED = "malformed"
+    OTHER = "other"
+
+    @property
+    def not_run(self) -> bool:
+        """Whether the target promises that the command left no trace."""
+        return self in _NOT_RUN
+
+
+_NOT_RUN = frozenset(
+    {
+        TargetFault.BUSY,
+        TargetFault.UNKNOWN_PREPARED,
+        TargetFault.BEHIND,
+        TargetFault.NOT_LEADING,
+        TargetFault.WRONG_TARGET,
+        TargetFault.TOO_MANY_CONNECTIONS,
+    }
+)
+
+
+class TargetAnswer(msgspec.Struct):
+    """The whole answer to one command.
+
+    Parameters
+    ----------
+    rows : list of str
+        Rows as sent.
+    signature : str
+        Proof that this target ran a statement; empty for own commands.
+    fault : TargetFault or None
+        Why it failed; nothing on success.
+    detail : str
+        The target's words.
+    state : TransactionState
+        Transaction state of the link.
+    position : Position or None
+        Last position of the target's log.
+    """
+
+    rows: list[str] = []
+    signature: str = ""
+    fault: TargetFault | None = None
+    detail: str = ""
+    state: TransactionState = TransactionState.IDLE
+    position: Position | None = None
+
+
+class TargetStatus(msgspec.Struct):
+    """What a target says of itself.
+
+    Parameters
+    ----------
+    leads : bool
+        Whether it is the primary.
+    term : int
+        Newest term that it knows.
+    received : Position
+        Last position that it has received.
+    lag_ms : float
+        How far it is behind, in milliseconds.
+    """
+
+    leads: bool
+    term: int
+    received: Position
+    lag_ms: float
+
+
+class LinkLostError(Exception):
+    """The connection is gone or out of step; what was sent may have run."""
+
+
+class LinkRefusedError(Exception):
+    """No connection could be set up; nothing was run.
+
+    Parameters
+    ----------
+    fault : TargetFault
+        Why.
+    detail : str
+        What happened, for people.
+    """
+
+    def __init__(self, fault: TargetFault, detail: str) -> None:
+        super().__init__(f"{fault.value}: {detail}")
+        self.fault = fault
+
+
+class TargetLink(Protocol):
+    """One connection to a target.  Answers arrive in the order of commands."""
+
+    @property
+    def closed(self) -> bool:
+        """Whether the connection is gone."""
+
+    async def send(self, commands: list[Command]) -> None:
+        """Write commands in one piece; raises `LinkLostError`."""
+
+    async def receive(self) -> TargetAnswer:
+        """Return the next whole answer; raises `LinkLostError`."""
+
+    def close(self) -> None:
+        """Close it; the target rolls back what is open."""
+
+
+class LinkDriver(Protocol):
+    """Opens connections to targets."""
+
+    async def open(
+        self, group: str, target_id: str, address: str, limit_ms: float
+    ) -> TargetLink:
+        """Open a link to exactly this target; raises `LinkRefusedError`."""
+
+    async def status(self, link: TargetLink) -> TargetStatus | None:
+        """Ask for the status; nothing if the target is busy."""
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/links/pool.py
@@ -0,0 +1,291 @@
+"""The pool of links to one target."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import itertools
+from collections.abc import Callable
+
+from fennelhill_core.clock import Clock
+from fennelhill_core.tasks import Tasks
+
+from fennelhilld.directory.state import TargetEntry
+from fennelhilld.links.messages import LinkDriver, LinkRefusedError, TargetFault
+from fennelhilld.links.state import PooledLink, SessionContext
+
+# A set-up takes the target's own time (12 to 27 ms at the users') and a slot.
+OPEN_LIMIT_MS = 600.0
+# After "too many connections" others need time to give some back.
+TOO_MANY_BACKOFF_MS = 250.0
+# After a refused or unanswered set-up; a crashed target comes back in seconds.
+UNREACHABLE_BACKOFF_MS = 100.0
+# Links beyond the fair share go back soon, so that busier hosts can have them.
+SURPLUS_IDLE_MS = 1_500.0
+# How far a host may go beyond its fair share while the target admits it.
+OVERDRAW = 1.6
+
+
+class NoLinkError(Exception):
+    """No link became free in time; nothing was sent."""
+
+
+class PoolCounters:
+    """Counts for the metrics."""
+
+    __slots__ = ("lost", "opened", "refused", "too_many")
+
+    def __init__(self) -> None:
+        self.opened = 0
+        self.refused = 0
+        self.too_many = 0
+        self.lost = 0
+
+
+class TargetPool:
+    """Links of this host to one incarnation of one target.
+
+    The target limits the connections of all hosts together.  Each host opens
+    what it needs up to somewhat over an equal share; the target's refusal is the
+    back-pressure, and unused links beyond the share are closed.
+
+    Parameters
+    ----------
+    entry : TargetEntry
+        The target.
+    driver : LinkDriver
+        Opens links.
+    clock : Clock
+        Source of time.
+    fair_share : callable
+        Returns this host's equal share of the target's connections.
+    failed : callable
+        Called with a reason when the target can't be reached.
+    """
+
+    def __init__(
+        self,
+        entry: TargetEntry,
+        driver: LinkDriver,
+        clock: Clock,
+        fair_share: Callable[[], int],
+        failed: Callable[[str], None],
+    ) -> None:
+        self.entry = entry
+        self.counters = PoolCounters()
+        self.closed = False
+        self.in_use = 0
+        self._driver = driver
+        self._clock = clock
+        self._fair_share = fair_share
+        self._failed = failed
+        self._idle: list[PooledLink] = []
+        self._opening = 0
+        self._waiters: list[tuple[int, int, asyncio.Future[PooledLink]]] = []
+        self._order = itertools.count()
+        self._blocked_until_ms = 0.0
+        self._tasks = Tasks()
+
+    @property
+    def open(self) -> int:
+        """Links that are open or being opened."""
+        return len(self._idle) + self.in_use + self._opening
+
+    @property
+    def idle(self) -> int:
+        """Links that are free now."""
+        return len(self._idle)
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait for a link."""
+        return sum(not waiter.done() for _, _, waiter in self._waiters)
+
+    @property
+    def limit(self) -> int:
+        """Links that this host may open."""
+        return max(1, int(self._fair_share() * OVERDRAW))
+
+    async def acquire(
+        self, context: SessionContext, priority: int, limit_ms: float
+    ) -> PooledLink:
+        """Borrow a link.
+
+        Parameters
+        ----------
+        context : SessionContext
+            The session, to prefer a link that already holds its state.
+        priority : int
+            Lower is served first.
+        limit_ms : float
+            Longest wait in milliseconds.
+
+        Returns
+        -------
+        PooledLink
+            To be given back with `release`.
+
+        Raises
+        ------
+        NoLinkError
+            If none became free in time.
+        LinkRefusedError
+            If the target can't be reached.
+        """
+        if self.closed:
+            raise LinkRefusedError(TargetFault.WRONG_TARGET, "the target is gone")
+        link = self._take_idle(context)
+        if link is not None:
+            return self._lend(link)
+        if limit_ms <= 0:
+            raise NoLinkError
+        waiter: asyncio.Future[PooledLink] = asyncio.get_running_loop().create_future()
+        heapq.heappush(self._waiters, (priority, next(self._order), waiter))
+        self._grow()
+        try:
+            async with asyncio.timeout(limit_ms / 1000.0):
+                return await waiter
+        except TimeoutError:
+            self._return_unclaimed(waiter)
+            raise NoLinkError from None
+        except asyncio.CancelledError:
+            self._return_unclaimed(waiter)
+            raise
+
+    def release(self, link: PooledLink, broken: bool = False) -> None:
+        """Give a link back.
+
+        Parameters
+        ----------
+        link : PooledLink
+            The link.
+        broken : bool
+            Whether it must not be used again.
+        """
+        self.in_use -= 1
+        if broken or link.link.closed or self.closed:
+            link.link.close()
+            if broken:
+                self.counters.lost += 1
+            self._grow()
+            return
+        self._offer(link)
+
+    def trim(self) -> None:
+        """Close idle links beyond the fair share, and drop dead ones."""
+        now_ms = self._clock.now_ms()
+        kept = []
+        surplus = self.open - max(1, self._fair_share())
+        for link in self._idle:
+            old = now_ms - link.idle_since_ms >= SURPLUS_IDLE_MS
+            if link.link.closed or (surplus > 0 and old):
+                link.link.close()
+                surplus -= 1
+            else:
+                kept.append(link)
+        self._idle = kept
+
+    def warm(self) -> None:
+        """Open a link if there is none, so that the next request finds one."""
+        if self.open == 0 and not self.closed:
+            self._start_opening()
+
+    def close(self) -> None:
+        """Close idle links now, and the others as they come back."""
+        self.closed = True
+        for link in self._idle:
+            link.link.close()
+        self._idle = []
+        self._tasks.cancel()
+        self._fail_waiters(TargetFault.WRONG_TARGET, "the target is gone")
+
+    def _take_idle(self, context: SessionContext) -> PooledLink | None:
+        self._idle = [link for link in self._idle if not link.link.closed]
+        if not self._idle:
+            return None
+        for index in range(len(self._idle) - 1, -1, -1):
+            if self._idle[index].matches(context):
+                return self._idle.pop(index)
+        # The most recently used link is the least likely to have gone silent.
+        return self._idle.pop()
+
+    def _lend(self, link: PooledLink) -> PooledLink:
+        self.in_use += 1
+        link.busy_since_ms = self._clock.now_ms()
+        return link
+
+    def _offer(self, link: PooledLink) -> None:
+        while self._waiters:
+            _, _, waiter = heapq.heappop(self._waiters)
+            if not waiter.done():
+                waiter.set_result(self._lend(link))
+                return
+        link.idle_since_ms = self._clock.now_ms()
+        self._idle.append(link)
+
+    def _return_unclaimed(self, waiter: asyncio.Future[PooledLink]) -> None:
+        # The link may have arrived in the same turn as the timeout.
+        if waiter.done() and not waiter.cancelled() and waiter.exception() is None:
+            self.release(waiter.result())
+        else:
+            waiter.cancel()
+
+    def _grow(self) -> None:
+        wanted = self.waiting - self._opening
+        if wanted <= 0 or self.closed:
+            return
+        now_ms = self._clock.now_ms()
+        if now_ms < self._blocked_until_ms:
+            if self.open == 0:
+                self._tasks.spawn(self._grow_later(self._blocked_until_ms - now_ms))
+            return
+        for _ in range(min(wanted, self.limit - self.open)):
+            self._start_opening()
+
+    async def _grow_later(self, delay_ms: float) -> None:
+        await self._clock.sleep_ms(delay_ms)
+        self._grow()
+
+    def _start_opening(self) -> None:
+        self._opening += 1
+        self._tasks.spawn(self._open())
+
+    async def _open(self) -> None:
+        entry = self.entry
+        try:
+            link = await self._driver.open(
+                entry.group, entry.id, entry.address, OPEN_LIMIT_MS
+            )
+        except LinkRefusedError as error:
+            self._opening -= 1
+            self._refused(error)
+            return
+        except BaseException:
+            self._opening -= 1
+            raise
+        self._opening -= 1
+        self.counters.opened += 1
+        if self.closed:
+            link.close()
+            return
+        self._offer(PooledLink(link, self._clock.now_ms()))
+
+    def _refused(self, error: LinkRefusedError) -> None:
+        now_ms = self._clock.now_ms()
+        if error.fault in (TargetFault.TOO_MANY_CONNECTIONS, TargetFault.BUSY):
+            self.counters.too_many += 1
+            self._blocked_until_ms = now_ms + TOO_MANY_BACKOFF_MS
+            if self.open == 0 and self.waiting:
+                self._tasks.spawn(self._grow_later(TOO_MANY_BACKOFF_MS))
+            return
+        self.counters.refused += 1
+        self._failed(str(error))
+        self._blocked_until_ms = now_ms + UNREACHABLE_BACKOFF_MS
+        if self.open == 0:
+            self._fail_waiters(error.fault, str(error))
+
+    def _fail_waiters(self, fault: TargetFault, detail: str) -> None:
+        waiters, self._waiters = self._waiters, []
+        for _, _, waiter in waiters:
+            if not waiter.done():
+                waiter.set_exception(LinkRefusedError(fault, detail))
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/links/state.py
@@ -0,0 +1,108 @@
+"""The state of a session, and replaying it on a shared link."""
+
+from __future__ import annotations
+
+import msgspec
+import xxhash
+
+from fennelhilld.links.messages import Command, CommandKind, TargetLink
+
+
+class PreparedShape(msgspec.Struct, frozen=True):
+    """What a prepared statement does, whatever a client calls it.
+
+    Parameters
+    ----------
+    writes : bool
+        Whether executing it changes data.
+    shape : str
+        The shape that the client gave.
+    """
+
+    writes: bool
+    shape: str
+
+    @property
+    def link_name(self) -> str:
+        """Name on links: the same for all clients that prepare this shape."""
+        kind = "w" if self.writes else "r"
+        return f"f{kind}{xxhash.xxh64_hexdigest(self.shape.encode())}"
+
+
+class SessionContext:
+    """Values and prepared statements of one client session."""
+
+    __slots__ = ("prepared", "values")
+
+    def __init__(self) -> None:
+        self.values: dict[str, str] = {}
+        self.prepared: dict[str, PreparedShape] = {}
+
+
+class PooledLink:
+    """A link with the session state that it holds now."""
+
+    __slots__ = ("busy_since_ms", "idle_since_ms", "link", "prepared", "values")
+
+    def __init__(self, link: TargetLink, now_ms: float) -> None:
+        self.link = link
+        self.values: dict[str, str] = {}
+        self.prepared: set[str] = set()
+        self.idle_since_ms = now_ms
+        self.busy_since_ms = now_ms
+
+    def matches(self, context: SessionContext) -> bool:
+        """Tell whether no value has to be replayed.
+
+        Parameters
+        ----------
+        context : SessionContext
+            The session.
+
+        Returns
+        -------
+        bool
+            Whether the values are the same.
+        """
+        return self.values == context.values
+
+    def replay(
+        self, context: SessionContext, needed: PreparedShape | None
+    ) -> list[Command]:
+        """Return the commands that bring the link to a session's state.
+
+        The link is taken to hold that state from now on; a caller whose commands
+        fail must close it.
+
+        Parameters
+        ----------
+        context : SessionContext
+            The session.
+        needed : PreparedShape or None
+            Prepared statement that the next command executes.
+
+        Returns
+        -------
+        list of Command
+            The difference only.
+        """
+        commands = []
+        if self.values.keys() - context.values.keys():
+            commands.append(Command(CommandKind.RESET))
+            self.values = {}
+            self.prepared = set()
+        for name, value in context.values.items():
+            if self.values.get(name) != value:
+                commands.append(Command(CommandKind.SET_VALUE, name=name, value=value))
+                self.values[name] = value
+        if needed is not None and needed.link_name not in self.prepared:
+            commands.append(
+                Command(
+                    CommandKind.PREPARE,
+                    name=needed.link_name,
+                    value=needed.shape,
+                    writes=needed.writes,
+                )
+            )
+            self.prepared.add(needed.link_name)
+        return commands
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/neighbours/__init__.py
@@ -0,0 +1,1 @@
+"""Neighbours: what hosts of a fleet ask each other over HTTP."""
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/neighbours/http.py
@@ -0,0 +1,136 @@
+"""Questions between the hosts of a fleet, as HTTP with JSON."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+from fennelhill_core.clock import MS_PER_S
+from fennelhill_core.sockets import http_client
+from loguru import logger
+from tornado.httpclient import HTTPClientError, HTTPRequest
+from tornado.iostream import StreamClosedError
+from tornado.web import Application, RequestHandler
+
+from fennelhilld.gateway import SessionGateway
+from fennelhilld.promotion.messages import LeaderView
+from fennelhilld.timeline.statements import render_metrics
+
+# The asked host looks at the target itself, which takes up to 400 ms.
+ASK_LIMIT_MS = 700.0
+
+
+class _LeaderHandler(RequestHandler):
+    """``GET /leader``: how this host sees a leader."""
+
+    def initialize(self, gateway: SessionGateway) -> None:
+        self._gateway = gateway
+
+    async def get(self) -> None:
+        group = self._gateway.groups.get(self.get_query_argument("group"))
+        view = LeaderView()
+        if group is not None:
+            target = self.get_query_argument("target")
+            view = await self._gateway.replacement.view_of(group, target)
+        self.finish(msgspec.json.encode(view))
+
+
+class _MetricsHandler(RequestHandler):
+    """``GET /metrics``."""
+
+    def initialize(self, gateway: SessionGateway) -> None:
+        self._gateway = gateway
+
+    def get(self) -> None:
+        self.set_header("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+        self.finish(render_metrics(self._gateway))
+
+
+def neighbour_application(gateway: SessionGateway) -> Application:
+    """Return the routes that other hosts and the metrics reader use.
+
+    Parameters
+    ----------
+    gateway : SessionGateway
+        The core of this host.
+
+    Returns
+    -------
+    tornado.web.Application
+        The routes.
+    """
+    mine = {"gateway": gateway}
+    return Application(
+        [("/leader", _LeaderHandler, mine), ("/metrics", _MetricsHandler, mine)],
+        log_function=_no_access_log,
+    )
+
+
+class HttpNeighbours:
+    """Asks the other hosts that the store lists.
+
+    Parameters
+    ----------
+    gateway : SessionGateway
+        Knows their addresses.
+    """
+
+    __slots__ = ("_client", "_gateway")
+
+    def __init__(self, gateway: SessionGateway) -> None:
+        self._gateway = gateway
+        self._client = http_client()
+
+    def names(self) -> list[str]:
+        """Return the names of the other hosts.
+
+        Returns
+        -------
+        list of str
+            In no order.
+        """
+        return list(self._gateway.members)
+
+    async def leader_views(self, group: str, target_id: str) -> list[LeaderView]:
+        """Ask all hosts how they see a leader.
+
+        Parameters
+        ----------
+        group : str
+            The group.
+        target_id : str
+            The leader.
+
+        Returns
+        -------
+        list of LeaderView
+            Of the hosts that answered in time.
+        """
+        addresses = list(self._gateway.members.values())
+        views = await asyncio.gather(
+            *(self._ask(address, group, target_id) for address in addresses)
+        )
+        return [view for view in views if view is not None]
+
+    async def _ask(self, address: str, group: str, target_id: str) -> LeaderView | None:
+        limit_s = ASK_LIMIT_MS / MS_PER_S
+        request = HTTPRequest(
+            f"http://{address}/leader?group={group}&target={target_id}",
+            connect_timeout=limit_s,
+            request_timeout=limit_s,
+        )
+        try:
+            response = await self._client.fetch(request)
+            return msgspec.json.decode(response.body, type=LeaderView)
+        except (
+            OSError,
+            HTTPClientError,
+            StreamClosedError,
+            msgspec.DecodeError,
+        ) as error:
+            logger.bind(address=address, reason=str(error)).info("neighbour.no_answer")
+            return None
+
+
+def _no_access_log(_: object) -> None:
+    """Log nothing for each request: decisions are events, counts are metrics."""
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Placement: which target serves a statement."""
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/promotion/__init__.py
@@ -0,0 +1,1 @@
+"""Promotion: the change of a group's primary."""
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/promotion/choice.py
@@ -0,0 +1,103 @@
+"""Decisions about replacing a leader, on plain data."""
+
+from __future__ import annotations
+
+import msgspec
+import xxhash
+
+from fennelhilld.links.messages import TargetStatus
+from fennelhilld.promotion.messages import LeaderView
+
+# One host acts at once and the others wait their turn, a little over the time of
+# a claim in the store (two answers of 4 to 6 ms) and of its notice.
+TURN_MS = 120.0
+
+
+class Candidate(msgspec.Struct, frozen=True):
+    """A target that could lead.
+
+    Parameters
+    ----------
+    target : str
+        Its id.
+    status : TargetStatus
+        What it says of itself.
+    cold : bool
+        Whether it is still slow after its start.
+    """
+
+    target: str
+    status: TargetStatus
+    cold: bool = False
+
+
+def most_advanced(candidates: list[Candidate]) -> Candidate | None:
+    """Choose the target that has received most of the log.
+
+    Whatever the chosen one lacks is rolled back at the others, so the position
+    goes first; a warm target is preferred among equals.
+
+    Parameters
+    ----------
+    candidates : list of Candidate
+        Targets that answer and do not leave.
+
+    Returns
+    -------
+    Candidate or None
+        Nothing where there is none.
+    """
+    return max(
+        candidates,
+        key=lambda one: (one.status.received, not one.cold, one.target),
+        default=None,
+    )
+
+
+def leader_is_lost(views: list[LeaderView], target_id: str, peers: int) -> bool:
+    """Decide whether a leader that this host can't reach is lost for the fleet.
+
+    Parameters
+    ----------
+    views : list of LeaderView
+        What the hosts that answered say.
+    target_id : str
+        The leader in question.
+    peers : int
+        Hosts that were asked.
+
+    Returns
+    -------
+    bool
+        False where this host alone may be cut off: nobody answered it, or most
+        of those that did still see the leader.
+    """
+    if peers and not views:
+        return False
+    seeing = sum(view.sees and view.leader == target_id for view in views)
+    return 2 * seeing < len(views) + 1
+
+
+def turn_delay_ms(host: str, hosts: list[str], group: str) -> float:
+    """Return how long a host waits before it acts for a group.
+
+    Parameters
+    ----------
+    host : str
+        This host.
+    hosts : list of str
+        The other hosts.
+    group : str
+        The group; different groups have different first hosts.
+
+    Returns
+    -------
+    float
+        Milliseconds.
+    """
+
+    def rank(name: str) -> int:
+        return xxhash.xxh64_intdigest(f"{group}/{name}".encode())
+
+    order = sorted({*hosts, host}, key=rank)
+    return order.index(host) * TURN_MS
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
@@ -0,0 +1,476 @@
+"""Replacing the leader of a group that is lost or about to leave."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+
+from fennelhill_core.clock import Clock, timeout_ms
+from fennelhill_core.events import EventLog
+from fennelhill_core.platform import StoreFault, StoreUnavailableError
+
+from fennelhilld.directory.state import TargetDirectory
+from fennelhilld.links.messages import (
+    LinkDriver,
+    LinkLostError,
+    LinkRefusedError,
+    TargetLink,
+    TargetStatus,
+)
+from fennelhilld.placement.state import GroupState, TargetState
+from fennelhilld.promotion.choice import (
+    Candidate,
+    leader_is_lost,
+    most_advanced,
+    turn_delay_ms,
+)
+from fennelhilld.promotion.messages import (
+    Claim,
+    ClaimPhase,
+    ClaimRow,
+    ClaimStore,
+    LeaderView,
+    Peers,
+    PromotionOrders,
+    PromotionResult,
+)
+
+# A target that lives answers within its queue (about 100 ms) and a set-up.
+STATUS_LIMIT_MS = 400.0
+# A holder that has not finished by then is taken to be lost: the call takes about
+# a second, and a call without an answer is repeated.
+CLAIM_TAKEOVER_MS = 3_000.0
+# The promoted target leads some hundred milliseconds after the call.
+TAKE_LEAD_LIMIT_MS = 3_000.0
+TAKE_LEAD_POLL_MS = 60.0
+# Writes are held at most this long around a planned change.
+HOLD_MS = 2_500.0
+# A replica receives the last commits within a round trip; waiting longer means
+# that it is cut off, and then another one is chosen.
+CATCH_UP_LIMIT_MS = 1_000.0
+CATCH_UP_POLL_MS = 15.0
+# The notice of a claim reaches the other hosts through the store's feed.
+NOTICE_MS = 40.0
+# A call without an answer is repeated with the same token, which is harmless.
+MAX_CALLS = 3
+CALL_PAUSE_MS = 150.0
+
+
+class ClaimBook:
+    """The newest claim on each group, and when this host first saw it."""
+
+    __slots__ = ("_rows",)
+
+    def __init__(self) -> None:
+        self._rows: dict[str, tuple[ClaimRow, float]] = {}
+
+    def put(self, group: str, row: ClaimRow, now_ms: float) -> bool:
+        """Take a row if it is newer.
+
+        Parameters
+        ----------
+        group : str
+            The group.
+        row : ClaimRow
+            The row.
+        now_ms : float
+            Time on this host's clock.
+
+        Returns
+        -------
+        bool
+            Whether it was newer.
+        """
+        known = self._rows.get(group)
+        if known is not None and row.version <= known[0].version:
+            return False
+        self._rows[group] = (row, now_ms)
+        return True
+
+    def get(self, group: str) -> ClaimRow:
+        """Return the newest claim on a group.
+
+        Parameters
+        ----------
+        group : str
+            The group.
+
+        Returns
+        -------
+        ClaimRow
+            Version 0 where none is known.
+        """
+        return self._rows.get(group, (ClaimRow(), 0.0))[0]
+
+    def held_by_other(self, group: str, host: str, now_ms: float) -> bool:
+        """Tell whether another host is at work on a group.
+
+        Parameters
+        ----------
+        group : str
+            The group.
+        host : str
+            This host.
+        now_ms : float
+            Time on this host's clock.
+
+        Returns
+        -------
+        bool
+            False once its time is over.
+        """
+        row, seen_ms = self._rows.get(group, (ClaimRow(), 0.0))
+        claim = row.claim
+        if claim is None or claim.phase is ClaimPhase.DONE or claim.holder == host:
+            return False
+        return now_ms - seen_ms < CLAIM_TAKEOVER_MS
+
+
+class LeaderReplacement:
+    """Looks into a group whose leader fails or leaves, and replaces it if need be.
+
+    One host at a time acts: the version of its claim in the store is the fencing
+    token of its orders, and an order that was refused is never repeated with the
+    same token.
+
+    Parameters
+    ----------
+    host : str
+        This host.
+    directory : TargetDirectory
+        Targets that the platform lists.
+    driver : LinkDriver
+        Asks targets for their status.
+    clock : Clock
+        Source of time.
+    events : EventLog
+        Takes the decisions.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        directory: TargetDirectory,
+        driver: LinkDriver,
+        clock: Clock,
+        events: EventLog,
+    ) -> None:
+        self.host = host
+        self.claims = ClaimBook()
+        self.store: ClaimStore | None = None
+        self.orders: PromotionOrders | None = None
+        self.peers: Peers | None = None
+        self._directory = directory
+        self._driver = driver
+        self._clock = clock
+        self._events = events
+        self._probes: dict[str, TargetLink] = {}
+
+    async def assess(self, group: GroupState) -> None:
+        """Find out who leads a group, and replace the leader if it is lost.
+
+        Parameters
+        ----------
+        group : GroupState
+            A group without a leader, or whose leader fails or leaves.
+        """
+        leader = group.leader()
+        started_ms = self._clock.now_ms()
+        if leader is not None and not leader.entry.leaving:
+            status = await self.status(leader)
+            if status is not None and status.leads:
+                leadership = group.leadership
+                leadership.proven(leader.entry.id, status.term, started_ms)
+                leadership.failing_since_ms = None
+                self._record("leadership.confirmed", group, target=leader.entry.id)
+                return
+        statuses = await self._statuses(group, leader)
+        if self._adopt(group, statuses, leader, started_ms):
+            return
+        await self._replace(group, leader, statuses)
+
+    async def status(self, target: TargetState) -> TargetStatus | None:
+        """Ask a target for its status, on a link that is kept for more questions.
+
+        Parameters
+        ----------
+        target : TargetState
+            The target.
+
+        Returns
+        -------
+        TargetStatus or None
+            Nothing where it does not answer in time.
+        """
+        entry = target.entry
+        link = self._probes.pop(entry.id, None)
+        try:
+            async with timeout_ms(STATUS_LIMIT_MS):
+                if link is None or link.closed:
+                    link = await self._driver.open(
+                        entry.group, entry.id, entry.address, STATUS_LIMIT_MS
+                    )
+                status = await self._driver.status(link)
+        except (LinkLostError, LinkRefusedError, TimeoutError) as error:
+            if link is not None:
+                link.close()
+            self._events.record(
+                "target.no_status",
+                group=entry.group,
+                target=entry.id,
+                reason=str(error) or "no answer in time",
+            )
+            return None
+        self._keep_probe(entry.id, link)
+        return status
+
+    def close_probes(self) -> None:
+        """Close the links that were kept for further questions."""
+        for link in self._probes.values():
+            link.close()
+        self._probes.clear()
+
+    def _keep_probe(self, target_id: str, link: TargetLink) -> None:
+        other = self._probes.pop(target_id, None)
+        if other is not None:
+            other.close()
+        self._probes[target_id] = link
+
+    async def view_of(self, group: GroupState, target_id: str) -> LeaderView:
+        """Tell another host how this one sees a leader.
+
+        Parameters
+        ----------
+        group : GroupState
+            The group.
+        target_id : str
+            The leader that the other host can't reach.
+
+        Returns
+        -------
+        LeaderView
+            With a fresh look at the target.
+        """
+        target = group.targets.get(target_id)
+        status = await self.status(target) if target is not None else None
+        leadership = group.leadership
+        sees = status is not None and status.leads
+        return LeaderView(leadership.leader_id or "", leadership.term, sees)
+
+    async def _statuses(
+        self, group: GroupState, leader: TargetState | None
+    ) -> list[Candidate]:
+        targets = [one for one in group.targets.values() if one is not leader]
+        answers = await asyncio.gather(*(self.status(one) for one in targets))
+        return [
+            Candidate(target.entry.id, status, target.entry.cold_ms > 0)
+            for target, status in zip(targets, answers, strict=True)
+            if status is not None
+        ]
+
+    def _adopt(
+        self,
+        group: GroupState,
+        statuses: list[Candidate],
+        leader: TargetState | None,
+        asked_ms: float,
+    ) -> bool:
+        leading = [one for one in statuses if one.status.leads]
+        newest = max(leading, key=lambda one: one.status.term, default=None)
+        if newest is None or newest.status.term < group.leadership.term:
+            return False
+        if leader is not None and newest.status.term == group.leadership.term:
+            return False
+        group.leadership.proven(newest.target, newest.status.term, asked_ms)
+        return True
+
+    async def _replace(
+        self, group: GroupState, leader: TargetState | None, statuses: list[Candidate]
+    ) -> None:
+        name = group.name
+        planned = leader is not None and leader.entry.leaving
+        usable = [
+            one
+            for one in statuses
+            if not group.targets[one.target].entry.leaving
+            and not self._directory.is_removed(one.target)
+        ]
+        if not usable or self.store is None or self.orders is None:
+            self._record("promotion.impossible", group, reason="no usable replica")
+            return
+        if self.claims.held_by_other(name, self.host, self._clock.now_ms()):
+            return
+        if not planned and not await self._lost_for_the_fleet(group, leader):
+            return
+        names = self.peers.names() if self.peers else []
+        await self._clock.sleep_ms(turn_delay_ms(self.host, names, name))
+        now_ms = self._clock.now_ms()
+        changed = group.leader() is not leader
+        if changed or self.claims.held_by_other(name, self.host, now_ms):
+            return
+        chosen = most_advanced(usable)
+        if chosen is None:
+            return
+        await self._claim_and_order(group, leader, chosen, usable, planned)
+
+    async def _lost_for_the_fleet(
+        self, group: GroupState, leader: TargetState | None
+    ) -> bool:
+        if leader is None or self.peers is None:
+            return True
+        target_id = leader.entry.id
+        if self._directory.is_removed(target_id):
+            return True
+        views = await self.peers.leader_views(group.name, target_id)
+        newer = [view for view in views if view.term > group.leadership.term]
+        if newer:
+            newest = max(newer, key=lambda view: view.term)
+            group.leadership.reported(newest.leader, self._clock.now_ms())
+            return False
+        lost = leader_is_lost(views, target_id, len(self.peers.names()))
+        self._record(
+            "promotion.weighed",
+            group,
+            target=target_id,
+            asked=len(self.peers.names()),
+            answered=len(views),
+            seeing=sum(view.sees for view in views),
+            lost=lost,
+        )
+        return lost
+
+    async def _claim_and_order(
+        self,
+        group: GroupState,
+        leader: TargetState | None,
+        chosen: Candidate,
+        usable: list[Candidate],
+        planned: bool,
+    ) -> None:
+        claim = Claim(
+            self.host, secrets.token_hex(8), chosen.target, ClaimPhase.CLAIMED, planned
+        )
+        token = await self._claim(group.name, claim)
+        if token is None:
+            return
+        self._record("promotion.claimed", group, target=chosen.target, token=token)
+        if planned and leader is not None:
+            chosen = await self._catch_up(group, leader, usable) or chosen
+        started_ms = self._clock.now_ms()
+        result = await self._order(group, chosen.target, token)
+        self._record(
+            "promotion.ordered",
+            group,
+            target=chosen.target,
+            token=token,
+            result=result.value,
+        )
+        if result is not PromotionResult.ACCEPTED:
+            group.leadership.hold_writes(0.0)
+            return
+        led = await self._wait_for_lead(group, chosen.target)
+        self._record(
+            "promotion.finished",
+            group,
+            target=chosen.target,
+            token=token,
+            leads=led,
+            took_ms=round(self._clock.now_ms() - started_ms),
+        )
+        claim.phase = ClaimPhase.DONE
+        claim.target = chosen.target
+        try:
+            version = await self.store.swap_claim(group.name, token, claim)
+        except StoreUnavailableError as error:
+            # Others take over after CLAIM_TAKEOVER_MS and find the new leader.
+            self._record("promotion.unannounced", group, reason=str(error))
+            return
+        if version is not None:
+            row = ClaimRow(version, claim)
+            self.claims.put(group.name, row, self._clock.now_ms())
+
+    async def _claim(self, group: str, claim: Claim) -> int | None:
+        expected = self.claims.get(group).version
+        try:
+            version = await self.store.swap_claim(group, expected, claim)
+            if version is None:
+                row = await self.store.read_claim(group)
+                self.claims.put(group, row, self._clock.now_ms())
+                return None
+        except StoreUnavailableError as error:
+            self._events.record(
+                "promotion.store_unavailable", group=group, reason=str(error)
+            )
+            if error.fault is not StoreFault.NO_ANSWER:
+                return None
+            version = await self._recognise(group, claim)
+        if version is not None:
+            row = ClaimRow(version, claim)
+            self.claims.put(group, row, self._clock.now_ms())
+        return version
+
+    async def _recognise(self, group: str, claim: Claim) -> int | None:
+        """Find out whether a claim without an answer was written."""
+        try:
+            row = await self.store.read_claim(group)
+        except StoreUnavailableError:
+            return None
+        self.claims.put(group, row, self._clock.now_ms())
+        if row.claim is not None and row.claim.nonce == claim.nonce:
+            return row.version
+        return None
+
+    async def _order(
+        self, group: GroupState, target_id: str, token: int
+    ) -> PromotionResult:
+        result = PromotionResult.UNAVAILABLE
+        for attempt in range(MAX_CALLS):
+            if attempt:
+                await self._clock.sleep_ms(CALL_PAUSE_MS)
+            if self.claims.get(group.name).version != token:
+                break  # Another host has taken over.
+            result = await self.orders.promote(group.name, target_id, self.host, token)
+            if result in (PromotionResult.ACCEPTED, PromotionResult.REFUSED):
+                break
+        return result
+
+    async def _catch_up(
+        self, group: GroupState, leader: TargetState, usable: list[Candidate]
+    ) -> Candidate | None:
+        """Wait until a replica holds all that the leader has acknowledged."""
+        group.leadership.hold_writes(self._clock.now_ms() + HOLD_MS)
+        await self._clock.sleep_ms(NOTICE_MS)
+        give_up_ms = self._clock.now_ms() + CATCH_UP_LIMIT_MS
+        best = None
+        while self._clock.now_ms() < give_up_ms:
+            last = await self.status(leader)
+            if last is None:
+                return best
+            statuses = await self._statuses(group, leader)
+            names = {one.target for one in usable}
+            best = most_advanced([one for one in statuses if one.target in names])
+            if best is not None and best.status.received >= last.received:
+                return best
+            await self._clock.sleep_ms(CATCH_UP_POLL_MS)
+        return best
+
+    async def _wait_for_lead(self, group: GroupState, target_id: str) -> bool:
+        give_up_ms = self._clock.now_ms() + TAKE_LEAD_LIMIT_MS
+        while self._clock.now_ms() < give_up_ms:
+            if group.leadership.leader_id == target_id:
+                return True
+            target = group.targets.get(target_id)
+            if target is None:
+                return False
+            asked_ms = self._clock.now_ms()
+            status = await self.status(target)
+            if status is not None and status.leads:
+                group.leadership.proven(target_id, status.term, asked_ms)
+                return True
+            await self._clock.sleep_ms(TAKE_LEAD_POLL_MS)
+        return False
+
+    def _record(self, kind: str, group: GroupState, **detail: object) -> None:
+        self._events.record(
+            kind, group=group.name, term=group.leadership.term, **detail
+        )
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/statements/__init__.py
@@ -0,0 +1,1 @@
+"""Statements: client sessions and the statements that they run."""
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/statements/counters.py
@@ -0,0 +1,78 @@
+"""Counts and latencies of statements."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections import Counter
+
+LATENCY_BOUNDS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000)
+
+
+class LatencyHistogram:
+    """Counts times by bucket; cheap enough for each statement."""
+
+    __slots__ = ("counts",)
+
+    def __init__(self) -> None:
+        self.counts = [0] * (len(LATENCY_BOUNDS_MS) + 1)
+
+    def observe(self, took_ms: float) -> None:
+        """Count a time.
+
+        Parameters
+        ----------
+        took_ms : float
+            Milliseconds.
+        """
+        self.counts[bisect_left(LATENCY_BOUNDS_MS, took_ms)] += 1
+
+    def cumulative(self) -> list[tuple[str, int]]:
+        """Return how many times lie at or below each bound.
+
+        Returns
+        -------
+        list of tuple
+            Bound in milliseconds as text, the last ``+Inf``, and the count.
+        """
+        bounds = [*map(str, LATENCY_BOUNDS_MS), "+Inf"]
+        total = 0
+        rows = []
+        for bound, count in zip(bounds, self.counts, strict=True):
+            total += count
+            rows.append((bound, total))
+        return rows
+
+
+class StatementCounters:
+    """Plain counters that the metrics page reads."""
+
+    __slots__ = (
+        "failures",
+        "latency",
+        "leader_reads",
+        "replica_reads",
+        "replica_refusals",
+        "retried",
+        "served",
+        "writes",
+    )
+
+    def __init__(self) -> None:
+        self.failures: Counter[int] = Counter()
+        self.latency = LatencyHistogram()
+        self.retried = 0
+        self.served = 0
+        self.replica_reads = 0
+        self.leader_reads = 0
+        self.replica_refusals = 0
+        self.writes = 0
+
+    def failed(self, number: int) -> None:
+        """Count a failure.
+
+        Parameters
+        ----------
+        number : int
+            Number of its result code.
+        """
+        self.failures[number] += 1
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/statements/environment.py
@@ -0,0 +1,270 @@
+"""What the sessions of one daemon share."""
+
+from __future__ import annotations
+
+from fennelhill_core.clock import Clock
+from fennelhill_core.codes import CODES, Code
+from fennelhill_core.events import EventLog
+
+from fennelhilld.catalog.state import CatalogHolder, Database, ReadKind
+from fennelhilld.freshness.floors import ReadFloor
+from fennelhilld.links.lease import Exchange, Lease
+from fennelhilld.links.messages import LinkRefusedError, TargetAnswer, TargetFault
+from fennelhilld.links.pool import NoLinkError
+from fennelhilld.links.state import SessionContext
+from fennelhilld.placement.state import GroupState, TargetState
+from fennelhilld.statements.counters import StatementCounters
+from fennelhilld.statements.messages import Reply, Statement, TransactionState
+
+# Own limits end a little before the client's, so that the client gets the answer.
+ANSWER_MARGIN_MS = 20.0
+# A link should come free within a few statements; a longer wait elsewhere is better.
+READ_LINK_WAIT_MS = 150.0
+
+
+class Environment:
+    """Groups, catalog, time and log, as the sessions of a daemon see them.
+
+    Parameters
+    ----------
+    zone : str
+        Availability zone of this host.
+    catalog : CatalogHolder
+        Configuration in force.
+    groups : dict
+        `GroupState` by name.
+    clock : Clock
+        Source of time.
+    events : EventLog
+        Takes the decisions.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        catalog: CatalogHolder,
+        groups: dict[str, GroupState],
+        clock: Clock,
+        events: EventLog,
+    ) -> None:
+        self.zone = zone
+        self.catalog = catalog
+        self.groups = groups
+        self.clock = clock
+        self.events = events
+        self.counters = StatementCounters()
+        self.leaving = False
+
+    def group(self, name: str) -> GroupState:
+        """Return a group's state, made when it is first asked for.
+
+        Parameters
+        ----------
+        name : str
+            Name of the group.
+
+        Returns
+        -------
+        GroupState
+            The state.
+        """
+        state = self.groups.get(name)
+        if state is None:
+
+            def notified(kind: str, **detail: object) -> None:
+                self.events.record(kind, group=name, **detail)
+
+            state = self.groups[name] = GroupState(name, notified)
+        return state
+
+    async def borrow(
+        self,
+        target: TargetState,
+        context: SessionContext,
+        priority: int,
+        limit_ms: float,
+    ) -> Lease | None:
+        """Borrow a link to a target.
+
+        Parameters
+        ----------
+        target : TargetState
+            The target.
+        context : SessionContext
+            The session.
+        priority : int
+            Lower is served first.
+        limit_ms : float
+            Longest wait in milliseconds.
+
+        Returns
+        -------
+        Lease or None
+            Nothing where no link came free in time or the target refused.
+        """
+        try:
+            link = await target.pool.acquire(context, priority, limit_ms)
+        except NoLinkError:
+            target.avoid(self.clock.now_ms())
+            return None
+        except LinkRefusedError as error:
+            self.target_failed(target, str(error))
+            return None
+        return Lease(target.pool, link, self.clock)
+
+    def read_floor(
+        self, group: GroupState, database: Database, own: object
+    ) -> ReadFloor | None:
+        """Return what a replica must hold for a read that begins now.
+
+        Parameters
+        ----------
+        group : GroupState
+            The group.
+        database : Database
+            Says how current reads must be.
+        own : Position or None
+            The session's own last commit in the group.
+
+        Returns
+        -------
+        ReadFloor or None
+            Nothing where only the leader will do.
+        """
+        if database.reads is ReadKind.CURRENT:
+            return None
+        return group.freshness.floor(
+            self.clock.elapsed_ms(),
+            database.max_age_ms,
+            own if database.reads is ReadKind.OWN_WRITES else None,
+        )
+
+    def leader_answered(
+        self,
+        group: GroupState,
+        target: TargetState,
+        exchange: Exchange,
+        answer: TargetAnswer,
+    ) -> None:
+        """Learn from an answer that only a leader gives.
+
+        Parameters
+        ----------
+        group : GroupState
+            The group.
+        target : TargetState
+            Who answered.
+        exchange : Exchange
+            When its command was sent.
+        answer : TargetAnswer
+            The answer.
+        """
+        if answer.position is None:
+            return
+        group.freshness.add(exchange.sent_ms, answer.position)
+        group.leadership.proven(
+            target.entry.id,
+            answer.position.term,
+            self.clock.now_ms() - exchange.took_ms,
+        )
+
+    def target_failed(self, target: TargetState, reason: str) -> None:
+        """Note that a target refused a connection or lost a link.
+
+        Parameters
+        ----------
+        target : TargetState
+            The target.
+        reason : str
+            What happened, for people.
+        """
+        now_ms = self.clock.now_ms()
+        target.avoid(now_ms)
+        group = self.group(target.entry.group)
+        if group.leadership.failed(target.entry.id, now_ms):
+            self.events.record(
+                "leadership.suspected",
+                group=target.entry.group,
+                term=group.leadership.term,
+                target=target.entry.id,
+                reason=reason,
+                last_proven_ms_ago=round(now_ms - group.leadership.proven_ms),
+            )
+
+    def refused(
+        self,
+        statement: Statement,
+        code: Code,
+        detail: str = "",
+        state: TransactionState = TransactionState.IDLE,
+        **inputs: object,
+    ) -> Reply:
+        """Build the reply to a statement that is given up, and log why.
+
+        Parameters
+        ----------
+        statement : Statement
+            The statement.
+        code : Code
+            What is promised.
+        detail : str
+            What happened, for people.
+        state : TransactionState
+            State of the session afterwards.
+        **inputs : object
+            What decided.
+
+        Returns
+        -------
+        Reply
+            The failure.
+        """
+        self.counters.failed(code.number)
+        self.events.record(
+            "request.refused",
+            request=statement.request_id,
+            code=code.number,
+            name=code.name,
+            reason=detail,
+            catalog_version=self.catalog.version,
+            **inputs,
+        )
+        return Reply(code=CODES[code.number], detail=detail, state=state)
+
+    def retried(self, statement: Statement, target: TargetState, reason: str) -> None:
+        """Log that a statement which left no trace is sent again.
+
+        Parameters
+        ----------
+        statement : Statement
+            The statement.
+        target : TargetState
+            Where it failed.
+        reason : str
+            Why.
+        """
+        self.counters.retried += 1
+        self.events.record(
+            "request.retried",
+            group=target.entry.group,
+            request=statement.request_id,
+            target=target.entry.id,
+            reason=reason,
+        )
+
+
+def fault_reason(answer: TargetAnswer) -> str:
+    """Describe a target's refusal.
+
+    Parameters
+    ----------
+    answer : TargetAnswer
+        The answer.
+
+    Returns
+    -------
+    str
+        For the log.
+    """
+    fault = answer.fault or TargetFault.OTHER
+    return f"{fault.value} {answer.detail}".strip()
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/statements/session.py
@@ -0,0 +1,211 @@
+"""A client's session: its state, and what becomes of each of its statements."""
+
+from __future__ import annotations
+
+from fennelhill_core import codes
+
+from fennelhilld.catalog.state import Database
+from fennelhilld.links.state import PreparedShape, SessionContext
+from fennelhilld.statements.environment import Environment
+from fennelhilld.statements.execution import SessionPositions, StatementRunner
+from fennelhilld.statements.messages import (
+    Reply,
+    Statement,
+    StatementKind,
+    TransactionState,
+)
+from fennelhilld.statements.transaction import Transaction
+
+
+class Session:
+    """One client session on one database.
+
+    Session values and prepared names live here, not on a target: each link is
+    brought to the session's state before it runs a statement.  The session knows
+    nothing of how clients or targets speak.
+
+    Parameters
+    ----------
+    env : Environment
+        What sessions share.
+    database_name : str
+        The database that the client named.
+    """
+
+    __slots__ = (
+        "_context",
+        "_env",
+        "_runner",
+        "_transaction",
+        "database_name",
+    )
+
+    def __init__(self, env: Environment, database_name: str) -> None:
+        self.database_name = database_name
+        self._env = env
+        self._context = SessionContext()
+        self._runner = StatementRunner(env, self._context, SessionPositions())
+        self._transaction: Transaction | None = None
+
+    @property
+    def in_transaction(self) -> bool:
+        """Whether the client has a transaction open."""
+        return self._transaction is not None
+
+    @property
+    def state(self) -> TransactionState:
+        """State as the client sees it."""
+        if self._transaction is None:
+            return TransactionState.IDLE
+        return self._transaction.state
+
+    @property
+    def idle_limit_ms(self) -> float:
+        """How long an open transaction may rest, in milliseconds."""
+        catalog = self._env.catalog.current
+        return catalog.transaction_idle_ms if catalog else 0.0
+
+    async def execute(self, statement: Statement) -> Reply:
+        """Run a statement.
+
+        Parameters
+        ----------
+        statement : Statement
+            What the client asks for.
+
+        Returns
+        -------
+        Reply
+            The whole answer, or a failure and its promise.
+        """
+        started_ms = self._env.clock.now_ms()
+        reply = await self._execute(statement)
+        self._env.counters.latency.observe(self._env.clock.now_ms() - started_ms)
+        return reply
+
+    async def _execute(self, statement: Statement) -> Reply:
+        if self._transaction is not None:
+            return await self._in_transaction(self._transaction, statement)
+        kind = statement.kind
+        if kind in _LOCAL:
+            return self._local(statement)
+        if kind in (StatementKind.COMMIT, StatementKind.ROLLBACK):
+            return self._env.refused(
+                statement, codes.MALFORMED_STATEMENT, "no transaction is open"
+            )
+        database = self._env.catalog.database(self.database_name)
+        if database is None:
+            return self._env.refused(
+                statement, codes.UNKNOWN_GROUP, "the database was removed"
+            )
+        if kind in (StatementKind.BEGIN, StatementKind.BEGIN_READ_ONLY):
+            read_only = kind is StatementKind.BEGIN_READ_ONLY
+            self._transaction = Transaction(self._runner, database, read_only)
+            return Reply(state=TransactionState.OPEN)
+        return await self._single(database, statement)
+
+    def abort(self, reason: str) -> None:
+        """Roll an open transaction back; the client hears of it next.
+
+        Parameters
+        ----------
+        reason : str
+            Why, for people.
+        """
+        if self._transaction is not None and not self._transaction.failed:
+            self._transaction.abort(reason)
+
+    async def close(self) -> None:
+        """End the session; an open transaction is rolled back."""
+        if self._transaction is not None:
+            transaction, self._transaction = self._transaction, None
+            await transaction.rollback()
+
+    async def _single(self, database: Database, statement: Statement) -> Reply:
+        shape = self._shape(statement)
+        if statement.kind is StatementKind.EXECUTE and shape is None:
+            return self._env.refused(
+                statement, codes.UNKNOWN_PREPARED, "nothing is prepared by this name"
+            )
+        writes = shape.writes if shape else statement.writes
+        if writes:
+            return await self._runner.write(database, statement, shape)
+        return await self._runner.read(database, statement, shape)
+
+    async def _in_transaction(
+        self, transaction: Transaction, statement: Statement
+    ) -> Reply:
+        kind = statement.kind
+        if kind is StatementKind.ROLLBACK:
+            self._transaction = None
+            await transaction.rollback()
+            return Reply()
+        if transaction.failed:
+            return self._after_failure(transaction, statement)
+        if kind is StatementKind.COMMIT:
+            self._transaction = None
+            return await transaction.commit(statement)
+        if kind in _LOCAL:
+            reply = self._local(statement)
+            reply.state = transaction.state
+            return reply
+        if kind in (StatementKind.BEGIN, StatementKind.BEGIN_READ_ONLY):
+            return self._env.refused(
+                statement,
+                codes.MALFORMED_STATEMENT,
+                "a transaction is open already",
+                transaction.state,
+            )
+        shape = self._shape(statement)
+        if kind is StatementKind.EXECUTE and shape is None:
+            return self._env.refused(
+                statement,
+                codes.UNKNOWN_PREPARED,
+                "nothing is prepared by this name",
+                transaction.state,
+            )
+        reply = await transaction.run(statement, shape)
+        if transaction.failed:
+            reply.state = TransactionState.FAILED
+        return reply
+
+    def _after_failure(self, transaction: Transaction, statement: Statement) -> Reply:
+        if statement.kind is StatementKind.COMMIT:
+            self._transaction = None
+            return self._env.refused(
+                statement,
+                codes.TRANSACTION_ABORTED,
+                transaction.aborted or "the transaction had failed and was rolled back",
+            )
+        if transaction.aborted:
+            reason, transaction.aborted = transaction.aborted, ""
+            return self._env.refused(
+                statement, codes.TRANSACTION_ABORTED, reason, transaction.state
+            )
+        return self._env.refused(
+            statement,
+            codes.MALFORMED_STATEMENT,
+            "the transaction has failed; roll it back",
+            transaction.state,
+        )
+
+    def _shape(self, statement: Statement) -> PreparedShape | None:
+        if statement.kind is not StatementKind.EXECUTE:
+            return None
+        return self._context.prepared.get(statement.name)
+
+    def _local(self, statement: Statement) -> Reply:
+        context = self._context
+        if statement.kind is StatementKind.SET_VALUE:
+            context.values[statement.name] = statement.value
+        elif statement.kind is StatementKind.PREPARE:
+            shape = PreparedShape(statement.writes, statement.shape)
+            context.prepared[statement.name] = shape
+        else:
+            context.prepared.pop(statement.name, None)
+        return Reply()
+
+
+_LOCAL = frozenset(
+    {StatementKind.SET_VALUE, StatementKind.PREPARE, StatementKind.DEALLOCATE}
+)
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/statements/transaction.py
@@ -0,0 +1,338 @@
+"""A client's transaction, pinned to one link from its first statement on."""
+
+from __future__ import annotations
+
+from fennelhill_core import codes
+from fennelhill_core.codes import Code
+
+from fennelhilld.catalog.state import Database, ReadKind
+from fennelhilld.freshness.floors import ReadFloor
+from fennelhilld.links.lease import Exchange, Lease
+from fennelhilld.links.messages import (
+    Command,
+    CommandKind,
+    LinkLostError,
+    TargetAnswer,
+    TargetFault,
+)
+from fennelhilld.links.state import PreparedShape
+from fennelhilld.placement.state import TargetState
+from fennelhilld.statements.environment import (
+    ANSWER_MARGIN_MS,
+    READ_LINK_WAIT_MS,
+    fault_reason,
+)
+from fennelhilld.statements.execution import (
+    BUSY_PAUSE_MS,
+    FAULT_CODES,
+    LEADER_WAIT_MS,
+    StatementRunner,
+)
+from fennelhilld.statements.messages import (
+    Reply,
+    Statement,
+    StatementKind,
+    TransactionState,
+)
+
+# Rolling back takes one exchange; a target that needs longer loses the link.
+ROLLBACK_LIMIT_MS = 500.0
+# Statements of an open transaction hold a link and a place, so they go first.
+FINISHING_PRIORITY = -1
+
+
+class Transaction:
+    """One transaction.  It reaches a target with its first statement.
+
+    A commit is sent at most once.  Before that, whatever goes wrong rolls back, so
+    that "aborted" is always true; after that, only the target's word counts.
+
+    Parameters
+    ----------
+    runner : StatementRunner
+        The session's.
+    database : Database
+        As it was configured when the transaction began.
+    read_only : bool
+        Whether the client asked for a read-only transaction.
+    """
+
+    __slots__ = (
+        "_floor",
+        "_lease",
+        "_target",
+        "aborted",
+        "database",
+        "failed",
+        "fenced",
+        "read_only",
+        "runner",
+        "wrote",
+    )
+
+    def __init__(
+        self, runner: StatementRunner, database: Database, read_only: bool
+    ) -> None:
+        self.runner = runner
+        self.database = database
+        self.read_only = read_only
+        # A replaced primary still answers read-only transactions, so reads that
+        # must be current use a read-write one, which it refuses.
+        self.fenced = not read_only or database.reads is ReadKind.CURRENT
+        self.wrote = False
+        self.failed = False
+        self.aborted = ""
+        self._lease: Lease | None = None
+        self._target: TargetState | None = None
+        self._floor: ReadFloor | None = None
+
+    @property
+    def state(self) -> TransactionState:
+        """State as the client sees it."""
+        return TransactionState.FAILED if self.failed else TransactionState.OPEN
+
+    @property
+    def pinned(self) -> bool:
+        """Whether it holds a link."""
+        return self._lease is not None
+
+    async def run(self, statement: Statement, shape: PreparedShape | None) -> Reply:
+        """Run a read or write.
+
+        Parameters
+        ----------
+        statement : Statement
+            The statement.
+        shape : PreparedShape or None
+            The prepared statement that it executes.
+
+        Returns
+        -------
+        Reply
+            The answer.
+        """
+        command = Command(
+            CommandKind.STATEMENT,
+            statement,
+            name=shape.link_name if shape else "",
+        )
+        reply = await self._run(command, statement, shape)
+        if reply.code is None and (statement.writes or (shape and shape.writes)):
+            self.wrote = True
+        return reply
+
+    async def commit(self, statement: Statement) -> Reply:
+        """Commit.
+
+        Parameters
+        ----------
+        statement : Statement
+            The client's commit.
+
+        Returns
+        -------
+        Reply
+            The answer; the transaction has ended whatever it says.
+        """
+        reply = await self._run(Command(CommandKind.COMMIT, statement), statement, None)
+        reply.state = TransactionState.IDLE
+        if reply.code is None and self.wrote:
+            self.runner.positions.committed(self.database.group, reply.position)
+        if reply.code is not None and reply.code.outcome is codes.Outcome.UNKNOWN:
+            self.runner.positions.unsure.add(self.database.group)
+        await self.rollback()
+        return reply
+
+    async def rollback(self) -> None:
+        """End the transaction without effect and give the link back."""
+        lease, self._lease = self._lease, None
+        if lease is None:
+            return
+        try:
+            await lease.exchange([Command(CommandKind.ROLLBACK)], ROLLBACK_LIMIT_MS)
+        except LinkLostError:
+            # The target rolls back when the link closes.
+            lease.discard()
+            return
+        lease.release()
+
+    def abort(self, reason: str) -> None:
+        """Close the link at once; the client hears of it with its next statement.
+
+        Parameters
+        ----------
+        reason : str
+            Why, for people.
+        """
+        self.failed = True
+        self.aborted = reason
+        self.drop()
+
+    def drop(self) -> None:
+        """Close the link; the target rolls back."""
+        lease, self._lease = self._lease, None
+        if lease is not None:
+            lease.discard()
+
+    async def _run(
+        self, command: Command, statement: Statement, shape: PreparedShape | None
+    ) -> Reply:
+        env = self.runner.env
+        deadline_ms = (
+            env.clock.now_ms() + self.database.statement_timeout_ms - ANSWER_MARGIN_MS
+        )
+        last = "no target was free"
+        while (left_ms := deadline_ms - env.clock.now_ms()) > 0:
+            if self._lease is None:
+                opened = await self._open(command, statement, shape, deadline_ms)
+                if opened is None:
+                    continue
+                answer = opened
+            else:
+                commands = self._lease.link.replay(self.runner.context, shape)
+                try:
+                    exchange = await self._lease.exchange([*commands, command], left_ms)
+                except LinkLostError as error:
+                    return self._lost(statement, error)
+                answer = exchange.answers[-1]
+                self._learn(exchange, answer)
+            if answer.fault is None:
+                self.runner.env.counters.served += 1
+                return Reply(
+                    answer.rows,
+                    answer.signature,
+                    state=answer.state,
+                    position=answer.position,
+                )
+            last = fault_reason(answer)
+            waits = answer.fault is TargetFault.BUSY
+            if not waits or answer.state is not TransactionState.OPEN:
+                return await self._give_up(statement, answer, last)
+            await env.clock.sleep_ms(BUSY_PAUSE_MS)
+        return await self._refuse(statement, codes.OVERLOADED, last)
+
+    async def _open(
+        self,
+        command: Command,
+        statement: Statement,
+        shape: PreparedShape | None,
+        deadline_ms: float,
+    ) -> TargetAnswer | None:
+        """Begin on a target together with the first statement; nothing to retry."""
+        runner, env = self.runner, self.runner.env
+        group = env.group(self.database.group)
+        left_ms = deadline_ms - env.clock.now_ms()
+        tried: set[str] = set()
+        if self.fenced:
+            lease, target = await runner.borrow_leader(group, self.database, left_ms)
+        else:
+            target = runner.choose_reader(group, self.database, tried)
+            if target is None:
+                await group.leadership.wait_change(min(left_ms, LEADER_WAIT_MS))
+                return None
+            lease = await env.borrow(
+                target,
+                runner.context,
+                self.database.priority,
+                min(left_ms, READ_LINK_WAIT_MS),
+            )
+        if lease is None or target is None:
+            return None
+        floor = None if self.fenced else runner.floor(group, self.database)
+        if floor is None and group.leader() is not target:
+            lease.release()
+            return None
+        begin = Command(CommandKind.BEGIN)
+        if floor is not None:
+            begin = Command(CommandKind.BEGIN_READ_ONLY, after=floor.position)
+            if command.kind is CommandKind.STATEMENT:
+                command.after = floor.position
+        commands = [*lease.link.replay(runner.context, shape), begin, command]
+        try:
+            exchange = await lease.exchange(commands, deadline_ms - env.clock.now_ms())
+        except LinkLostError as error:
+            lease.release()
+            env.target_failed(target, str(error))
+            env.retried(statement, target, str(error))
+            return None
+        finally:
+            command.after = None
+        opening, answer = exchange.answers
+        failed = opening if opening.fault is not None else answer
+        if failed.fault is None or (opening.fault is None and not failed.fault.not_run):
+            self._lease, self._target, self._floor = lease, target, floor
+            self._learn(exchange, answer)
+            return answer
+        await self._end_attempt(lease, answer)
+        if failed.fault is TargetFault.BEHIND and floor is not None:
+            env.counters.replica_refusals += 1
+            target.lag.refused(floor.age_ms, env.clock.now_ms())
+            env.retried(statement, target, fault_reason(failed))
+            return None
+        await runner.leader_refused(group, target, lease, statement, failed)
+        return None
+
+    async def _end_attempt(self, lease: Lease, answer: TargetAnswer) -> None:
+        if answer.state is TransactionState.IDLE:
+            lease.release()
+            return
+        try:
+            await lease.exchange([Command(CommandKind.ROLLBACK)], ROLLBACK_LIMIT_MS)
+        except LinkLostError:
+            lease.discard()
+            return
+        lease.release()
+
+    def _learn(self, exchange: Exchange, answer: TargetAnswer) -> None:
+        if self._target is None or answer.fault is not None:
+            return
+        env = self.runner.env
+        self._target.answered(exchange.took_ms)
+        group = env.group(self.database.group)
+        if self._floor is None:
+            env.leader_answered(group, self._target, exchange, answer)
+            env.counters.leader_reads += 1
+        else:
+            env.counters.replica_reads += 1
+
+    def _lost(self, statement: Statement, error: LinkLostError) -> Reply:
+        env = self.runner.env
+        target = self._target
+        if target is not None:
+            env.target_failed(target, str(error))
+        self.drop()
+        self.failed = True
+        code = codes.TRANSACTION_ABORTED
+        if statement.kind is StatementKind.COMMIT and self.wrote:
+            code = codes.CONNECTION_LOST
+        return env.refused(
+            statement,
+            code,
+            str(error),
+            self.state,
+            target=target.entry.id if target else "",
+        )
+
+    async def _give_up(
+        self, statement: Statement, answer: TargetAnswer, last: str
+    ) -> Reply:
+        fault = answer.fault or TargetFault.OTHER
+        if fault is TargetFault.NOT_LEADING and self._target is not None:
+            group = self.runner.env.group(self.database.group)
+            group.leadership.not_leading(self._target.entry.id)
+        if answer.state is TransactionState.OPEN and not fault.not_run:
+            # The statement failed on its own; the client may go on.
+            return self.runner.env.refused(
+                statement, FAULT_CODES[fault], last, TransactionState.OPEN
+            )
+        return await self._refuse(statement, FAULT_CODES[fault], last)
+
+    async def _refuse(self, statement: Statement, code: Code, detail: str) -> Reply:
+        target = self._target.entry.id if self._target else ""
+        if code is codes.OVERLOADED and self.wrote:
+            code = codes.TRANSACTION_ABORTED
+        await self.rollback()
+        self.failed = True
+        return self.runner.env.refused(
+            statement, code, detail, self.state, target=target
+        )
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/timeline/statements.py
@@ -0,0 +1,64 @@
+"""Metrics of the session core, rendered when they are asked for."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from fennelhill_core.codes import CODES
+
+if TYPE_CHECKING:
+    from fennelhilld.gateway import SessionGateway
+
+
+def render_metrics(gateway: SessionGateway) -> bytes:
+    """Render counters and gauges in the Prometheus format.
+
+    The metrics library takes long to load, so it is loaded with the first scrape
+    and not when a daemon starts, which others wait for.
+
+    Parameters
+    ----------
+    gateway : SessionGateway
+        The core of this host.
+
+    Returns
+    -------
+    bytes
+        The text format.
+    """
+    from aioprometheus import Gauge, Registry
+    from aioprometheus.renderer import render
+
+    registry = Registry()
+    labels = {"host": gateway.host, "zone": gateway.zone}
+
+    def gauge(name: str, doc: str) -> Gauge:
+        return Gauge(name, doc, const_labels=labels, registry=registry)
+
+    counters = gateway.env.counters
+    statements = gauge("fennelhill_statements_total", "Statements by how they ended.")
+    for kind in ("served", "replica_reads", "leader_reads", "writes", "retried"):
+        statements.set({"kind": kind}, getattr(counters, kind))
+    statements.set({"kind": "replica_refusals"}, counters.replica_refusals)
+    failures = gauge("fennelhill_failures_total", "Failed statements by result code.")
+    for number, count in counters.failures.items():
+        failures.set({"code": str(number), "name": CODES[number].name}, count)
+    latency = gauge("fennelhill_statement_ms_bucket", "Statements by time to answer.")
+    for bound_ms, count in counters.latency.cumulative():
+        latency.set({"le": bound_ms}, count)
+    links = gauge("fennelhill_links", "Links to targets by state.")
+    opened = gauge("fennelhill_links_total", "Links to targets by what became of them.")
+    for group in gateway.groups.values():
+        for target in group.targets.values():
+            pool = target.pool
+            of_target = {"group": group.name, "target": target.entry.id}
+            links.set({**of_target, "state": "idle"}, pool.idle)
+            links.set({**of_target, "state": "in_use"}, pool.in_use)
+            links.set({**of_target, "state": "waited_for"}, pool.waiting)
+            for event in ("opened", "refused", "too_many", "lost"):
+                count = getattr(pool.counters, event)
+                opened.set({**of_target, "event": event}, count)
+    version = gauge("fennelhill_catalog_version", "Configuration in force.")
+    version.set({}, gateway.catalog.version)
+    content, _ = render(registry, [])
+    return content
