fix: a transaction's first statement waits until the target has begun it

Ruled out: link mixed up between sessions (one lease in the log, both sends on different links); a lost answer (the target said not_leading to the beginning). Change: begin, wait for the answer, then the first statement; a first statement that left no trace is begun anew elsewhere. Conclusion: a round trip more for a transaction's first statement.

--- a/packages/fennelhilld/src/fennelhilld/freshness/floors.py
+++ b/packages/fennelhilld/src/fennelhilld/freshness/floors.py
@@ -135,21 +135,44 @@
                 return now_ms - sample.sent_ms
         return 0.0
 
+    def lag_of(self, position: Position, now_ms: float) -> float:
+        """Return how long a log has been behind, as far as samples tell.
+
+        Parameters
+        ----------
+        position : Position
+            End of the log.
+        now_ms : float
+            Time on the clock of the samples.
+
+        Returns
+        -------
+        float
+            Milliseconds since the leader is known to have been beyond it; 0 where
+            no sample is.
+        """
+        for sample in self._samples:
+            if sample.position > position:
+                return now_ms - sample.sent_ms
+        return 0.0
+
 
 class LagEstimate:
     """Predicts whether a replica already holds a position of a certain age.
 
     A refused read costs a round trip, so a replica is only asked for what it
-    probably has.  The estimate rises at once with a refusal, and halves with each
-    `HALF_LIFE_MS` without one, so that a replica that has caught up is found again.
+    probably has.  The estimate follows the lag that each answer shows.  An ordinary
+    lag is forgotten slowly, since it returns with every commit; a long one fast, so
+    that a replica that has caught up is found again.
     """
 
     __slots__ = ("_at_ms", "_lag_ms")
 
-    RISE = 1.25
-    STEP_MS = 10.0  # a refusal says that it lacks more than was asked
+    LONG_MS = 600.0  # beyond the ordinary lag of the users' replicas (20 to 360 ms)
+    LONG_HALF_LIFE_MS = 1_500.0  # a replica far behind is asked about once in that
+    ORDINARY_HALF_LIFE_MS = 15_000.0  # about a hundred reads of a host at a replica
+    RISE = 1.25  # a refusal says that it lacks more than was asked
     MAX_MS = 20_000.0
-    HALF_LIFE_MS = 800.0  # a replica far behind is asked about once in a second
 
     def __init__(self) -> None:
         self._lag_ms = 0.0
@@ -168,24 +191,44 @@
         float
             Milliseconds.
         """
-        if self._lag_ms == 0.0:
-            return 0.0
-        return self._lag_ms * 0.5 ** ((now_ms - self._at_ms) / self.HALF_LIFE_MS)
+        half_life_ms = self.ORDINARY_HALF_LIFE_MS
+        if self._lag_ms > self.LONG_MS:
+            half_life_ms = self.LONG_HALF_LIFE_MS
+        return self._lag_ms * 0.5 ** ((now_ms - self._at_ms) / half_life_ms)
 
-    def refused(self, age_ms: float, now_ms: float) -> None:
+    def refused(self, age_ms: float, measured_ms: float, now_ms: float) -> None:
         """Note that the replica lacked a position of this age.
 
         Parameters
         ----------
         age_ms : float
             How long ago the primary had reached the position.
+        measured_ms : float
+            Lag that the replica's answer shows.
         now_ms : float
             Time on this host's clock.
         """
-        risen_ms = max(self.lag_ms(now_ms), age_ms * self.RISE + self.STEP_MS)
+        risen_ms = max(self.lag_ms(now_ms), age_ms * self.RISE, measured_ms)
         self._lag_ms = min(self.MAX_MS, risen_ms)
         self._at_ms = now_ms
 
+    def served(self, measured_ms: float, now_ms: float) -> None:
+        """Note that the replica answered a read.
+
+        Parameters
+        ----------
+        measured_ms : float
+            Lag that the replica's answer shows.
+        now_ms : float
+            Time on this host's clock.
+        """
+        known_ms = self.lag_ms(now_ms)
+        if known_ms > self.LONG_MS:
+            # It has caught up; what it was behind in trouble says nothing of now.
+            known_ms = min(known_ms, self.LONG_MS)
+        self._lag_ms = max(known_ms, min(measured_ms, self.MAX_MS))
+        self._at_ms = now_ms
+
     def holds(self, age_ms: float, now_ms: float) -> bool:
         """Predict whether the replica holds a position of this age.
 
--- a/packages/fennelhilld/src/fennelhilld/statements/environment.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/environment.py
@@ -20,6 +20,9 @@
 ANSWER_MARGIN_MS = 20.0
 # A link should come free within a few statements; a longer wait elsewhere is better.
 READ_LINK_WAIT_MS = 150.0
+# A queue in the target takes 100 to 150 ms; an answer that had less time than this
+# and did not come says nothing against the target.
+FAIR_ANSWER_MS = 250.0
 
 
 class Environment:
@@ -168,6 +171,52 @@
             self.clock.now_ms() - exchange.took_ms,
         )
 
+    def replica_answered(
+        self,
+        group: GroupState,
+        target: TargetState,
+        answer: TargetAnswer,
+        floor: ReadFloor,
+    ) -> None:
+        """Learn from a replica's answer to a read how far it is behind.
+
+        Parameters
+        ----------
+        group : GroupState
+            The group.
+        target : TargetState
+            Who answered.
+        answer : TargetAnswer
+            The answer, also a refusal.
+        floor : ReadFloor
+            What its log had to hold.
+        """
+        now_ms = self.clock.now_ms()
+        measured_ms = 0.0
+        if answer.position is not None:
+            elapsed_ms = self.clock.elapsed_ms()
+            measured_ms = group.freshness.lag_of(answer.position, elapsed_ms)
+        if answer.fault is TargetFault.BEHIND:
+            self.counters.replica_refusals += 1
+            target.lag.refused(floor.age_ms, measured_ms, now_ms)
+        elif answer.fault is None:
+            target.lag.served(measured_ms, now_ms)
+
+    def link_lost(self, target: TargetState, reason: str, allowed_ms: float) -> None:
+        """Note a lost link, unless the answer had too little time to come.
+
+        Parameters
+        ----------
+        target : TargetState
+            The target.
+        reason : str
+            What happened, for people.
+        allowed_ms : float
+            Time that the answer had, in milliseconds.
+        """
+        if allowed_ms >= FAIR_ANSWER_MS:
+            self.target_failed(target, reason)
+
     def target_failed(self, target: TargetState, reason: str) -> None:
         """Note that a target refused a connection or lost a link.
 
--- a/packages/fennelhilld/src/fennelhilld/statements/execution.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/execution.py
@@ -245,11 +245,12 @@
         else:
             command.after = floor.position
             commands.append(command)
+        left_ms = deadline_ms - env.clock.now_ms()
         try:
-            exchange = await lease.exchange(commands, deadline_ms - env.clock.now_ms())
+            exchange = await lease.exchange(commands, left_ms)
         except LinkLostError as error:
             lease.release()
-            env.target_failed(target, str(error))
+            env.link_lost(target, str(error), left_ms)
             env.retried(statement, target, str(error))
             return None
         lease.release()
@@ -275,7 +276,9 @@
             env.counters.leader_reads += 1
         else:
             env.counters.replica_reads += 1
-        if floor is None:
+        if floor is not None:
+            env.replica_answered(group, target, answer, floor)
+        else:
             env.leader_answered(group, target, exchange, answer)
             self.positions.seen_at_leader(group.name, answer.position)
         return Reply(answer.rows, answer.signature, position=answer.position)
@@ -293,8 +296,8 @@
         fault = answer.fault
         env.retried(statement, target, fault_reason(answer))
         if fault is TargetFault.BEHIND and floor is not None:
-            env.counters.replica_refusals += 1
-            target.lag.refused(floor.age_ms, now_ms)
+            group = env.group(target.entry.group)
+            env.replica_answered(group, target, answer, floor)
         elif fault is TargetFault.NOT_LEADING:
             env.group(target.entry.group).leadership.not_leading(target.entry.id)
         elif fault is TargetFault.UNKNOWN_PREPARED:
@@ -339,13 +342,12 @@
             commands.append(
                 Command(CommandKind.STATEMENT, statement, name=_link_name(shape))
             )
+            left_ms = deadline_ms - env.clock.now_ms()
             try:
-                exchange = await lease.exchange(
-                    commands, deadline_ms - env.clock.now_ms()
-                )
+                exchange = await lease.exchange(commands, left_ms)
             except LinkLostError as error:
                 lease.release()
-                env.target_failed(target, str(error))
+                env.link_lost(target, str(error), left_ms)
                 if not lease.sent:
                     last = str(error)
                     continue
--- a/packages/fennelhilld/src/fennelhilld/statements/transaction.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/transaction.py
@@ -60,6 +60,7 @@
     __slots__ = (
         "_floor",
         "_lease",
+        "_ran",
         "_target",
         "aborted",
         "database",
@@ -82,6 +83,7 @@
         self.wrote = False
         self.failed = False
         self.aborted = ""
+        self._ran = False
         self._lease: Lease | None = None
         self._target: TargetState | None = None
         self._floor: ReadFloor | None = None
@@ -183,21 +185,23 @@
         )
         last = "no target was free"
         while (left_ms := deadline_ms - env.clock.now_ms()) > 0:
-            if self._lease is None:
-                opened = await self._open(command, statement, shape, deadline_ms)
-                if opened is None:
-                    continue
-                answer = opened
-            else:
-                commands = self._lease.link.replay(self.runner.context, shape)
-                try:
-                    exchange = await self._lease.exchange([*commands, command], left_ms)
-                except LinkLostError as error:
-                    return self._lost(statement, error)
-                answer = exchange.answers[-1]
-                self._learn(exchange, answer)
+            if self._lease is None and not await self._begin(statement, left_ms):
+                continue
+            left_ms = deadline_ms - env.clock.now_ms()
+            commands = self._lease.link.replay(self.runner.context, shape)
+            try:
+                exchange = await self._lease.exchange([*commands, command], left_ms)
+            except LinkLostError as error:
+                if self._ran or command.kind is CommandKind.COMMIT:
+                    return self._lost(statement, error, left_ms)
+                last = str(error)
+                self._retry_elsewhere(statement, last, left_ms)
+                continue
+            answer = exchange.answers[-1]
+            self._learn(exchange, answer)
             if answer.fault is None:
-                self.runner.env.counters.served += 1
+                self._ran = True
+                env.counters.served += 1
                 return Reply(
                     answer.rows,
                     answer.signature,
@@ -205,83 +209,83 @@
                     position=answer.position,
                 )
             last = fault_reason(answer)
-            waits = answer.fault is TargetFault.BUSY
-            if not waits or answer.state is not TransactionState.OPEN:
+            if answer.fault is TargetFault.BUSY:
+                if answer.state is not TransactionState.OPEN:
+                    return await self._give_up(statement, answer, last)
+                await env.clock.sleep_ms(BUSY_PAUSE_MS)
+            elif answer.fault.not_run and not self._ran:
+                await self._refused_at_first(statement, answer)
+            else:
                 return await self._give_up(statement, answer, last)
-            await env.clock.sleep_ms(BUSY_PAUSE_MS)
         return await self._refuse(statement, codes.OVERLOADED, last)
 
-    async def _open(
-        self,
-        command: Command,
-        statement: Statement,
-        shape: PreparedShape | None,
-        deadline_ms: float,
-    ) -> TargetAnswer | None:
-        """Begin on a target together with the first statement; nothing to retry."""
+    async def _begin(self, statement: Statement, left_ms: float) -> bool:
+        """Begin on a target; false after a pause where none is to be had.
+
+        A target that refuses a beginning would run what follows in the same piece
+        outside a transaction, so the first statement waits for the answer.
+        """
         runner, env = self.runner, self.runner.env
         group = env.group(self.database.group)
-        left_ms = deadline_ms - env.clock.now_ms()
-        tried: set[str] = set()
         if self.fenced:
             lease, target = await runner.borrow_leader(group, self.database, left_ms)
         else:
-            target = runner.choose_reader(group, self.database, tried)
+            target = runner.choose_reader(group, self.database, set())
             if target is None:
                 await group.leadership.wait_change(min(left_ms, LEADER_WAIT_MS))
-                return None
-            lease = await env.borrow(
-                target,
-                runner.context,
-                self.database.priority,
-                min(left_ms, READ_LINK_WAIT_MS),
-            )
+                return False
+            limit_ms = min(left_ms, READ_LINK_WAIT_MS)
+            priority = self.database.priority
+            lease = await env.borrow(target, runner.context, priority, limit_ms)
         if lease is None or target is None:
-            return None
+            return False
+        # The wait for the link has taken time, so the floor is worked out now.
         floor = None if self.fenced else runner.floor(group, self.database)
         if floor is None and group.leader() is not target:
             lease.release()
-            return None
+            return False
         begin = Command(CommandKind.BEGIN)
         if floor is not None:
             begin = Command(CommandKind.BEGIN_READ_ONLY, after=floor.position)
-            if command.kind is CommandKind.STATEMENT:
-                command.after = floor.position
-        commands = [*lease.link.replay(runner.context, shape), begin, command]
         try:
-            exchange = await lease.exchange(commands, deadline_ms - env.clock.now_ms())
+            exchange = await lease.exchange([begin], left_ms)
         except LinkLostError as error:
             lease.release()
-            env.target_failed(target, str(error))
+            env.link_lost(target, str(error), left_ms)
             env.retried(statement, target, str(error))
-            return None
-        finally:
-            command.after = None
-        opening, answer = exchange.answers
-        failed = opening if opening.fault is not None else answer
-        if failed.fault is None or (opening.fault is None and not failed.fault.not_run):
+            return False
+        answer = exchange.answers[0]
+        if floor is not None:
+            env.replica_answered(group, target, answer, floor)
+        if answer.fault is None:
             self._lease, self._target, self._floor = lease, target, floor
-            self._learn(exchange, answer)
-            return answer
-        await self._end_attempt(lease, answer)
-        if failed.fault is TargetFault.BEHIND and floor is not None:
-            env.counters.replica_refusals += 1
-            target.lag.refused(floor.age_ms, env.clock.now_ms())
-            env.retried(statement, target, fault_reason(failed))
-            return None
-        await runner.leader_refused(group, target, lease, statement, failed)
-        return None
-
-    async def _end_attempt(self, lease: Lease, answer: TargetAnswer) -> None:
-        if answer.state is TransactionState.IDLE:
-            lease.release()
-            return
-        try:
-            await lease.exchange([Command(CommandKind.ROLLBACK)], ROLLBACK_LIMIT_MS)
-        except LinkLostError:
-            lease.discard()
-            return
+            return True
         lease.release()
+        if answer.fault is TargetFault.BEHIND:
+            env.retried(statement, target, fault_reason(answer))
+        else:
+            await runner.leader_refused(group, target, lease, statement, answer)
+        return False
+
+    def _retry_elsewhere(
+        self, statement: Statement, reason: str, left_ms: float
+    ) -> None:
+        """Forget a link that was lost before anything has run on it for good."""
+        target = self._target
+        self.drop()
+        if target is not None:
+            self.runner.env.link_lost(target, reason, left_ms)
+            self.runner.env.retried(statement, target, reason)
+
+    async def _refused_at_first(
+        self, statement: Statement, answer: TargetAnswer
+    ) -> None:
+        """Begin anew after the target refused the first statement."""
+        lease, target = self._lease, self._target
+        group = self.runner.env.group(self.database.group)
+        await self.rollback()
+        if lease is not None and target is not None:
+            await self.runner.leader_refused(group, target, lease, statement, answer)
 
     def _learn(self, exchange: Exchange, answer: TargetAnswer) -> None:
         if self._target is None or answer.fault is not None:
@@ -295,11 +299,13 @@
         else:
             env.counters.replica_reads += 1
 
-    def _lost(self, statement: Statement, error: LinkLostError) -> Reply:
+    def _lost(
+        self, statement: Statement, error: LinkLostError, left_ms: float
+    ) -> Reply:
         env = self.runner.env
         target = self._target
         if target is not None:
-            env.target_failed(target, str(error))
+            env.link_lost(target, str(error), left_ms)
         self.drop()
         self.failed = True
         code = codes.TRANSACTION_ABORTED
