test: the session core under faults in virtual time; the adapter fuzzed

Change: stand-ins for targets, store, orders and peers in fennelhill_bench's sessionworld, an observer that judges from outside, ten troubles over three seeds each; unit tests of freshness, links, leadership, promotion, directory; hypothesis over both parsers.

--- /dev/null
+++ b/packages/fennelhill-bench/src/fennelhill_bench/sessionworld/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for targets, store and clients of the session core, in virtual time."""
--- /dev/null
+++ b/packages/fennelhill-bench/src/fennelhill_bench/sessionworld/targets.py
@@ -0,0 +1,427 @@
+"""Targets of one group: terms, logs, lag, slots, promotion and faults."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+from collections import deque
+
+import msgspec
+from fennelhill_core.clock import Clock
+from fennelhill_core.tokens import Position
+from fennelhilld.links.messages import (
+    Command,
+    CommandKind,
+    LinkLostError,
+    LinkRefusedError,
+    TargetAnswer,
+    TargetFault,
+    TargetStatus,
+)
+from fennelhilld.statements.messages import StatementKind, TransactionState
+
+from fennelhill_bench.sessionworld.checks import Observer, Run
+
+
+class Entry(msgspec.Struct, frozen=True):
+    """A commit in a log.
+
+    Parameters
+    ----------
+    position : Position
+        Its place.
+    requests : tuple of str
+        Ids of the writes that it holds.
+    """
+
+    position: Position
+    requests: tuple[str, ...]
+
+
+class Traits(msgspec.Struct):
+    """How a target behaves; times in milliseconds."""
+
+    slots: int = 2
+    queue: int = 16
+    max_connections: int = 16
+    set_up_ms: float = 12.0
+    service_ms: float = 8.0
+    network_ms: float = 1.0
+    lag_ms: float = 40.0
+    promote_ms: float = 500.0
+
+
+class TargetModel:
+    """One target of a group."""
+
+    def __init__(self, group: GroupModel, target_id: str, traits: Traits) -> None:
+        self.group = group
+        self.id = target_id
+        self.traits = traits
+        self.leads = False
+        self.term = 1
+        self.log: list[Entry] = []
+        self.applied = 0
+        self.up = True
+        self.silent = False
+        self.lose_answers = 0.0
+        self.links: set[LinkModel] = set()
+        self.running = 0
+        self.waiting = 0
+        self.free = asyncio.Semaphore(traits.slots)
+
+    @property
+    def applied_position(self) -> Position:
+        """Last position that reads see."""
+        return self.log[self.applied - 1].position if self.applied else Position(1, 0)
+
+    @property
+    def received_position(self) -> Position:
+        """Last position in the log."""
+        return self.log[-1].position if self.log else Position(1, 0)
+
+    def holds(self, position: Position) -> bool:
+        """Tell whether reads here see a position."""
+        if position.index == 0:
+            return True
+        if self.applied < position.index:
+            return False
+        return self.log[position.index - 1].position.term >= position.term
+
+    def crash(self) -> None:
+        """Stop; all links break at once."""
+        self.up = False
+        for link in list(self.links):
+            link.cut()
+
+    def restart(self) -> None:
+        """Come back with the log; a replica if another target leads by now."""
+        self.up = True
+        if self.group.leader is not self:
+            self.leads = False
+            self.follow(self.group.leader)
+
+    def follow(self, leader: TargetModel) -> None:
+        """Take a leader's log and drop whatever it lacks."""
+        self.term = leader.term
+        kept = 0
+        for mine, other in zip(self.log, leader.log, strict=False):
+            if mine != other:
+                break
+            kept += 1
+        self.log = self.log[:kept] + leader.log[kept:]
+        self.applied = min(self.applied, kept)
+        self.group.apply_later(self, len(self.log))
+
+
+class GroupModel:
+    """The targets of one group, and the platform's promotion call.
+
+    Parameters
+    ----------
+    name : str
+        Name of the group.
+    targets : int
+        How many.
+    traits : Traits
+        Of each target.
+    clock : Clock
+        Source of time.
+    random_state : random.Random
+        Source of randomness.
+    observer : Observer
+        Notes each run.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        targets: int,
+        traits: Traits,
+        clock: Clock,
+        random_state: random.Random,
+        observer: Observer,
+    ) -> None:
+        self.name = name
+        self.clock = clock
+        self.random = random_state
+        self.observer = observer
+        self.deaf: set[str] = set()
+        self.targets = {
+            f"{name}-{number}": TargetModel(
+                self, f"{name}-{number}", msgspec.structs.replace(traits)
+            )
+            for number in range(targets)
+        }
+        self.leader = self.targets[f"{name}-0"]
+        self.leader.leads = True
+        self.highest_token = 0
+        self.promotions: list[tuple[str, int]] = []
+        self._tasks: set[asyncio.Task] = set()
+
+    def spawn(self, work: object) -> asyncio.Task:
+        """Run something beside."""
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def commit(self, target: TargetModel, requests: tuple[str, ...]) -> Position:
+        """Append a commit and ship it."""
+        position = Position(target.term, len(target.log) + 1)
+        target.log.append(Entry(position, requests))
+        target.applied = len(target.log)
+        for other in self.targets.values():
+            if other is not target and other.id not in self.deaf:
+                self.spawn(self._ship(target, other, len(target.log)))
+        return position
+
+    def apply_later(self, target: TargetModel, length: int) -> None:
+        """Make a part of a replica's log visible after its lag."""
+        self.spawn(self._apply(target, length))
+
+    async def promote(self, target_id: str) -> None:
+        """Make a target lead, as the platform does."""
+        target = self.targets[target_id]
+        await self.clock.sleep_ms(target.traits.promote_ms)
+        if target is self.leader or not target.up:
+            return
+        self.leader.leads = False
+        self.leader = target
+        target.term = max(one.term for one in self.targets.values()) + 1
+        target.leads = True
+        target.applied = len(target.log)
+        self.observer.promoted(self.name, target)
+        for other in self.targets.values():
+            if other is not target:
+                if other.up:
+                    other.follow(target)
+                for link in list(other.links):
+                    link.lost_lead = True
+
+    async def _ship(self, source: TargetModel, to: TargetModel, length: int) -> None:
+        await self.clock.sleep_ms(to.traits.network_ms)
+        if not to.up or not source.leads or to.id in self.deaf:
+            return
+        if len(to.log) < length:
+            to.log = source.log[:length]
+            to.term = source.term
+        await self._apply(to, length)
+
+    async def _apply(self, target: TargetModel, length: int) -> None:
+        await self.clock.sleep_ms(target.traits.lag_ms * self.random.uniform(0.5, 1.5))
+        target.applied = max(target.applied, min(length, len(target.log)))
+
+
+class LinkModel:
+    """One connection: commands run in order, answers come back in order."""
+
+    _numbers = itertools.count(1)
+
+    def __init__(self, target: TargetModel) -> None:
+        self.target = target
+        self.number = next(self._numbers)
+        self.closed = False
+        self.lost_lead = False
+        self.values: dict[str, str] = {}
+        self.prepared: dict[str, tuple[bool, str]] = {}
+        self.open: str = ""
+        self.failed = False
+        self.written: list[str] = []
+        self._answers: deque[TargetAnswer] = deque()
+        self._arrived = asyncio.Event()
+        self._commands: asyncio.Queue[Command] = asyncio.Queue()
+        target.links.add(self)
+        self._task = target.group.spawn(self._serve())
+
+    async def send(self, commands: list[Command]) -> None:
+        """Take commands; raises `LinkLostError`."""
+        if self.closed:
+            raise LinkLostError("closed")
+        for command in commands:
+            self._commands.put_nowait(msgspec.structs.replace(command))
+
+    async def receive(self) -> TargetAnswer:
+        """Return the next answer; raises `LinkLostError`."""
+        while not self._answers:
+            if self.closed:
+                raise LinkLostError("the connection broke")
+            await self._arrived.wait()
+            self._arrived.clear()
+        return self._answers.popleft()
+
+    def cut(self) -> None:
+        """Break the connection; what is open rolls back."""
+        self.closed = True
+        self.target.links.discard(self)
+        self._arrived.set()
+        self._task.cancel()
+
+    close = cut
+
+    async def _serve(self) -> None:
+        clock = self.target.group.clock
+        while True:
+            command = await self._commands.get()
+            await clock.sleep_ms(self.target.traits.network_ms)
+            answer = await self._run(command)
+            lost = self.target.group.random.random() < self.target.lose_answers
+            if self.target.silent or (lost and answer.signature):
+                return  # Nothing further is delivered.
+            await clock.sleep_ms(self.target.traits.network_ms)
+            self._answers.append(answer)
+            self._arrived.set()
+
+    async def _run(self, command: Command) -> TargetAnswer:
+        kind = command.kind
+        if kind in (CommandKind.STATEMENT, CommandKind.COMMIT, CommandKind.STATUS):
+            target = self.target
+            if target.waiting >= target.traits.queue:
+                return self._answer(TargetFault.BUSY)
+            target.waiting += 1
+            async with target.free:
+                target.waiting -= 1
+                random_state = target.group.random
+                service_ms = target.traits.service_ms * random_state.uniform(0.4, 1.6)
+                await target.group.clock.sleep_ms(service_ms)
+        return getattr(self, f"_run_{kind.value}")(command)
+
+    def _answer(self, fault: TargetFault | None = None, **more: object) -> TargetAnswer:
+        if fault is not None and self.open:
+            self.failed = fault is not TargetFault.BUSY
+        state = TransactionState.IDLE
+        if self.open:
+            failed = self.failed
+            state = TransactionState.FAILED if failed else TransactionState.OPEN
+        return TargetAnswer(
+            fault=fault, state=state, position=self.target.applied_position, **more
+        )
+
+    def _end(self) -> None:
+        self.open = ""
+        self.failed = False
+        self.written = []
+
+    def _run_begin(self, command: Command) -> TargetAnswer:
+        if not self.target.leads:
+            return self._answer(TargetFault.NOT_LEADING)
+        if command.after is not None and not self.target.holds(command.after):
+            return self._answer(TargetFault.BEHIND)
+        self.open = "plain"
+        self.lost_lead = False
+        return self._answer()
+
+    def _run_begin_read_only(self, command: Command) -> TargetAnswer:
+        if command.after is not None and not self.target.holds(command.after):
+            return self._answer(TargetFault.BEHIND)
+        self.open = "read_only"
+        return self._answer()
+
+    def _run_rollback(self, command: Command) -> TargetAnswer:
+        self._end()
+        return self._answer()
+
+    def _run_set_value(self, command: Command) -> TargetAnswer:
+        self.values[command.name] = command.value
+        return self._answer()
+
+    def _run_prepare(self, command: Command) -> TargetAnswer:
+        self.prepared[command.name] = (command.writes, command.value)
+        return self._answer()
+
+    def _run_reset(self, command: Command) -> TargetAnswer:
+        self.values = {}
+        self.prepared = {}
+        return self._answer()
+
+    def _run_status(self, command: Command) -> TargetAnswer:
+        return self._answer()
+
+    def _run_commit(self, command: Command) -> TargetAnswer:
+        target = self.target
+        lost = self.open == "plain" and (self.lost_lead or not target.leads)
+        if self.failed or (lost and self.written):
+            self._end()
+            return self._answer(TargetFault.NOT_LEADING)
+        request_id = command.statement.request_id
+        target.group.observer.commit_ran(request_id, tuple(self.written))
+        if self.written:
+            target.group.commit(target, tuple(self.written))
+        self._end()
+        return self._answer(signature=f"{target.id}:{request_id}")
+
+    def _run_statement(self, command: Command) -> TargetAnswer:
+        statement = command.statement
+        target = self.target
+        if self.failed:
+            return self._answer(TargetFault.MALFORMED)
+        writes, shape = statement.writes, ""
+        if statement.kind is StatementKind.EXECUTE:
+            if command.name not in self.prepared:
+                return self._answer(TargetFault.UNKNOWN_PREPARED)
+            writes, shape = self.prepared[command.name]
+        if command.after is not None and not target.holds(command.after):
+            return self._answer(TargetFault.BEHIND)
+        plain = self.open == "plain"
+        if (plain and (self.lost_lead or not target.leads)) or (
+            writes and not target.leads
+        ):
+            return self._answer(TargetFault.NOT_LEADING)
+        run = Run(
+            statement.request_id,
+            target.id,
+            self.number,
+            bool(self.open),
+            dict(self.values),
+            (writes, shape),
+            target.group.clock.now_ms(),
+        )
+        target.group.observer.ran(run, target, writes)
+        if writes and self.open:
+            self.written.append(statement.request_id)
+        elif writes:
+            target.group.commit(target, (statement.request_id,))
+        signature = f"{target.id}:{statement.request_id}"
+        return self._answer(signature=signature, rows=[f"row {statement.request_id}"])
+
+
+class DriverModel:
+    """Opens links to the targets of all groups.
+
+    Parameters
+    ----------
+    groups : dict
+        `GroupModel` by name.
+    """
+
+    def __init__(self, groups: dict[str, GroupModel]) -> None:
+        self.groups = groups
+        self.cut_off: set[str] = set()
+
+    async def open(
+        self, group: str, target_id: str, address: str, limit_ms: float
+    ) -> LinkModel:
+        """Open a link; raises `LinkRefusedError`."""
+        model = self.groups[group]
+        target = model.targets[target_id]
+        if target.silent or target_id in self.cut_off:
+            await model.clock.sleep_ms(limit_ms)
+            raise LinkRefusedError(TargetFault.OTHER, "no answer in time")
+        await model.clock.sleep_ms(2 * target.traits.network_ms)
+        if not target.up:
+            raise LinkRefusedError(TargetFault.OTHER, "connection refused")
+        if len(target.links) >= target.traits.max_connections:
+            raise LinkRefusedError(TargetFault.TOO_MANY_CONNECTIONS, target_id)
+        link = LinkModel(target)
+        await model.clock.sleep_ms(target.traits.set_up_ms)
+        return link
+
+    async def status(self, link: LinkModel) -> TargetStatus | None:
+        """Ask for the status; nothing if the target is busy."""
+        await link.send([Command(CommandKind.STATUS)])
+        answer = await link.receive()
+        if answer.fault is TargetFault.BUSY:
+            return None
+        target = link.target
+        return TargetStatus(target.leads, target.term, target.received_position, 0.0)
--- /dev/null
+++ b/packages/fennelhill-bench/src/fennelhill_bench/sessionworld/world.py
@@ -0,0 +1,426 @@
+"""A fleet of session cores before group stand-ins, with clients and faults."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import msgspec
+from fennelhill_core.codes import Outcome
+from fennelhill_core.events import EventLog
+from fennelhill_core.platform import StoreFault, StoreUnavailableError
+from fennelhilld.catalog.state import Catalog, Database, Group, ReadKind
+from fennelhilld.directory.state import TargetEntry
+from fennelhilld.gateway import SessionGateway
+from fennelhilld.promotion.messages import (
+    Claim,
+    ClaimRow,
+    LeaderView,
+    PromotionResult,
+)
+from fennelhilld.statements.messages import (
+    Reply,
+    Statement,
+    StatementKind,
+    TransactionState,
+)
+
+from fennelhill_bench.sessionworld.checks import Asked, Observer
+from fennelhill_bench.sessionworld.targets import DriverModel, GroupModel, Traits
+from fennelhill_bench.virtual_time import VirtualClock
+
+FEED_MS = 5.0  # from a write in the store to the hosts that follow it
+
+
+class StoreModel:
+    """The platform's store, as far as claims need it."""
+
+    def __init__(self, world: SessionWorld) -> None:
+        self._world = world
+        self.rows: dict[str, ClaimRow] = {}
+        self.version = 0
+        self.down = False
+        self.lose_answers = False
+
+    async def read_claim(self, group: str) -> ClaimRow:
+        """Read a claim."""
+        await self._call()
+        return self.rows.get(group, ClaimRow())
+
+    async def swap_claim(self, group: str, expected: int, claim: Claim) -> int | None:
+        """Write a claim under a condition."""
+        await self._call()
+        if self.rows.get(group, ClaimRow()).version != expected:
+            return None
+        self.version += 1
+        row = ClaimRow(self.version, msgspec.structs.replace(claim))
+        self.rows[group] = row
+        self._world.spawn(self._notify(group, row))
+        if self.lose_answers:
+            await self._world.clock.sleep_ms(500.0)
+            raise StoreUnavailableError(StoreFault.NO_ANSWER)
+        return self.version
+
+    async def _call(self) -> None:
+        await self._world.clock.sleep_ms(4.0)
+        if self.down:
+            raise StoreUnavailableError(StoreFault.DOWN)
+
+    async def _notify(self, group: str, row: ClaimRow) -> None:
+        await self._world.clock.sleep_ms(FEED_MS)
+        for gateway in self._world.gateways:
+            gateway.claim_changed(group, row)
+
+
+class OrdersModel:
+    """The platform's order interface with its check of fencing tokens."""
+
+    def __init__(self, world: SessionWorld) -> None:
+        self._world = world
+        self.calls: list[tuple[str, str, str, int]] = []
+
+    async def promote(
+        self, group: str, target_id: str, holder: str, fencing_token: int
+    ) -> PromotionResult:
+        """Make a target lead."""
+        model = self._world.groups[group]
+        await self._world.clock.sleep_ms(3.0)
+        self.calls.append((group, target_id, holder, fencing_token))
+        if fencing_token < model.highest_token or not model.targets[target_id].up:
+            return PromotionResult.REFUSED
+        model.highest_token = fencing_token
+        model.promotions.append((target_id, fencing_token))
+        self._world.spawn(self._world.promote(model, target_id))
+        return PromotionResult.ACCEPTED
+
+
+class PeersModel:
+    """The other hosts of a gateway."""
+
+    def __init__(self, world: SessionWorld, gateway: SessionGateway) -> None:
+        self._world = world
+        self._gateway = gateway
+
+    def names(self) -> list[str]:
+        """Names of the other hosts."""
+        return list(self._gateway.members)
+
+    async def leader_views(self, group: str, target_id: str) -> list[LeaderView]:
+        """Ask all hosts about a target."""
+        others = [one for one in self._world.gateways if one is not self._gateway]
+        return await asyncio.gather(
+            *(
+                one.replacement.view_of(one.env.group(group), target_id)
+                for one in others
+            )
+        )
+
+
+class SessionWorld:
+    """Hosts, groups, store and clients on one virtual clock.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of all choices.
+    hosts : int
+        Session cores.
+    groups : int
+        Database groups, each with three targets.
+    traits : Traits or None
+        Of each target.
+    """
+
+    def __init__(
+        self, seed: int, hosts: int = 2, groups: int = 1, traits: Traits | None = None
+    ) -> None:
+        self.clock = VirtualClock()
+        self.random = random.Random(seed)
+        self.observer = Observer()
+        self.replies: list[tuple[float, float, Database, Reply]] = []
+        self._tasks: set[asyncio.Task] = set()
+        self._numbers = 0
+        self.groups = {
+            f"g{number}": GroupModel(
+                f"g{number}",
+                3,
+                traits or Traits(),
+                self.clock,
+                self.random,
+                self.observer,
+            )
+            for number in range(groups)
+        }
+        self.databases = [
+            Database(f"{group}-{reads.value}", group, reads, age_ms, 800.0, 200.0, rank)
+            for group in self.groups
+            for reads, age_ms, rank in (
+                (ReadKind.CURRENT, 0.0, 1),
+                (ReadKind.MAX_AGE, 1_500.0, 2),
+                (ReadKind.OWN_WRITES, 2_500.0, 2),
+            )
+        ]
+        self.drivers: list[DriverModel] = []
+        self.store = StoreModel(self)
+        self.orders = OrdersModel(self)
+        self.gateways = [self._host(f"host-{number}") for number in range(hosts)]
+        for gateway in self.gateways:
+            for other in self.gateways:
+                gateway.put_member(other.host, other.host)
+
+    def spawn(self, work: object) -> asyncio.Task:
+        """Run something beside."""
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def database(self, reads: ReadKind) -> Database:
+        """Return the first database of a kind."""
+        return next(one for one in self.databases if one.reads is reads)
+
+    async def promote(self, model: GroupModel, target_id: str) -> None:
+        """Carry a promotion out, and list what changes."""
+        await model.promote(target_id)
+        await self.clock.sleep_ms(FEED_MS)
+        for gateway in self.gateways:
+            for target in model.targets.values():
+                gateway.put_target(self.entry(model, target.id))
+
+    def entry(
+        self, model: GroupModel, target_id: str, leaving: bool = False
+    ) -> TargetEntry:
+        """Return what a target says of itself."""
+        target = model.targets[target_id]
+        zone = f"zone-{int(target_id[-1]) % 2}"
+        return TargetEntry(
+            target_id,
+            model.name,
+            "10.0.0.1:1",
+            zone,
+            target.traits.slots,
+            leaving,
+            leads=target.leads,
+            started_ms=1,
+        )
+
+    async def leave(self, model: GroupModel, target_id: str) -> None:
+        """List a target as about to shut down."""
+        for gateway in self.gateways:
+            gateway.put_target(self.entry(model, target_id, leaving=True))
+
+    def client(self, gateway: SessionGateway, database: Database) -> ClientModel:
+        """Open a session."""
+        return ClientModel(self, gateway, database)
+
+    def next_id(self) -> str:
+        """Return a request id that was never used."""
+        self._numbers += 1
+        return f"q{self._numbers}"
+
+    async def run_clients(self, count: int, duration_ms: float) -> None:
+        """Run random clients on all hosts and databases for a time."""
+        until_ms = self.clock.now_ms() + duration_ms
+        await asyncio.gather(*(self._run_client(until_ms) for _ in range(count)))
+
+    def close(self) -> None:
+        """End all hosts and tasks."""
+        for gateway in self.gateways:
+            gateway.close()
+        for task in list(self._tasks):
+            task.cancel()
+
+    async def _run_client(self, until_ms: float) -> None:
+        while self.clock.now_ms() < until_ms:
+            gateway = self.random.choice(self.gateways)
+            client = self.client(gateway, self.random.choice(self.databases))
+            for _ in range(self.random.randint(1, 6)):
+                await self.clock.sleep_ms(self.random.expovariate(1 / 30.0))
+                await client.random_operation()
+            await client.session.close()
+
+    def _host(self, name: str) -> SessionGateway:
+        driver = DriverModel(self.groups)
+        self.drivers.append(driver)
+        zone = f"zone-{len(self.drivers) % 2}"
+        events = EventLog(name, zone, self.clock)
+        gateway = SessionGateway(name, zone, driver, self.clock, events)
+        gateway.install_catalog(
+            Catalog(
+                1,
+                {one.name: one for one in self.databases},
+                {name: Group(name, 16) for name in self.groups},
+            )
+        )
+        for model in self.groups.values():
+            for target_id in model.targets:
+                gateway.put_target(self.entry(model, target_id))
+        gateway.replacement.store = self.store
+        gateway.replacement.orders = self.orders
+        gateway.replacement.peers = PeersModel(self, gateway)
+        gateway.start()
+        return gateway
+
+
+class ClientModel:
+    """A client session that notes what it asks and checks what it gets."""
+
+    def __init__(
+        self, world: SessionWorld, gateway: SessionGateway, database: Database
+    ) -> None:
+        self.world = world
+        self.database = database
+        self.session = gateway.open_session(database.name)
+        self.values: dict[str, str] = {}
+        self.prepared: dict[str, tuple[bool, str]] = {}
+        self.own = None
+        self.began_ms: float | None = None
+        self.written: list[str] = []
+
+    async def random_operation(self) -> None:
+        """Run a statement or a transaction, now and then preparing or setting."""
+        draw = self.world.random
+        if draw.random() < 0.1:
+            await self.set_value(draw.choice("ab"), draw.choice("xy"))
+        if draw.random() < 0.15:
+            await self.prepare(
+                draw.choice(("s1", "s2")), draw.random() < 0.4, draw.choice("pqr")
+            )
+        if draw.random() < 0.25:
+            await self._random_transaction()
+        elif self.database.reads is not ReadKind.MAX_AGE and draw.random() < 0.3:
+            await self.write()
+        elif self.prepared and draw.random() < 0.5:
+            await self.execute(draw.choice(list(self.prepared)))
+        else:
+            await self.read()
+
+    async def read(self) -> Reply:
+        """Read an item."""
+        return await self._ask(StatementKind.READ, "READ item")
+
+    async def write(self) -> Reply:
+        """Write an item."""
+        return await self._ask(StatementKind.WRITE, "WRITE item data", writes=True)
+
+    async def execute(self, name: str) -> Reply:
+        """Execute a prepared statement."""
+        return await self._ask(
+            StatementKind.EXECUTE,
+            f"EXECUTE {name} item",
+            name=name,
+            arguments="item",
+            prepared=self.prepared[name],
+        )
+
+    async def set_value(self, name: str, value: str) -> Reply:
+        """Set a session value."""
+        reply = await self.session.execute(
+            Statement(
+                self.world.next_id(),
+                StatementKind.SET_VALUE,
+                "",
+                name=name,
+                value=value,
+            )
+        )
+        self.values[name] = value
+        return reply
+
+    async def prepare(self, name: str, writes: bool, shape: str) -> Reply:
+        """Prepare a statement."""
+        reply = await self.session.execute(
+            Statement(
+                self.world.next_id(),
+                StatementKind.PREPARE,
+                "",
+                name=name,
+                writes=writes,
+                shape=shape,
+            )
+        )
+        self.prepared[name] = (writes, shape)
+        return reply
+
+    async def begin(self, read_only: bool = False) -> Reply:
+        """Begin a transaction."""
+        self.began_ms = self.world.clock.now_ms()
+        self.written = []
+        kind = StatementKind.BEGIN_READ_ONLY if read_only else StatementKind.BEGIN
+        return await self.session.execute(Statement(self.world.next_id(), kind, ""))
+
+    async def commit(self) -> Reply:
+        """Commit."""
+        request_id = self.world.next_id()
+        self.world.observer.commits_asked.add(request_id)
+        statement = Statement(request_id, StatementKind.COMMIT, "COMMIT")
+        reply = await self.session.execute(statement)
+        self.began_ms = None
+        if reply.code is None and self.written:
+            self._acknowledged(reply)
+        if reply.code is not None and reply.code.outcome is Outcome.NOT_RUN:
+            self.world.observer.refused_writes.update(self.written)
+        return reply
+
+    async def rollback(self) -> Reply:
+        """Roll back."""
+        self.began_ms = None
+        self.world.observer.refused_writes.update(self.written)
+        return await self.session.execute(
+            Statement(self.world.next_id(), StatementKind.ROLLBACK, "ROLLBACK")
+        )
+
+    async def _random_transaction(self) -> None:
+        draw = self.world.random
+        may_write = self.database.reads is not ReadKind.MAX_AGE
+        read_only = not may_write or draw.random() < 0.4
+        await self.begin(read_only)
+        for _ in range(draw.randint(1, 4)):
+            await self.world.clock.sleep_ms(draw.expovariate(1 / 15.0))
+            writes = not read_only and draw.random() < 0.5
+            reply = await (self.write() if writes else self.read())
+            if reply.state is not TransactionState.OPEN:
+                await self.rollback()
+                return
+        await (self.rollback() if draw.random() < 0.15 else self.commit())
+
+    async def _ask(
+        self,
+        kind: StatementKind,
+        text: str,
+        prepared: tuple[bool, str] | None = None,
+        **fields: object,
+    ) -> Reply:
+        world = self.world
+        statement = Statement(world.next_id(), kind, text, **fields)
+        runs = prepared or (statement.writes, "")
+        started_ms = world.clock.now_ms()
+        in_transaction = self.began_ms is not None
+        world.observer.asks(
+            statement,
+            Asked(
+                self.database,
+                dict(self.values),
+                runs,
+                in_transaction,
+                self.began_ms if in_transaction else started_ms,
+                self.own,
+            ),
+        )
+        reply = await self.session.execute(statement)
+        now_ms = world.clock.now_ms()
+        world.observer.answered(statement, reply, now_ms)
+        world.replies.append((started_ms, now_ms, self.database, reply))
+        if reply.code is None and runs[0]:
+            if in_transaction:
+                self.written.append(statement.request_id)
+            else:
+                self._acknowledged(reply)
+        return reply
+
+    def _acknowledged(self, reply: Reply) -> None:
+        if reply.position is not None:
+            self.own = reply.position
+            self.world.observer.acknowledges(
+                self.database.group, reply.position, self.world.clock.now_ms()
+            )
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/freshness/tests/test_floors.py
@@ -0,0 +1,88 @@
+"""Tests of read floors and of the lag estimate."""
+
+from __future__ import annotations
+
+from fennelhill_core.tokens import Position
+
+from fennelhilld.freshness.floors import AGE_MARGIN_MS, GroupFreshness, LagEstimate
+
+
+def freshness(*samples):
+    group = GroupFreshness()
+    for sent_ms, term, index in samples:
+        group.add(sent_ms, Position(term, index))
+    return group
+
+
+class TestFloor:
+    def test_is_the_oldest_sample_within_the_allowed_age(self):
+        group = freshness((1_000, 1, 10), (2_000, 1, 20), (3_000, 1, 30))
+        assert group.floor(3_400, 1_500, None).position == Position(1, 20)
+
+    def test_a_sample_from_before_the_allowed_age_proves_nothing(self):
+        # What was acknowledged between the sample and the age is not covered.
+        group = freshness((1_000, 1, 10))
+        assert group.floor(2_600, 1_500, None) is None
+
+    def test_keeps_a_margin_for_clocks(self):
+        group = freshness((1_000, 1, 10))
+        assert group.floor(2_500 - AGE_MARGIN_MS + 1, 1_500, None) is None
+
+    def test_rises_to_the_own_commit(self):
+        group = freshness((1_000, 1, 10), (1_100, 1, 12))
+        floor = group.floor(1_200, 1_500, Position(1, 11))
+        assert floor.position == Position(1, 11)
+        assert floor.age_ms == 100
+
+    def test_an_own_commit_below_the_floor_changes_nothing(self):
+        group = freshness((1_000, 1, 10))
+        assert group.floor(1_200, 1_500, Position(1, 3)).position == Position(1, 10)
+
+    def test_samples_of_an_earlier_term_are_dropped(self):
+        # They may name positions that the promotion has rolled back.
+        group = freshness((1_000, 1, 30), (1_200, 2, 25))
+        assert group.floor(1_300, 1_500, None).position == Position(2, 25)
+
+    def test_an_own_commit_of_an_earlier_term_becomes_the_start_of_the_newest(self):
+        group = freshness((1_000, 1, 30), (1_200, 2, 25), (1_250, 2, 27))
+        floor = group.floor(1_300, 1_500, Position(1, 30))
+        assert floor.position == Position(2, 25)
+
+    def test_late_answers_of_an_earlier_term_are_ignored(self):
+        group = freshness((1_200, 2, 25), (1_300, 1, 40))
+        assert group.floor(1_400, 1_500, None).position == Position(2, 25)
+
+
+class TestLag:
+    def test_counts_from_the_first_sample_beyond_the_position(self):
+        group = freshness((1_000, 1, 10), (2_000, 1, 20), (3_000, 1, 30))
+        assert group.lag_of(Position(1, 15), 3_500) == 1_500
+        assert group.lag_of(Position(1, 30), 3_500) == 0
+
+
+class TestLagEstimate:
+    def test_expects_everything_at_first(self):
+        assert LagEstimate().holds(0.0, 0.0)
+
+    def test_rises_with_a_refusal(self):
+        lag = LagEstimate()
+        lag.refused(100.0, 0.0, 0.0)
+        assert not lag.holds(100.0, 0.0)
+        assert lag.holds(130.0, 0.0)
+
+    def test_asks_a_replica_far_behind_again_after_a_while(self):
+        lag = LagEstimate()
+        lag.refused(1_000.0, 4_000.0, 0.0)
+        assert not lag.holds(1_400.0, 1_000.0)
+        assert lag.holds(1_400.0, 3_000.0)
+
+    def test_keeps_an_ordinary_lag_in_mind(self):
+        lag = LagEstimate()
+        lag.refused(100.0, 120.0, 0.0)
+        assert not lag.holds(50.0, 5_000.0)
+
+    def test_forgets_trouble_once_the_replica_has_caught_up(self):
+        lag = LagEstimate()
+        lag.refused(1_000.0, 9_000.0, 0.0)
+        lag.served(50.0, 100.0)
+        assert lag.holds(1_000.0, 100.0)
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/leadership/tests/test_state.py
@@ -0,0 +1,53 @@
+"""Tests of what a host believes of a group's leader."""
+
+from __future__ import annotations
+
+from fennelhilld.leadership.state import GroupLeadership
+
+
+def leadership():
+    return GroupLeadership("g", lambda kind, **detail: None)
+
+
+class TestLeadership:
+    def test_follows_the_list_until_something_is_proven(self):
+        state = leadership()
+        state.reported("a", 0.0)
+        assert state.leader_id == "a"
+
+    def test_a_late_answer_of_a_former_leader_changes_nothing(self):
+        state = leadership()
+        state.proven("a", 1, 100.0)
+        state.reported("b", 500.0)
+        state.proven("a", 1, 400.0)
+        assert state.leader_id == "b"
+
+    def test_an_answer_of_an_earlier_term_changes_nothing(self):
+        state = leadership()
+        state.proven("b", 2, 100.0)
+        state.proven("a", 1, 200.0)
+        assert state.leader_id == "b"
+
+    def test_a_new_leader_may_answer_from_a_log_of_the_earlier_term(self):
+        state = leadership()
+        state.proven("a", 3, 100.0)
+        state.reported("b", 200.0)
+        state.failed("b", 210.0)
+        state.proven("b", 2, 220.0)
+        assert state.leader_id == "b"
+        assert state.failing_since_ms is None
+
+    def test_only_an_answer_sent_after_a_failure_ends_the_suspicion(self):
+        state = leadership()
+        state.proven("a", 1, 100.0)
+        assert state.failed("a", 300.0)
+        state.proven("a", 1, 250.0)
+        assert state.failing_since_ms == 300.0
+        state.proven("a", 1, 310.0)
+        assert state.failing_since_ms is None
+
+    def test_a_refusal_leaves_the_group_without_a_leader(self):
+        state = leadership()
+        state.reported("a", 0.0)
+        state.not_leading("a")
+        assert state.leader_id is None
--- a/packages/fennelhilld/src/fennelhilld/promotion/choice.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/choice.py
@@ -95,9 +95,9 @@
     float
         Milliseconds.
     """
+    order = sorted({*hosts, host}, key=lambda name: _rank(group, name))
+    return order.index(host) * TURN_MS
 
-    def rank(name: str) -> int:
-        return xxhash.xxh64_intdigest(f"{group}/{name}".encode())
 
-    order = sorted({*hosts, host}, key=rank)
-    return order.index(host) * TURN_MS
+def _rank(group: str, host: str) -> int:
+    return xxhash.xxh64_intdigest(f"{group}/{host}".encode())
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/promotion/tests/test_choice.py
@@ -0,0 +1,88 @@
+"""Tests of the decisions about replacing a leader."""
+
+from __future__ import annotations
+
+from fennelhill_core.tokens import Position
+
+from fennelhilld.links.messages import TargetStatus
+from fennelhilld.promotion.choice import (
+    TURN_MS,
+    Candidate,
+    leader_is_lost,
+    most_advanced,
+    turn_delay_ms,
+)
+from fennelhilld.promotion.messages import Claim, ClaimPhase, ClaimRow, LeaderView
+from fennelhilld.promotion.replacement import CLAIM_TAKEOVER_MS, ClaimBook
+
+
+def candidate(name, index, term=1, cold=False):
+    status = TargetStatus(False, term, Position(term, index), 0.0)
+    return Candidate(name, status, cold)
+
+
+def views(*seeing):
+    return [LeaderView("p", 1, sees) for sees in seeing]
+
+
+class TestMostAdvanced:
+    def test_takes_the_longest_log(self):
+        assert most_advanced([candidate("a", 5), candidate("b", 7)]).target == "b"
+
+    def test_takes_the_newer_term_before_the_longer_log(self):
+        chosen = most_advanced([candidate("a", 9), candidate("b", 7, term=2)])
+        assert chosen.target == "b"
+
+    def test_prefers_a_warm_one_among_equals(self):
+        chosen = most_advanced([candidate("z", 5, cold=True), candidate("a", 5)])
+        assert chosen.target == "a"
+
+    def test_has_no_choice_without_candidates(self):
+        assert most_advanced([]) is None
+
+
+class TestLeaderIsLost:
+    def test_if_nobody_sees_it(self):
+        assert leader_is_lost(views(False, False), "p", 2)
+
+    def test_not_if_this_host_is_alone(self):
+        assert not leader_is_lost([], "p", 5)
+
+    def test_not_if_most_see_it(self):
+        assert not leader_is_lost(views(True, True, False), "p", 5)
+
+    def test_if_most_do_not_see_it(self):
+        assert leader_is_lost(views(True, False, False), "p", 5)
+
+    def test_in_a_fleet_of_one(self):
+        assert leader_is_lost([], "p", 0)
+
+
+class TestTurns:
+    def test_one_host_goes_first_and_the_others_follow(self):
+        hosts = ["a", "b", "c"]
+        delays = sorted(
+            turn_delay_ms(host, [one for one in hosts if one != host], "g")
+            for host in hosts
+        )
+        assert delays == [0.0, TURN_MS, 2 * TURN_MS]
+
+
+class TestClaimBook:
+    def test_takes_only_newer_rows(self):
+        book = ClaimBook()
+        assert book.put("g", ClaimRow(5), 0.0)
+        assert not book.put("g", ClaimRow(4), 0.0)
+        assert book.get("g").version == 5
+
+    def test_a_claim_of_another_host_lapses(self):
+        book = ClaimBook()
+        book.put("g", ClaimRow(5, Claim("other", "n", "t")), 100.0)
+        assert book.held_by_other("g", "me", 200.0)
+        assert not book.held_by_other("g", "me", 100.0 + CLAIM_TAKEOVER_MS)
+
+    def test_a_finished_claim_holds_nobody_up(self):
+        book = ClaimBook()
+        done = Claim("other", "n", "t", ClaimPhase.DONE)
+        book.put("g", ClaimRow(5, done), 100.0)
+        assert not book.held_by_other("g", "me", 101.0)
--- a/packages/fennelhilld/src/fennelhilld/timeline/statements.py
+++ b/packages/fennelhilld/src/fennelhilld/timeline/statements.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 from fennelhill_core.codes import CODES
@@ -32,9 +33,7 @@
     registry = Registry()
     labels = {"host": gateway.host, "zone": gateway.zone}
 
-    def gauge(name: str, doc: str) -> Gauge:
-        return Gauge(name, doc, const_labels=labels, registry=registry)
-
+    gauge = partial(Gauge, const_labels=labels, registry=registry)
     counters = gateway.env.counters
     statements = gauge("fennelhill_statements_total", "Statements by how they ended.")
     for kind in ("served", "replica_reads", "leader_reads", "writes", "retried"):
--- /dev/null
+++ b/scenarios/adapter/test_documents.py
@@ -0,0 +1,121 @@
+"""Tests of decoding what the operator and the targets write."""
+
+from __future__ import annotations
+
+import json
+
+import msgspec
+import pytest
+from adapter.documents import decode_catalog, decode_target
+from adapter.node import load_node_settings
+from fennelhilld.catalog.state import ReadKind
+from hypothesis import given
+from hypothesis import strategies as st
+
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "orders",
+            "prefix": "/",
+            "kind": "read_own",
+            "timeout_ms": 800,
+            "latency_goal_ms": 200,
+            "priority": 2,
+            "service": "s1",
+            "max_staleness_ms": 2500,
+        }
+    ],
+    "services": [{"name": "s1", "max_conns": 16, "sync_replicas": 0}],
+    "limits": {"tx_idle_ms": 3000, "header_timeout_ms": 2000},
+}
+ENTRY = {
+    "service": "s1",
+    "address": "10.128.0.9:8080",
+    "zone": "a",
+    "version": "v1",
+    "slots": 2,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "db_role": "replica",
+    "sequence": 4,
+    "born": 1_790_000_000_000,
+}
+
+
+def entry(**changes):
+    return json.dumps({**ENTRY, **changes}).encode()
+
+
+class TestCatalog:
+    def test_is_decoded_with_units_and_kinds(self):
+        catalog = decode_catalog(json.dumps(CONFIGURATION).encode())
+        database = catalog.databases["orders"]
+        assert database.reads is ReadKind.OWN_WRITES
+        assert database.max_age_ms == 2500
+        assert database.goal_ms == 200
+        assert catalog.groups["s1"].max_connections == 16
+        assert catalog.transaction_idle_ms == 3000
+
+    @given(st.binary(max_size=60))
+    def test_any_bytes_are_decoded_or_refused(self, document):
+        try:
+            decode_catalog(document)
+        except msgspec.DecodeError:
+            return
+
+
+class TestTarget:
+    def test_is_decoded(self):
+        target = decode_target("i-1", entry())
+        assert (target.id, target.group, target.leads) == ("i-1", "s1", False)
+        assert target.started_ms == 1_790_000_000_000
+
+    def test_tells_a_leaving_primary(self):
+        target = decode_target("i-1", entry(state="draining", db_role="primary"))
+        assert target.leaving
+        assert target.leads
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"state": "resting"},
+            {"db_role": "witness"},
+            {"slots": "two"},
+            {"address": "nowhere"},
+            {"service": None},
+            {"born": "yesterday"},
+        ],
+    )
+    def test_of_another_writer_is_refused(self, changes):
+        with pytest.raises((msgspec.DecodeError, ValueError)):
+            decode_target("i-1", entry(**changes))
+
+    @given(st.recursive(st.none() | st.integers() | st.text(), st.lists, max_leaves=5))
+    def test_any_json_is_decoded_or_refused(self, document):
+        try:
+            decode_target("i-1", json.dumps(document).encode())
+        except (msgspec.DecodeError, ValueError):
+            return
+
+
+class TestNodeSettings:
+    def test_ignore_fields_that_are_new(self, tmp_path):
+        path = tmp_path / "node.yaml"
+        path.write_text(
+            """
+node_name: h1
+ip: 10.1.0.8
+zone: a
+something_new: {x: 1}
+listen: {frontend: "10.1.0.8:1", ready: "10.1.0.8:2"}
+internal_ports: [7440, 7455]
+platform: {address: "10.200.1.7:1", form: table}
+cloud_api: {address: "10.200.0.1:2"}
+bounds: {grace_s: 7}
+"""
+        )
+        settings = load_node_settings(str(path))
+        assert settings.neighbour_address == "10.1.0.8:7440"
+        assert settings.bounds.shutdown_s == 7
--- /dev/null
+++ b/scenarios/test_sessions.py
@@ -0,0 +1,268 @@
+"""The session core under faults: no promise is broken, and service comes back."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from fennelhill_bench.sessionworld.targets import Traits
+from fennelhill_bench.sessionworld.world import SessionWorld
+from fennelhill_bench.virtual_time import run_virtual
+from fennelhill_core import codes
+from fennelhilld.catalog.state import ReadKind
+from fennelhilld.statements.messages import TransactionState
+
+LOAD_MS = 4_000.0
+CLIENTS = 24
+
+
+def play(seed, trouble=None, hosts=2, groups=1, traits=None, load_ms=LOAD_MS):
+    """Run random clients beside a trouble; return the world and what broke."""
+
+    async def main():
+        world = SessionWorld(seed, hosts, groups, traits)
+        load = asyncio.ensure_future(world.run_clients(CLIENTS, load_ms))
+        if trouble is not None:
+            await trouble(world)
+        await load
+        broken = world.observer.finish(world.groups)
+        world.close()
+        return world, broken
+
+    return run_virtual(main())
+
+
+def served_share(world, from_ms=0.0):
+    replies = [one for one in world.replies if one[0] >= from_ms]
+    return sum(one[3].code is None for one in replies) / max(1, len(replies))
+
+
+async def crash_primary(world):
+    await world.clock.sleep_ms(800)
+    model = world.groups["g0"]
+    crashed = model.leader
+    crashed.crash()
+    await world.clock.sleep_ms(2_500)
+    crashed.restart()
+
+
+async def dark_primary(world):
+    await world.clock.sleep_ms(800)
+    world.groups["g0"].leader.silent = True
+
+
+async def promotion_by_another(world):
+    """The lead changes while the old primary goes on answering."""
+    await world.clock.sleep_ms(700)
+    model = world.groups["g0"]
+    other = next(one for one in model.targets.values() if not one.leads)
+    await model.promote(other.id)
+
+
+async def lost_answers(world):
+    await world.clock.sleep_ms(500)
+    for target in world.groups["g0"].targets.values():
+        target.lose_answers = 0.03
+    await world.clock.sleep_ms(2_000)
+    for target in world.groups["g0"].targets.values():
+        target.lose_answers = 0.0
+
+
+async def replicas_far_behind(world):
+    await world.clock.sleep_ms(500)
+    for target in world.groups["g0"].targets.values():
+        target.traits.lag_ms *= 60
+
+
+async def deaf_replicas_and_crash(world):
+    await world.clock.sleep_ms(500)
+    model = world.groups["g0"]
+    deaf = next(one for one in model.targets.values() if not one.leads)
+    model.deaf.add(deaf.id)
+    await world.clock.sleep_ms(500)
+    model.leader.crash()
+    await world.clock.sleep_ms(500)
+    model.deaf.clear()
+
+
+async def planned_replacement(world):
+    await world.clock.sleep_ms(800)
+    model = world.groups["g0"]
+    await world.leave(model, model.leader.id)
+
+
+async def store_loses_answers_and_crash(world):
+    world.store.lose_answers = True
+    await crash_primary(world)
+
+
+async def store_down_during_crash(world):
+    world.store.down = True
+    await world.clock.sleep_ms(500)
+    world.groups["g0"].leader.crash()
+    await world.clock.sleep_ms(1_000)
+    world.store.down = False
+
+
+TROUBLES = [
+    None,
+    crash_primary,
+    dark_primary,
+    promotion_by_another,
+    lost_answers,
+    replicas_far_behind,
+    deaf_replicas_and_crash,
+    planned_replacement,
+    store_loses_answers_and_crash,
+    store_down_during_crash,
+]
+
+
+def trouble_name(trouble):
+    return trouble.__name__ if trouble else "calm"
+
+
+class TestPromises:
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    @pytest.mark.parametrize("trouble", TROUBLES, ids=trouble_name)
+    def test_hold_under(self, trouble, seed):
+        world, broken = play(seed, trouble)
+        assert broken == []
+        assert world.observer.reads > 100
+
+    @pytest.mark.parametrize("seed", [1, 2])
+    def test_hold_with_scarce_connections(self, seed):
+        traits = Traits(max_connections=3, queue=2)
+        _, broken = play(seed, crash_primary, hosts=3, traits=traits)
+        assert broken == []
+
+
+class TestCalmDay:
+    def test_serves_everything_in_time(self):
+        world, _ = play(4, hosts=2, groups=2)
+        assert served_share(world) == 1.0
+        took_ms = sorted(one[1] - one[0] for one in world.replies)
+        assert took_ms[int(0.99 * len(took_ms))] < 200.0
+
+    def test_reads_that_may_be_old_go_to_replicas(self):
+        world, _ = play(5)
+        counters = [gateway.env.counters for gateway in world.gateways]
+        replica = sum(one.replica_reads for one in counters)
+        refused = sum(one.replica_refusals for one in counters)
+        assert refused < 0.05 * replica
+
+
+class TestFailover:
+    def test_writes_are_served_again_soon_after_a_crash(self):
+        world, _ = play(6, crash_primary)
+        writes = [
+            start_ms
+            for start_ms, _, _, reply in world.replies
+            if reply.code is None and start_ms > 800 and reply.position.term > 1
+        ]
+        assert min(writes) < 800 + 2_500
+
+    def test_one_promotion_a_crash_with_a_rising_token(self):
+        world, _ = play(7, crash_primary, hosts=4)
+        promotions = world.groups["g0"].promotions
+        assert len({target for target, _ in promotions}) == 1
+        calls = [(holder, token) for _, _, holder, token in world.orders.calls]
+        assert len({token for _, token in calls}) == len(set(calls))
+
+    def test_planned_replacement_loses_nothing_and_fails_nobody(self):
+        world, broken = play(8, planned_replacement)
+        assert broken == []
+        assert len(world.groups["g0"].promotions) == 1
+        assert served_share(world) > 0.99
+
+    def test_a_host_that_alone_is_cut_off_promotes_nobody(self):
+        async def cut_one_host(world):
+            await world.clock.sleep_ms(500)
+            leader = world.groups["g0"].leader
+            world.drivers[0].cut_off.add(leader.id)
+            for link in list(leader.links):
+                if link.number % 3 == 0:
+                    link.cut()
+
+        world, broken = play(9, cut_one_host, hosts=3)
+        assert broken == []
+        assert world.groups["g0"].promotions == []
+
+
+class TestUnknownOutcome:
+    def test_a_write_whose_answer_is_lost_is_in_doubt_and_not_sent_again(self):
+        async def main():
+            world = SessionWorld(1, hosts=1)
+            client = world.client(world.gateways[0], world.database(ReadKind.CURRENT))
+            assert (await client.write()).code is None
+            world.groups["g0"].leader.lose_answers = 1.0
+            reply = await client.write()
+            assert reply.code is codes.CONNECTION_LOST
+            request = f"q{world._numbers}"
+            assert len(world.observer.runs[request]) == 1
+            world.close()
+
+        run_virtual(main())
+
+    def test_reads_then_go_to_the_leader_until_it_has_answered(self):
+        async def main():
+            world = SessionWorld(1, hosts=1)
+            database = world.database(ReadKind.OWN_WRITES)
+            client = world.client(world.gateways[0], database)
+            await client.write()
+            leader = world.groups["g0"].leader
+            leader.lose_answers = 1.0
+            await client.write()
+            leader.lose_answers = 0.0
+            await client.read()
+            assert world.observer.runs[f"q{world._numbers}"][-1].target == leader.id
+            world.close()
+
+        run_virtual(main())
+
+
+class TestTransactions:
+    def test_resting_too_long_is_aborted_and_the_link_freed(self):
+        async def main():
+            world = SessionWorld(1, hosts=1)
+            client = world.client(world.gateways[0], world.database(ReadKind.CURRENT))
+            await client.begin()
+            await client.write()
+            client.session.abort("rested")
+            reply = await client.read()
+            assert reply.code is codes.TRANSACTION_ABORTED
+            assert reply.state is TransactionState.FAILED
+            assert (await client.rollback()).code is None
+            assert (await client.read()).code is None
+            world.close()
+
+        run_virtual(main())
+
+    def test_a_lost_link_before_the_commit_is_aborted(self):
+        async def main():
+            world = SessionWorld(1, hosts=1)
+            client = world.client(world.gateways[0], world.database(ReadKind.CURRENT))
+            await client.begin()
+            await client.write()
+            for link in list(world.groups["g0"].leader.links):
+                link.cut()
+            reply = await client.commit()
+            assert reply.code in (codes.TRANSACTION_ABORTED, codes.CONNECTION_LOST)
+            assert world.groups["g0"].leader.log == []
+            world.close()
+
+        run_virtual(main())
+
+    def test_no_statement_runs_where_the_beginning_was_refused(self):
+        async def main():
+            world = SessionWorld(1, hosts=1)
+            client = world.client(world.gateways[0], world.database(ReadKind.CURRENT))
+            await client.read()
+            model = world.groups["g0"]
+            model.leader.leads = False
+            await client.begin()
+            await client.read()
+            assert world.observer.broken == []
+            world.close()
+
+        run_virtual(main())
