feat: a host on the smaller side of a cut leaves the balancer, and refuses at once

Ruled out: serving from replicas without proof of age (STALE); forwarding through other zones (the cut separates the hosts too). Change: hosts that reach less than half of the fleet and lack a leader report 503 to the balancer and let resting sessions go; targets that fell silent are tried again only after a new link could be opened; a read leaves a silent target after 450 ms for another one.

--- a/packages/fennelhill-bench/src/fennelhill_bench/sessionworld/targets.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/sessionworld/targets.py
@@ -219,8 +219,10 @@
 
     _numbers = itertools.count(1)
 
-    def __init__(self, target: TargetModel) -> None:
+    def __init__(self, target: TargetModel, driver: DriverModel) -> None:
         self.target = target
+        self.driver = driver
+        self.silent = False
         self.number = next(self._numbers)
         self.closed = False
         self.lost_lead = False
@@ -267,7 +269,7 @@
             await clock.sleep_ms(self.target.traits.network_ms)
             answer = await self._run(command)
             lost = self.target.group.random.random() < self.target.lose_answers
-            if self.target.silent or (lost and answer.signature):
+            if self.silent or self.target.silent or (lost and answer.signature):
                 return  # Nothing further is delivered.
             await clock.sleep_ms(self.target.traits.network_ms)
             self._answers.append(answer)
@@ -413,7 +415,7 @@
             raise LinkRefusedError(TargetFault.OTHER, "connection refused")
         if len(target.links) >= target.traits.max_connections:
             raise LinkRefusedError(TargetFault.TOO_MANY_CONNECTIONS, target_id)
-        link = LinkModel(target)
+        link = LinkModel(target, self)
         await model.clock.sleep_ms(target.traits.set_up_ms)
         return link
 
--- a/packages/fennelhill-bench/src/fennelhill_bench/sessionworld/world.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/sessionworld/world.py
@@ -29,6 +29,7 @@
 from fennelhill_bench.sessionworld.targets import DriverModel, GroupModel, Traits
 from fennelhill_bench.virtual_time import VirtualClock
 
+ASK_LIMIT_MS = 450.0  # a question to hosts that do not answer
 FEED_MS = 5.0  # from a write in the store to the hosts that follow it
 
 
@@ -107,7 +108,15 @@
 
     async def leader_views(self, group: str, target_id: str) -> list[LeaderView]:
         """Ask all hosts about a target."""
-        others = [one for one in self._world.gateways if one is not self._gateway]
+        world = self._world
+        if self._gateway.host in world.cut_hosts:
+            await world.clock.sleep_ms(ASK_LIMIT_MS)
+            return []
+        others = [
+            one
+            for one in world.gateways
+            if one is not self._gateway and one.host not in world.cut_hosts
+        ]
         return await asyncio.gather(
             *(
                 one.replacement.view_of(one.env.group(group), target_id)
@@ -160,6 +169,7 @@
                 (ReadKind.OWN_WRITES, 2_500.0, 2),
             )
         ]
+        self.cut_hosts: set[str] = set()
         self.drivers: list[DriverModel] = []
         self.store = StoreModel(self)
         self.orders = OrdersModel(self)
--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -65,14 +65,16 @@
         self._events = events
         self._assessing: set[str] = set()
         self._next_assess_ms: dict[str, float] = {}
+        self._looking_around = False
         self._tasks = Tasks()
+        self.env.cut_off = lambda: self.replacement.reach.cut_off
         self.env.suspected = self._suspected
 
     @property
     def ready(self) -> bool:
-        """Whether clients can be served: a catalog and a target are known."""
+        """Whether clients should come: configuration, targets and fleet in reach."""
         known = self.catalog.current is not None and bool(self.directory.all())
-        return known and not self.env.leaving
+        return known and not self.env.leaving and not self.replacement.reach.cut_off
 
     def start(self) -> None:
         """Start the task that checks beliefs against time."""
@@ -286,11 +288,22 @@
                 if target is not None:
                     self._forget(target)
                 self._events.record("target.gone", group=entry.group, target=entry.id)
+            if self.replacement.reach.cut_off and not self._looking_around:
+                self._looking_around = True
+                self._tasks.spawn(self._look_around())
             for group in list(self.groups.values()):
                 self._look_at(group, now_ms)
+                for target in group.targets.values():
+                    target.pool.probe()
                 if ticks % TRIM_TICKS == 0:
                     self._tend(group)
 
+    async def _look_around(self) -> None:
+        try:
+            await self.replacement.look_around()
+        finally:
+            self._looking_around = False
+
     def _look_at(self, group: GroupState, now_ms: float) -> None:
         if group.name in self._assessing or not group.targets:
             return
--- a/packages/fennelhilld/src/fennelhilld/links/pool.py
+++ b/packages/fennelhilld/src/fennelhilld/links/pool.py
@@ -74,6 +74,8 @@
         self.entry = entry
         self.counters = PoolCounters()
         self.closed = False
+        # Set by silence, cleared by the next link that could be opened.
+        self.unreachable = False
         self.in_use = 0
         self._driver = driver
         self._clock = clock
@@ -190,6 +192,22 @@
         if self.open == 0 and not self.closed:
             self._start_opening()
 
+    def fell_silent(self) -> None:
+        """Drop idle links after one got no answer: the others are silent too.
+
+        The target counts as unreachable until a new link could be opened.
+        """
+        self.unreachable = True
+        for link in self._idle:
+            link.link.close()
+        self._idle = []
+
+    def probe(self) -> None:
+        """Try to reach an unreachable target, unless that is under way."""
+        blocked = self._clock.now_ms() < self._blocked_until_ms
+        if self.unreachable and not self.closed and not self._opening and not blocked:
+            self._start_opening()
+
     def close(self) -> None:
         """Close idle links now, and the others as they come back."""
         self.closed = True
@@ -267,6 +285,7 @@
             raise
         self._opening -= 1
         self.counters.opened += 1
+        self.unreachable = False
         if self.closed:
             link.close()
             return
@@ -281,6 +300,7 @@
                 self._tasks.spawn(self._grow_later(TOO_MANY_BACKOFF_MS))
             return
         self.counters.refused += 1
+        self.unreachable = True
         self._failed(str(error))
         self._blocked_until_ms = now_ms + UNREACHABLE_BACKOFF_MS
         if self.open == 0:
--- a/packages/fennelhilld/src/fennelhilld/placement/state.py
+++ b/packages/fennelhilld/src/fennelhilld/placement/state.py
@@ -99,7 +99,7 @@
         best = None
         best_ms = 0.0
         for name, target in self.targets.items():
-            if name in tried or target.entry.leaving:
+            if name in tried or target.entry.leaving or target.pool.unreachable:
                 continue
             leads = name == self.leadership.leader_id
             if not leads and not target.lag.holds(floor.age_ms, now_ms):
--- a/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
@@ -36,6 +36,7 @@
     PromotionOrders,
     PromotionResult,
 )
+from fennelhilld.promotion.reach import FleetReach
 
 # A target that lives answers within its queue (about 100 ms) and a set-up.
 STATUS_LIMIT_MS = 300.0
@@ -187,6 +188,7 @@
         self._driver = driver
         self._clock = clock
         self._events = events
+        self.reach = FleetReach(clock, events)
         self._probes: dict[str, TargetLink] = {}
 
     async def assess(self, group: GroupState) -> None:
@@ -213,6 +215,8 @@
         )
         if self._confirmed(group, leader, look, started_ms):
             return
+        if self.peers is not None:
+            self.reach.update(len(views), len(self.peers.names()))
         if not self._adopt(group, statuses, leader, started_ms):
             await self._replace(group, leader, statuses, views)
 
@@ -232,6 +236,12 @@
         self._record("leadership.confirmed", group, target=leader.entry.id)
         return True
 
+    async def look_around(self) -> None:
+        """Ask whether a fleet that was out of reach is back."""
+        if self.peers is not None:
+            views = await self.peers.leader_views("", "")
+            self.reach.update(len(views), len(self.peers.names()))
+
     async def _views(self, group: GroupState, leader: TargetState) -> list[LeaderView]:
         if self.peers is None:
             return []
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/promotion/tests/test_reach.py
@@ -0,0 +1,31 @@
+"""Tests of noticing that this host is cut off."""
+
+from __future__ import annotations
+
+from fennelhill_bench.virtual_time import VirtualClock, run_virtual
+from fennelhill_core.events import EventLog
+from fennelhilld.promotion.reach import FleetReach
+
+
+def cut_off(answered, others):
+    async def main():
+        clock = VirtualClock()
+        reach = FleetReach(clock, EventLog("h", "z", clock))
+        reach.update(answered, others)
+        return reach.cut_off
+
+    return run_virtual(main())
+
+
+class TestFleetReach:
+    def test_the_smaller_side_is_cut_off(self):
+        assert cut_off(1, 5)
+
+    def test_the_larger_side_is_not(self):
+        assert not cut_off(3, 5)
+
+    def test_neither_of_two_equal_sides_is(self):
+        assert not cut_off(2, 5)
+
+    def test_a_fleet_of_one_is_not(self):
+        assert not cut_off(0, 0)
--- a/packages/fennelhilld/src/fennelhilld/statements/environment.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/environment.py
@@ -62,6 +62,7 @@
         self.events = events
         self.counters = StatementCounters()
         self.leaving = False
+        self.cut_off: Callable[[], bool] = lambda: False
         self.suspected: Callable[[GroupState], None] = lambda group: None
 
     def group(self, name: str) -> GroupState:
@@ -86,6 +87,22 @@
             state = self.groups[name] = GroupState(name, notified)
         return state
 
+    def out_of_reach(self, group: GroupState) -> bool:
+        """Tell whether waiting for a group's leader makes no sense here.
+
+        Parameters
+        ----------
+        group : GroupState
+            The group.
+
+        Returns
+        -------
+        bool
+            True while this host is cut off from the fleet and from this leader.
+        """
+        failing = group.leadership.failing_since_ms is not None
+        return self.cut_off() and (failing or group.leader() is None)
+
     async def borrow(
         self,
         target: TargetState,
@@ -232,6 +249,7 @@
             Time that the answer had, in milliseconds.
         """
         if allowed_ms >= FAIR_ANSWER_MS:
+            target.pool.fell_silent()
             self.target_failed(target, reason)
 
     def target_failed(self, target: TargetState, reason: str) -> None:
--- a/packages/fennelhilld/src/fennelhilld/statements/execution.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/execution.py
@@ -28,8 +28,12 @@
 
 # A busy target works through its queue in some tens of milliseconds.
 BUSY_PAUSE_MS = 8.0
+CUT_OFF = "this host is cut off from the leader; connect again for another host"
 # Pause between looks for a leader; a change wakes the waiting at once.
 LEADER_WAIT_MS = 100.0
+# A read waits this long for one target before it is sent to another; work takes up
+# to 170 ms (300 ms at the second user's), and a full queue 150 ms.
+READ_ATTEMPT_MS = 450.0
 # A read is offered to this many targets before the client hears of it.
 MAX_READ_ATTEMPTS = 6
 
@@ -192,6 +196,8 @@
             if left_ms < LEAST_LEFT_MS:
                 break
             target = self.choose_reader(group, database, tried)
+            if target in (None, group.leader()) and env.out_of_reach(group):
+                return env.refused(statement, codes.OWNER_UNREACHABLE, CUT_OFF)
             if target is None:
                 tried.clear()
                 await group.leadership.wait_change(min(left_ms, LEADER_WAIT_MS))
@@ -246,7 +252,7 @@
         else:
             command.after = floor.position
             commands.append(command)
-        left_ms = deadline_ms - env.clock.now_ms()
+        left_ms = min(READ_ATTEMPT_MS, deadline_ms - env.clock.now_ms())
         try:
             exchange = await lease.exchange(commands, left_ms)
         except LinkLostError as error:
@@ -336,6 +342,8 @@
         )
         last = "no leader is known"
         while (left_ms := deadline_ms - env.clock.now_ms()) >= LEAST_LEFT_MS:
+            if env.out_of_reach(group):
+                return env.refused(statement, codes.OWNER_UNREACHABLE, CUT_OFF)
             lease, target = await self.borrow_leader(group, database, left_ms)
             if lease is None or target is None:
                 continue
--- a/packages/fennelhilld/src/fennelhilld/statements/transaction.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/transaction.py
@@ -25,6 +25,7 @@
 )
 from fennelhilld.statements.execution import (
     BUSY_PAUSE_MS,
+    CUT_OFF,
     FAULT_CODES,
     LEADER_WAIT_MS,
     StatementRunner,
@@ -186,8 +187,12 @@
         )
         last = "no target was free"
         while (left_ms := deadline_ms - env.clock.now_ms()) >= LEAST_LEFT_MS:
-            if self._lease is None and not await self._begin(statement, left_ms):
-                continue
+            if self._lease is None:
+                if self._out_of_reach():
+                    code = codes.OWNER_UNREACHABLE
+                    return await self._refuse(statement, code, CUT_OFF)
+                if not await self._begin(statement, left_ms):
+                    continue
             left_ms = deadline_ms - env.clock.now_ms()
             commands = self._lease.link.replay(self.runner.context, shape)
             try:
@@ -220,6 +225,14 @@
                 return await self._give_up(statement, answer, last)
         return await self._refuse(statement, codes.OVERLOADED, last)
 
+    def _out_of_reach(self) -> bool:
+        env = self.runner.env
+        group = env.group(self.database.group)
+        if not env.out_of_reach(group):
+            return False
+        reader = self.runner.choose_reader(group, self.database, set())
+        return self.fenced or reader in (None, group.leader())
+
     async def _begin(self, statement: Statement, left_ms: float) -> bool:
         """Begin on a target; false after a pause where none is to be had.
 
--- a/scenarios/test_sessions.py
+++ b/scenarios/test_sessions.py
@@ -189,6 +189,45 @@
         assert world.groups["g0"].promotions == []
 
 
+class TestCutOffHost:
+    def cut(self, world, number):
+        """Cut a host off from all targets but one replica, and from its peers."""
+        group = world.groups["g0"]
+        world.drivers[number].cut_off |= {
+            name for name, target in group.targets.items() if not name.endswith("2")
+        }
+        world.cut_hosts.add(world.gateways[number].host)
+        for target in group.targets.values():
+            for link in list(target.links):
+                if link.driver is world.drivers[number]:
+                    link.silent = True
+
+    def test_tells_the_balancer_and_refuses_at_once_until_it_is_back(self):
+        async def main():
+            world = SessionWorld(1, hosts=3)
+            gateway = world.gateways[0]
+            client = world.client(gateway, world.database(ReadKind.CURRENT))
+            await client.read()
+            self.cut(world, 0)
+            await client.write()
+            await world.clock.sleep_ms(500)
+            assert not gateway.ready
+            assert world.gateways[1].ready
+            started_ms = world.clock.now_ms()
+            reply = await client.write()
+            assert reply.code is codes.OWNER_UNREACHABLE
+            assert world.clock.now_ms() - started_ms < 10
+            world.cut_hosts.clear()
+            world.drivers[0].cut_off.clear()
+            await world.clock.sleep_ms(1_500)
+            assert gateway.ready
+            assert (await client.write()).code is None
+            assert world.groups["g0"].promotions == []
+            world.close()
+
+        run_virtual(main())
+
+
 class TestUnknownOutcome:
     def test_a_write_whose_answer_is_lost_is_in_doubt_and_not_sent_again(self):
         async def main():
