feat: explain a request and print a time line from log files

Cause: a failed request's id led nowhere on the platform, where only logs remain. Change: fennelhill explain REQUEST_ID LOG... and timeline LOG..., text and JSON; refusals name their group; a served statement over its goal is logged as slow.

--- a/packages/fennelhill/src/fennelhill/cli.py
+++ b/packages/fennelhill/src/fennelhill/cli.py
@@ -18,12 +18,20 @@
 from fennelhill_core.subtrees import SubtreeStore
 
 from fennelhill.fleet import ask_all, merge_events, render_event
+from fennelhill.loglines import (
+    STANDARD_INPUT,
+    LogLine,
+    read_log,
+    story,
+    timeline,
+)
 
 EXIT_PROBLEM = 1
 EXIT_BAD_SETTINGS = 2
 TOKEN_BYTES = 24
 MS_PER_S = 1000
 POLL_S = 0.5
+SETTINGS_SUFFIXES = (".yaml", ".yml")
 
 
 class Fennelhill:
@@ -34,6 +42,8 @@
         fennelhill check fleet.yaml               is the settings file usable?
         fennelhill status fleet.yaml              who is up, who leads, who waits?
         fennelhill timeline fleet.yaml            what happened, and why?
+        fennelhill timeline LOG...                the same from log files
+        fennelhill explain REQUEST_ID LOG...      why did this request end so?
         fennelhill team_get fleet.yaml TEAM       a team's settings and their revision
         fennelhill team_put fleet.yaml TEAM F.yaml --expect=REVISION
         fennelhill explain 2002                   what does a result code mean?
@@ -71,21 +81,37 @@
             raise SystemExit(EXIT_PROBLEM)
 
     def timeline(
-        self, settings: str, group: str = "", kind: str = "", last_s: float = 3600
+        self,
+        *sources: str,
+        group: str = "",
+        kind: str = "",
+        last_s: float = 3600,
+        json: bool = False,
     ) -> None:
         """Print the events of all daemons as one line of time.
 
         Parameters
         ----------
-        settings : str
-            Path of the YAML file.
+        *sources : str
+            Log files of daemons, ``-`` for the standard input; or the path of the
+            settings file (YAML), to ask the daemons themselves.
         group : str
             Only events of this database group.
         kind : str
             Only events whose kind begins so, as ``failover``.
         last_s : float
-            How far to look back, in seconds.
+            How far to look back, in seconds, when daemons are asked.
+        json : bool
+            Whether to print JSON lines; for logs only.
         """
+        names = [str(source) for source in sources] or [STANDARD_INPUT]
+        if names[0].endswith(SETTINGS_SUFFIXES):
+            self._ask_for_timeline(names[0], group, kind, last_s)
+            return
+        _print_lines(timeline(_read(names), group, kind), json)
+
+    @staticmethod
+    def _ask_for_timeline(settings: str, group: str, kind: str, last_s: float) -> None:
         since_ms = int((time.time() - last_s) * MS_PER_S)
         replies = asyncio.run(ask_all(_load(settings), f"/events?since={since_ms}"))
         events = merge_events(replies)
@@ -152,14 +178,28 @@
             raise SystemExit(EXIT_PROBLEM)
         print("in force on every host")
 
-    def explain(self, code: int) -> None:
-        """Explain a result code.
+    def explain(self, what: str, *logs: str, json: bool = False) -> None:
+        """Explain how a request ended, from logs; or what a result code means.
 
         Parameters
         ----------
-        code : int
-            The number that a caller saw.
+        what : str
+            The request's id; or the number that a caller saw.
+        *logs : str
+            Log files of daemons, ``-`` for the standard input.  Without any, a
+            number is explained.
+        json : bool
+            Whether to print JSON lines.
         """
+        if logs or not str(what).isdigit():
+            names = [str(log) for log in logs] or [STANDARD_INPUT]
+            found_lines = story(_read(names), str(what))
+            if not found_lines:
+                print(f"no line names the request {what}", file=sys.stderr)
+                raise SystemExit(EXIT_PROBLEM)
+            _print_lines(found_lines, json)
+            return
+        code = int(what)
         found = CODES.get(code)
         if found is None:
             print(f"there is no code {code}; see docs/ERRORS.md", file=sys.stderr)
@@ -181,6 +221,19 @@
         print(f"token_sha256: {hash_token(chosen)}")
 
 
+def _read(names: list[str]) -> list[LogLine]:
+    try:
+        return list(read_log(names))
+    except OSError as error:
+        print(f"logs: {error}", file=sys.stderr)
+        raise SystemExit(EXIT_BAD_SETTINGS) from error
+
+
+def _print_lines(lines: list[LogLine], as_json: bool) -> None:
+    for line in lines:
+        print(msgspec.json.encode(line).decode() if as_json else line.render())
+
+
 def _store(settings: Settings) -> SubtreeStore:
     if not settings.platform.table_service:
         print("settings: platform.table_service is not set", file=sys.stderr)
--- /dev/null
+++ b/packages/fennelhill/src/fennelhill/loglines.py
@@ -0,0 +1,193 @@
+"""Reads the daemons' log lines: the story of a request, and a line of time."""
+
+from __future__ import annotations
+
+import datetime
+import sys
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+STANDARD_INPUT = "-"
+# What a host believed is shown from this long before a request's first line.  A
+# lost leader is noticed within a second and replaced within two.
+BELIEF_WINDOW_S = 3.0
+# Kinds of lines that tell what a host believed, rather than of one request.
+BELIEFS = (
+    "leadership.",
+    "promotion.",
+    "target.",
+    "store.",
+    "catalog.",
+    "fleet.",
+    "daemon.",
+)
+
+
+class LogLine(msgspec.Struct):
+    """One line of a daemon's log.
+
+    Parameters
+    ----------
+    at : datetime.datetime
+        Wall time of the host that wrote it.
+    message : str
+        What happened, as ``slice.event``.
+    host : str
+        Who wrote it.
+    group : str
+        Database group, where one is meant.
+    request : str
+        Request id, where one is meant.
+    detail : dict
+        All other fields.
+    """
+
+    at: datetime.datetime
+    message: str
+    host: str = ""
+    group: str = ""
+    request: str = ""
+    detail: dict[str, Any] = {}
+
+    @classmethod
+    def from_text(cls, text: str) -> LogLine | None:
+        """Decode a line, also one with a prefix of a log collector.
+
+        Parameters
+        ----------
+        text : str
+            The line.
+
+        Returns
+        -------
+        LogLine or None
+            Nothing where it is no log line of a daemon.
+        """
+        start = text.find("{")
+        if start < 0:
+            return None
+        try:
+            fields = msgspec.json.decode(text[start:], type=dict[str, Any])
+            line = msgspec.convert(fields, cls)
+        except (msgspec.DecodeError, msgspec.ValidationError):
+            return None
+        known = {*cls.__struct_fields__, "level", "zone", "cause"}
+        line.detail = {
+            name: value
+            for name, value in fields.items()
+            if name not in known and value not in ("", None)
+        }
+        return line
+
+    def render(self) -> str:
+        """Write the line for people.
+
+        Returns
+        -------
+        str
+            Time, host, what happened, and why.
+        """
+        parts = [self.at.strftime("%H:%M:%S.%f")[:-3], f"{self.host:<12}", self.message]
+        parts += [f"group={self.group}"] if self.group else []
+        parts += [f"{name}={value}" for name, value in self.detail.items()]
+        return " ".join(parts)
+
+    @property
+    def is_belief(self) -> bool:
+        """Whether it tells what a host believed."""
+        return self.message.startswith(BELIEFS)
+
+
+def read_log(sources: Iterable[str]) -> Iterator[LogLine]:
+    """Read log lines.
+
+    Parameters
+    ----------
+    sources : iterable of str
+        Paths of files; ``-`` is the standard input.
+
+    Yields
+    ------
+    LogLine
+        Each line that a daemon wrote; others are skipped.
+    """
+    for source in sources:
+        if source == STANDARD_INPUT:
+            yield from _decode(sys.stdin)
+            continue
+        with Path(source).open(encoding="utf-8", errors="replace") as lines:
+            yield from _decode(lines)
+
+
+def timeline(
+    lines: Iterable[LogLine], group: str = "", kind: str = ""
+) -> list[LogLine]:
+    """Put what hosts believed into one line of time.
+
+    Parameters
+    ----------
+    lines : iterable of LogLine
+        Lines of all hosts.
+    group : str
+        Only lines of this database group, and those of no group.
+    kind : str
+        Only lines whose message begins so.
+
+    Returns
+    -------
+    list of LogLine
+        By time.
+    """
+    chosen = [
+        line
+        for line in lines
+        if line.message.startswith(kind)
+        and (kind or line.is_belief)
+        and group in ("", line.group)
+    ]
+    return sorted(chosen, key=lambda line: line.at)
+
+
+def story(lines: Iterable[LogLine], request: str) -> list[LogLine]:
+    """Collect all that explains how a request ended.
+
+    Parameters
+    ----------
+    lines : iterable of LogLine
+        Lines of all hosts.
+    request : str
+        The request's id.
+
+    Returns
+    -------
+    list of LogLine
+        The request's own lines, and before and between them what hosts believed
+        of the groups concerned; nothing where no line names the request.
+    """
+    known = list(lines)
+    own = [line for line in known if line.request == request]
+    if not own:
+        return []
+    window = datetime.timedelta(seconds=BELIEF_WINDOW_S)
+    first = min(line.at for line in own) - window
+    last = max(line.at for line in own)
+    groups = {line.group for line in own} - {""}
+    hosts = {line.host for line in own}
+    beliefs = [
+        line
+        for line in known
+        if line.is_belief
+        and first <= line.at <= last
+        and (line.group in groups or (not line.group and line.host in hosts))
+    ]
+    return sorted(own + beliefs, key=lambda line: line.at)
+
+
+def _decode(texts: Iterable[str]) -> Iterator[LogLine]:
+    for text in texts:
+        line = LogLine.from_text(text)
+        if line is not None:
+            yield line
--- /dev/null
+++ b/packages/fennelhill/tests/test_loglines.py
@@ -0,0 +1,88 @@
+"""Tests of reading the daemons' logs."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from fennelhill.cli import Fennelhill
+from fennelhill.loglines import LogLine, story, timeline
+
+
+def line(second, message, host="h1", **fields):
+    at = f"2026-01-10T01:32:{second:06.3f}+00:00"
+    return json.dumps({"at": at, "message": message, "host": host, **fields})
+
+
+LOG = [
+    line(1.0, "catalog.installed", version=4),
+    line(20.0, "leadership.suspected", group="g1", target="t1", reason="refused"),
+    line(20.1, "leadership.suspected", group="g2", target="t9"),
+    line(20.2, "request.retried", group="g1", request="a1", reason="link lost"),
+    line(20.3, "promotion.claimed", host="h2", group="g1", token=7),
+    line(20.9, "request.refused", group="g1", request="a1", code=1012),
+    line(21.5, "promotion.finished", host="h2", group="g1", token=7),
+]
+
+
+def decoded(texts=LOG):
+    return [LogLine.from_text(text) for text in texts]
+
+
+class TestLogLine:
+    def test_is_found_behind_a_prefix(self):
+        found = LogLine.from_text("  36.49 node-1 " + LOG[1])
+        assert found.message == "leadership.suspected"
+        assert found.detail == {"target": "t1", "reason": "refused"}
+
+    @pytest.mark.parametrize("text", ["", "Traceback", "{broken", "{}", "[1]"])
+    def test_other_text_is_skipped(self, text):
+        assert LogLine.from_text(text) is None
+
+
+class TestStory:
+    def test_holds_the_request_and_the_beliefs_of_its_group(self):
+        messages = [one.message for one in story(decoded(), "a1")]
+        assert messages == [
+            "leadership.suspected",
+            "request.retried",
+            "promotion.claimed",
+            "request.refused",
+        ]
+
+    def test_is_empty_for_an_unknown_request(self):
+        assert story(decoded(), "zz") == []
+
+
+class TestTimeline:
+    def test_orders_the_beliefs_of_all_hosts(self):
+        found = timeline(reversed(decoded()), group="g1")
+        assert [one.message for one in found] == [
+            "leadership.suspected",
+            "promotion.claimed",
+            "promotion.finished",
+        ]
+
+
+class TestCommands:
+    def test_explain_a_request_from_a_file(self, tmp_path, capsys):
+        path = tmp_path / "log"
+        path.write_text("\n".join(LOG))
+        Fennelhill().explain("a1", str(path))
+        assert "promotion.claimed group=g1 token=7" in capsys.readouterr().out
+
+    def test_explain_as_json(self, tmp_path, capsys):
+        path = tmp_path / "log"
+        path.write_text("\n".join(LOG))
+        Fennelhill().explain("a1", str(path), json=True)
+        lines = capsys.readouterr().out.splitlines()
+        assert json.loads(lines[-1])["detail"]["code"] == 1012
+
+    def test_explain_a_code(self, capsys):
+        Fennelhill().explain(1012)
+        assert "no_primary" in capsys.readouterr().out
+
+    def test_a_missing_file_is_said(self, capsys):
+        with pytest.raises(SystemExit):
+            Fennelhill().timeline("nowhere.log")
+        assert "nowhere.log" in capsys.readouterr().err
--- a/packages/fennelhilld/src/fennelhilld/statements/environment.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/environment.py
@@ -285,6 +285,7 @@
         code: Code,
         detail: str = "",
         state: TransactionState = TransactionState.IDLE,
+        group: str = "",
         **inputs: object,
     ) -> Reply:
         """Build the reply to a statement that is given up, and log why.
@@ -299,6 +300,8 @@
             What happened, for people.
         state : TransactionState
             State of the session afterwards.
+        group : str
+            Database group, where one was meant.
         **inputs : object
             What decided.
 
@@ -310,6 +313,7 @@
         self.counters.failed(code.number)
         self.events.record(
             "request.refused",
+            group=group,
             request=statement.request_id,
             code=code.number,
             name=code.name,
--- a/packages/fennelhilld/src/fennelhilld/statements/execution.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/execution.py
@@ -197,7 +197,9 @@
                 break
             target = self.choose_reader(group, database, tried)
             if target in (None, group.leader()) and env.out_of_reach(group):
-                return env.refused(statement, codes.OWNER_UNREACHABLE, CUT_OFF)
+                return env.refused(
+                    statement, codes.OWNER_UNREACHABLE, CUT_OFF, group=group.name
+                )
             if target is None:
                 tried.clear()
                 await group.leadership.wait_change(min(left_ms, LEADER_WAIT_MS))
@@ -220,7 +222,12 @@
         if not sent and group.leader() is None:
             code = codes.NO_PRIMARY
         return env.refused(
-            statement, code, "no target served the read in time", attempts=attempts
+            statement,
+            code,
+            "no target served the read in time",
+            group=group.name,
+            attempts=attempts,
+            leader=group.leadership.leader_id,
         )
 
     async def _read_at(
@@ -343,7 +350,9 @@
         last = "no leader is known"
         while (left_ms := deadline_ms - env.clock.now_ms()) >= LEAST_LEFT_MS:
             if env.out_of_reach(group):
-                return env.refused(statement, codes.OWNER_UNREACHABLE, CUT_OFF)
+                return env.refused(
+                    statement, codes.OWNER_UNREACHABLE, CUT_OFF, group=group.name
+                )
             lease, target = await self.borrow_leader(group, database, left_ms)
             if lease is None or target is None:
                 continue
@@ -365,6 +374,7 @@
                     statement,
                     codes.CONNECTION_LOST,
                     f"the answer to a write was lost: {error}",
+                    group=group.name,
                     target=target.entry.id,
                 )
             lease.release()
@@ -379,7 +389,11 @@
             last = fault_reason(answer)
             if not answer.fault.not_run:
                 return env.refused(
-                    statement, FAULT_CODES[answer.fault], last, target=target.entry.id
+                    statement,
+                    FAULT_CODES[answer.fault],
+                    last,
+                    group=group.name,
+                    target=target.entry.id,
                 )
             await self.leader_refused(group, target, lease, statement, answer)
         code = codes.NO_PRIMARY if group.leader() is None else codes.OVERLOADED
--- a/packages/fennelhilld/src/fennelhilld/statements/session.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/session.py
@@ -80,7 +80,19 @@
         """
         started_ms = self._env.clock.now_ms()
         reply = await self._execute(statement)
-        self._env.counters.latency.observe(self._env.clock.now_ms() - started_ms)
+        took_ms = self._env.clock.now_ms() - started_ms
+        self._env.counters.latency.observe(took_ms)
+        database = self._env.catalog.database(self.database_name)
+        if reply.code is None and database is not None and took_ms > database.goal_ms:
+            self._env.events.record(
+                "request.slow",
+                group=database.group,
+                request=statement.request_id,
+                statement=statement.kind.value,
+                took_ms=round(took_ms),
+                goal_ms=database.goal_ms,
+                signature=reply.signature,
+            )
         return reply
 
     async def _execute(self, statement: Statement) -> Reply:
--- a/packages/fennelhilld/src/fennelhilld/statements/transaction.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/transaction.py
@@ -330,6 +330,7 @@
             code,
             str(error),
             self.state,
+            self.database.group,
             target=target.entry.id if target else "",
         )
 
@@ -343,7 +344,11 @@
         if answer.state is TransactionState.OPEN and not fault.not_run:
             # The statement failed on its own; the client may go on.
             return self.runner.env.refused(
-                statement, FAULT_CODES[fault], last, TransactionState.OPEN
+                statement,
+                FAULT_CODES[fault],
+                last,
+                TransactionState.OPEN,
+                self.database.group,
             )
         return await self._refuse(statement, FAULT_CODES[fault], last)
 
@@ -354,5 +359,5 @@
         await self.rollback()
         self.failed = True
         return self.runner.env.refused(
-            statement, code, detail, self.state, target=target
+            statement, code, detail, self.state, self.database.group, target=target
         )
