feat: hosts keep few idle links, and one each right after a start

Ruled out: start-up time (all hosts listen 0.3 s after power returns); discovery (all entries known 20 ms after the start). Change: idle links beyond the need of the last 4 s are closed; for 1.5 s after its start a host opens one link a target.

--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -22,6 +22,11 @@
 ASSESS_PAUSE_MS = 150.0
 # Each look at the pools; surplus links are closed after seconds, so this is fine.
 TRIM_TICKS = 5
+# How far a host may go beyond its equal share while the target admits it.
+OVERDRAW = 1.6
+# After a start each host opens one link a target, so that all hosts of a fleet that
+# starts again get one before some get several.
+SETTLE_MS = 1_500.0
 DEFAULT_CONNECTIONS = 16  # of a target, until a catalog names the limit
 
 
@@ -66,6 +71,7 @@
         self._assessing: set[str] = set()
         self._next_assess_ms: dict[str, float] = {}
         self._looking_around = False
+        self._started_ms = float("-inf")
         self._tasks = Tasks()
         self.env.cut_off = lambda: self.replacement.reach.cut_off
         self.env.suspected = self._suspected
@@ -78,6 +84,7 @@
 
     def start(self) -> None:
         """Start the task that checks beliefs against time."""
+        self._started_ms = self._clock.now_ms()
         self._tasks.spawn(self._tick_forever())
 
     def close(self) -> None:
@@ -259,13 +266,30 @@
         limit = group.max_connections if group else DEFAULT_CONNECTIONS
         return max(1, limit // (len(self.members) + 1))
 
+    def link_limit(self, group_name: str) -> int:
+        """Return how many links to a target this host may open now.
+
+        Parameters
+        ----------
+        group_name : str
+            Group of the target.
+
+        Returns
+        -------
+        int
+            At least 1.
+        """
+        if self._clock.now_ms() - self._started_ms < SETTLE_MS:
+            return 1
+        return max(1, int(self.fair_share(group_name) * OVERDRAW))
+
     def _open_pool(self, target: TargetState) -> TargetPool:
         entry = target.entry
         return TargetPool(
             entry,
             self._driver,
             self._clock,
-            lambda: self.fair_share(entry.group),
+            lambda: self.link_limit(entry.group),
             lambda reason: self.env.target_failed(target, reason),
         )
 
--- a/packages/fennelhilld/src/fennelhilld/links/pool.py
+++ b/packages/fennelhilld/src/fennelhilld/links/pool.py
@@ -5,6 +5,7 @@
 import asyncio
 import heapq
 import itertools
+from collections import deque
 from collections.abc import Callable
 
 from fennelhill_core.clock import Clock
@@ -16,14 +17,15 @@
 
 # A set-up takes the target's own time (12 to 27 ms at the users') and a slot.
 OPEN_LIMIT_MS = 600.0
-# After "too many connections" others need time to give some back.
-TOO_MANY_BACKOFF_MS = 250.0
+# After "too many connections" others need time to give some back; a target drops
+# the links of a host that lost power after three seconds.
+TOO_MANY_BACKOFF_MS = 120.0
 # After a refused or unanswered set-up; a crashed target comes back in seconds.
 UNREACHABLE_BACKOFF_MS = 100.0
-# Links beyond the fair share go back soon, so that busier hosts can have them.
-SURPLUS_IDLE_MS = 1_500.0
-# How far a host may go beyond its fair share while the target admits it.
-OVERDRAW = 1.6
+# Links beyond recent need go back, so that hosts that start again find free places.
+SURPLUS_IDLE_MS = 1_000.0
+# Looks at the pool over which the need is taken; at two looks a second, 4 s.
+NEED_LOOKS = 8
 
 
 class NoLinkError(Exception):
@@ -46,8 +48,8 @@
     """Links of this host to one incarnation of one target.
 
     The target limits the connections of all hosts together.  Each host opens
-    what it needs up to somewhat over an equal share; the target's refusal is the
-    back-pressure, and unused links beyond the share are closed.
+    what it needs up to a limit; the target's refusal is the back-pressure, and links
+    that were not needed lately are closed.
 
     Parameters
     ----------
@@ -57,8 +59,8 @@
         Opens links.
     clock : Clock
         Source of time.
-    fair_share : callable
-        Returns this host's equal share of the target's connections.
+    link_limit : callable
+        Returns how many links this host may open now.
     failed : callable
         Called with a reason when the target can't be reached.
     """
@@ -68,7 +70,7 @@
         entry: TargetEntry,
         driver: LinkDriver,
         clock: Clock,
-        fair_share: Callable[[], int],
+        link_limit: Callable[[], int],
         failed: Callable[[str], None],
     ) -> None:
         self.entry = entry
@@ -79,7 +81,9 @@
         self.in_use = 0
         self._driver = driver
         self._clock = clock
-        self._fair_share = fair_share
+        self._link_limit = link_limit
+        self._peak_use = 0
+        self._peaks: deque[int] = deque(maxlen=NEED_LOOKS)
         self._failed = failed
         self._idle: list[PooledLink] = []
         self._opening = 0
@@ -106,7 +110,7 @@
     @property
     def limit(self) -> int:
         """Links that this host may open."""
-        return max(1, int(self._fair_share() * OVERDRAW))
+        return max(1, self._link_limit())
 
     async def acquire(
         self, context: SessionContext, priority: int, limit_ms: float
@@ -174,10 +178,12 @@
         self._offer(link)
 
     def trim(self) -> None:
-        """Close idle links beyond the fair share, and drop dead ones."""
+        """Close idle links that were not needed lately, and drop dead ones."""
         now_ms = self._clock.now_ms()
+        self._peaks.append(self._peak_use)
+        self._peak_use = self.in_use
         kept = []
-        surplus = self.open - max(1, self._fair_share())
+        surplus = self.open - max(1, *self._peaks)
         for link in self._idle:
             old = now_ms - link.idle_since_ms >= SURPLUS_IDLE_MS
             if link.link.closed or (surplus > 0 and old):
@@ -229,6 +235,7 @@
 
     def _lend(self, link: PooledLink) -> PooledLink:
         self.in_use += 1
+        self._peak_use = max(self._peak_use, self.in_use)
         link.busy_since_ms = self._clock.now_ms()
         return link
 
--- a/scenarios/test_sessions.py
+++ b/scenarios/test_sessions.py
@@ -189,6 +189,23 @@
         assert world.groups["g0"].promotions == []
 
 
+class TestStartOfAFleet:
+    def test_every_host_gets_a_link_before_some_get_several(self):
+        async def main():
+            traits = Traits(max_connections=4, set_up_ms=12.0)
+            world = SessionWorld(1, hosts=4, traits=traits)
+            clients = [
+                world.client(gateway, world.database(ReadKind.CURRENT))
+                for gateway in world.gateways
+                for _ in range(6)
+            ]
+            replies = await asyncio.gather(*(one.write() for one in clients))
+            assert [one.code for one in replies] == [None] * len(clients)
+            world.close()
+
+        run_virtual(main())
+
+
 class TestCutOffHost:
     def cut(self, world, number):
         """Cut a host off from all targets but one replica, and from its peers."""
