--- a/packages/fennelhill/src/fennelhill/loglines.py
+++ b/packages/fennelhill/src/fennelhill/loglines.py
@@ -24,6 +24,7 @@
     "fleet.",
     "daemon.",
 )
+PROMOTION_STEPS = ("promotion.claimed", "promotion.ordered", "promotion.finished")
 
 
 class LogLine(msgspec.Struct):
@@ -164,8 +165,9 @@
     Returns
     -------
     list of LogLine
-        The request's own lines, and before and between them what hosts believed
-        of the groups concerned; nothing where no line names the request.
+        The request's own lines; before and between them what its hosts believed of
+        the groups concerned, and the steps of a promotion on any host.  Nothing
+        where no line names the request.
     """
     known = list(lines)
     own = [line for line in known if line.request == request]
@@ -181,7 +183,8 @@
         for line in known
         if line.is_belief
         and first <= line.at <= last
-        and (line.group in groups or (not line.group and line.host in hosts))
+        and (line.group in groups or not line.group)
+        and (line.host in hosts or line.message.startswith(PROMOTION_STEPS))
     ]
     return sorted(own + beliefs, key=lambda line: line.at)
 
--- a/packages/fennelhilld/src/fennelhilld/statements/environment.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/environment.py
@@ -5,6 +5,7 @@
 import math
 from collections.abc import Callable
 
+from fennelhill_core import codes
 from fennelhill_core.clock import Clock
 from fennelhill_core.codes import CODES, Code
 from fennelhill_core.events import EventLog
@@ -28,6 +29,14 @@
 # A queue in the target takes 100 to 150 ms; an answer that had less time than this
 # and did not come says nothing against the target.
 FAIR_ANSWER_MS = 250.0
+# When asking again makes sense.  A promotion takes a little over a second; a queue
+# in a target or for a link some tens of milliseconds; another host none.
+RETRY_HINTS_MS = {
+    codes.NO_PRIMARY.number: 600,
+    codes.OVERLOADED.number: 50,
+    codes.CONNECTIONS_EXHAUSTED.number: 100,
+    codes.OWNER_UNREACHABLE.number: 0,
+}
 
 
 class Environment:
@@ -103,6 +112,24 @@
         failing = group.leadership.failing_since_ms is not None
         return self.cut_off() and (failing or group.leader() is None)
 
+    def waiting_code(self, group: GroupState) -> Code:
+        """Return the code for a statement that waited for a leader in vain.
+
+        Parameters
+        ----------
+        group : GroupState
+            The group.
+
+        Returns
+        -------
+        Code
+            Whether the leader was missing or busy.
+        """
+        failing = group.leadership.failing_since_ms is not None
+        if failing or group.leader() is None:
+            return codes.NO_PRIMARY
+        return codes.OVERLOADED
+
     async def borrow(
         self,
         target: TargetState,
@@ -310,6 +337,9 @@
         Reply
             The failure.
         """
+        hint_ms = RETRY_HINTS_MS.get(code.number)
+        if hint_ms is not None:
+            detail = f"{detail}; try again in {hint_ms} ms"
         self.counters.failed(code.number)
         self.events.record(
             "request.refused",
--- a/packages/fennelhilld/src/fennelhilld/statements/execution.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/execution.py
@@ -219,7 +219,7 @@
                 return reply
             tried.add(target.entry.id)
         code = codes.READ_UNANSWERED if sent else codes.CONNECTIONS_EXHAUSTED
-        if not sent and group.leader() is None:
+        if not sent and env.waiting_code(group) is codes.NO_PRIMARY:
             code = codes.NO_PRIMARY
         return env.refused(
             statement,
@@ -347,7 +347,7 @@
         deadline_ms = (
             env.clock.now_ms() + database.statement_timeout_ms - ANSWER_MARGIN_MS
         )
-        last = "no leader is known"
+        last = "no link to a leader came free"
         while (left_ms := deadline_ms - env.clock.now_ms()) >= LEAST_LEFT_MS:
             if env.out_of_reach(group):
                 return env.refused(
@@ -396,8 +396,7 @@
                     target=target.entry.id,
                 )
             await self.leader_refused(group, target, lease, statement, answer)
-        code = codes.NO_PRIMARY if group.leader() is None else codes.OVERLOADED
-        return env.refused(statement, code, last, group=group.name)
+        return env.refused(statement, env.waiting_code(group), last, group=group.name)
 
     async def borrow_leader(
         self, group: GroupState, database: Database, left_ms: float
--- a/packages/fennelhilld/src/fennelhilld/statements/transaction.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/transaction.py
@@ -223,7 +223,8 @@
                 await self._refused_at_first(statement, answer)
             else:
                 return await self._give_up(statement, answer, last)
-        return await self._refuse(statement, codes.OVERLOADED, last)
+        code = env.waiting_code(env.group(self.database.group))
+        return await self._refuse(statement, code, last)
 
     def _out_of_reach(self) -> bool:
         env = self.runner.env
@@ -354,7 +355,7 @@
 
     async def _refuse(self, statement: Statement, code: Code, detail: str) -> Reply:
         target = self._target.entry.id if self._target else ""
-        if code is codes.OVERLOADED and self.wrote:
+        if code in (codes.OVERLOADED, codes.NO_PRIMARY) and self._ran:
             code = codes.TRANSACTION_ABORTED
         await self.rollback()
         self.failed = True
