feat: refuse at once while a lost leader can't be replaced

Ruled out: promoting without a claim (no fencing token, ONE). Change: a claim that the store does not take, or no reachable replica, marks the group; its statements get 1012 at once until a claim succeeds or the leader answers.

--- a/packages/fennelhilld/src/fennelhilld/leadership/state.py
+++ b/packages/fennelhilld/src/fennelhilld/leadership/state.py
@@ -25,6 +25,7 @@
         "group",
         "holding_until_ms",
         "leader_id",
+        "no_remedy",
         "proven_ms",
         "term",
     )
@@ -37,6 +38,8 @@
         self.changed_ms = float("-inf")
         self.failing_since_ms: float | None = None
         self.holding_until_ms = 0.0
+        # Why a lost leader can't be replaced now; empty where it can.
+        self.no_remedy = ""
         self._notified = notified
         self._changed = asyncio.Event()
 
@@ -60,7 +63,7 @@
         self.term = max(self.term, term)
         self.proven_ms = max(self.proven_ms, sent_ms)
         if self.failing_since_ms is not None and sent_ms > self.failing_since_ms:
-            self.failing_since_ms = None
+            self.recovered()
 
     def reported(self, target_id: str, now_ms: float) -> None:
         """Note that the platform's list says that a target leads.
@@ -107,6 +110,11 @@
         self.failing_since_ms = now_ms
         return True
 
+    def recovered(self) -> None:
+        """Note that the leader answers again."""
+        self.failing_since_ms = None
+        self.no_remedy = ""
+
     def hold_writes(self, until_ms: float) -> None:
         """Keep new writes waiting while the leader is being replaced.
 
@@ -139,7 +147,7 @@
         self.changed_ms = at_ms
         self.leader_id = target_id
         self.term = max(term, self.term)
-        self.failing_since_ms = None
+        self.recovered()
         self.holding_until_ms = 0.0
         self._notified(
             "leadership.changed",
--- a/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
@@ -232,7 +232,7 @@
                 leadership.not_leading(leader.entry.id)
                 return False
             leadership.proven(leader.entry.id, look.status.term, asked_ms)
-        leadership.failing_since_ms = None
+        leadership.recovered()
         self._record("leadership.confirmed", group, target=leader.entry.id)
         return True
 
@@ -374,6 +374,7 @@
             and not self._directory.is_removed(one.target)
         ]
         if not usable or self.store is None or self.orders is None:
+            group.leadership.no_remedy = "no replica can be reached"
             self._record("promotion.impossible", group, reason="no usable replica")
             return
         if self.claims.held_by_other(name, self.host, self._clock.now_ms()):
@@ -432,9 +433,10 @@
         claim = Claim(
             self.host, secrets.token_hex(8), chosen.target, ClaimPhase.CLAIMED, planned
         )
-        token = await self._claim(group.name, claim)
+        token = await self._claim(group, claim)
         if token is None:
             return
+        group.leadership.no_remedy = ""
         self._record("promotion.claimed", group, target=chosen.target, token=token)
         if planned and leader is not None:
             chosen = await self._catch_up(group, leader, usable) or chosen
@@ -471,24 +473,25 @@
             row = ClaimRow(version, claim)
             self.claims.put(group.name, row, self._clock.now_ms())
 
-    async def _claim(self, group: str, claim: Claim) -> int | None:
-        expected = self.claims.get(group).version
+    async def _claim(self, group: GroupState, claim: Claim) -> int | None:
+        name = group.name
+        expected = self.claims.get(name).version
         try:
-            version = await self.store.swap_claim(group, expected, claim)
+            version = await self.store.swap_claim(name, expected, claim)
             if version is None:
-                row = await self.store.read_claim(group)
-                self.claims.put(group, row, self._clock.now_ms())
+                row = await self.store.read_claim(name)
+                self.claims.put(name, row, self._clock.now_ms())
                 return None
         except StoreUnavailableError as error:
-            self._events.record(
-                "promotion.store_unavailable", group=group, reason=str(error)
-            )
-            if error.fault is not StoreFault.NO_ANSWER:
-                return None
-            version = await self._recognise(group, claim)
+            self._record("promotion.store_unavailable", group, reason=str(error))
+            version = None
+            if error.fault is StoreFault.NO_ANSWER:
+                version = await self._recognise(name, claim)
+            if version is None and not claim.planned:
+                group.leadership.no_remedy = "the store takes no claim"
         if version is not None:
             row = ClaimRow(version, claim)
-            self.claims.put(group, row, self._clock.now_ms())
+            self.claims.put(name, row, self._clock.now_ms())
         return version
 
     async def _recognise(self, group: str, claim: Claim) -> int | None:
--- a/packages/fennelhilld/src/fennelhilld/statements/environment.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/environment.py
@@ -107,10 +107,51 @@
         Returns
         -------
         bool
-            True while this host is cut off from the fleet and from this leader.
+            True while this leader is lost, and this host is cut off from the fleet
+            or the leader can't be replaced.
         """
-        failing = group.leadership.failing_since_ms is not None
-        return self.cut_off() and (failing or group.leader() is None)
+        leadership = group.leadership
+        if leadership.failing_since_ms is None and group.leader() is not None:
+            return False
+        return self.cut_off() or bool(leadership.no_remedy)
+
+    def out_of_reach_reason(self, group: GroupState) -> tuple[Code, str]:
+        """Say why waiting for a group's leader makes no sense.
+
+        Parameters
+        ----------
+        group : GroupState
+            The group.
+
+        Returns
+        -------
+        code : Code
+            The promise: nothing has run.
+        detail : str
+            What the caller can do.
+        """
+        if self.cut_off():
+            detail = "this host is cut off from the leader; connect again"
+            return codes.OWNER_UNREACHABLE, detail
+        return codes.NO_PRIMARY, f"the leader is lost, and {group.leadership.no_remedy}"
+
+    def refused_out_of_reach(self, statement: Statement, group: GroupState) -> Reply:
+        """Refuse a statement whose leader is out of reach.
+
+        Parameters
+        ----------
+        statement : Statement
+            The statement.
+        group : GroupState
+            The group.
+
+        Returns
+        -------
+        Reply
+            The failure.
+        """
+        code, detail = self.out_of_reach_reason(group)
+        return self.refused(statement, code, detail, group=group.name)
 
     def waiting_code(self, group: GroupState) -> Code:
         """Return the code for a statement that waited for a leader in vain.
--- a/packages/fennelhilld/src/fennelhilld/statements/execution.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/execution.py
@@ -28,7 +28,6 @@
 
 # A busy target works through its queue in some tens of milliseconds.
 BUSY_PAUSE_MS = 8.0
-CUT_OFF = "this host is cut off from the leader; connect again for another host"
 # Pause between looks for a leader; a change wakes the waiting at once.
 LEADER_WAIT_MS = 100.0
 # A read waits this long for one target before it is sent to another; work takes up
@@ -197,9 +196,7 @@
                 break
             target = self.choose_reader(group, database, tried)
             if target in (None, group.leader()) and env.out_of_reach(group):
-                return env.refused(
-                    statement, codes.OWNER_UNREACHABLE, CUT_OFF, group=group.name
-                )
+                return env.refused_out_of_reach(statement, group)
             if target is None:
                 tried.clear()
                 await group.leadership.wait_change(min(left_ms, LEADER_WAIT_MS))
@@ -350,9 +347,7 @@
         last = "no link to a leader came free"
         while (left_ms := deadline_ms - env.clock.now_ms()) >= LEAST_LEFT_MS:
             if env.out_of_reach(group):
-                return env.refused(
-                    statement, codes.OWNER_UNREACHABLE, CUT_OFF, group=group.name
-                )
+                return env.refused_out_of_reach(statement, group)
             lease, target = await self.borrow_leader(group, database, left_ms)
             if lease is None or target is None:
                 continue
--- a/packages/fennelhilld/src/fennelhilld/statements/transaction.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/transaction.py
@@ -25,7 +25,6 @@
 )
 from fennelhilld.statements.execution import (
     BUSY_PAUSE_MS,
-    CUT_OFF,
     FAULT_CODES,
     LEADER_WAIT_MS,
     StatementRunner,
@@ -189,8 +188,9 @@
         while (left_ms := deadline_ms - env.clock.now_ms()) >= LEAST_LEFT_MS:
             if self._lease is None:
                 if self._out_of_reach():
-                    code = codes.OWNER_UNREACHABLE
-                    return await self._refuse(statement, code, CUT_OFF)
+                    group = env.group(self.database.group)
+                    code, detail = env.out_of_reach_reason(group)
+                    return await self._refuse(statement, code, detail)
                 if not await self._begin(statement, left_ms):
                     continue
             left_ms = deadline_ms - env.clock.now_ms()
--- a/scenarios/test_sessions.py
+++ b/scenarios/test_sessions.py
@@ -206,6 +206,27 @@
         run_virtual(main())
 
 
+class TestLeaderWithoutRemedy:
+    def test_is_refused_at_once_until_the_store_is_back(self):
+        async def main():
+            world = SessionWorld(1, hosts=2)
+            client = world.client(world.gateways[0], world.database(ReadKind.CURRENT))
+            await client.write()
+            world.store.down = True
+            world.groups["g0"].leader.crash()
+            await client.write()
+            started_ms = world.clock.now_ms()
+            reply = await client.write()
+            assert reply.code is codes.NO_PRIMARY
+            assert world.clock.now_ms() - started_ms < 10
+            world.store.down = False
+            await world.clock.sleep_ms(1_500)
+            assert (await client.write()).code is None
+            world.close()
+
+        run_virtual(main())
+
+
 class TestCutOffHost:
     def cut(self, world, number):
         """Cut a host off from all targets but one replica, and from its peers."""
