--- a/packages/fennelhill-bench/src/fennelhill_bench/__main__.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/__main__.py
@@ -12,6 +12,8 @@
 from fennelhill_bench import throughput  # noqa: F401 - registers its rounds
 from fennelhill_bench.demo import DURATION_MS, run_demo
 from fennelhill_bench.deployment import Plan
+from fennelhill_bench.platformworld.demo import DURATION_MS as PLATFORM_DURATION_MS
+from fennelhill_bench.platformworld.demo import run_platform_demo
 from fennelhill_bench.rounds import ROUNDS
 from fennelhill_bench.servers import serve_until_stopped
 
@@ -24,7 +26,7 @@
     """
 
     def demo(self, duration_ms: float = DURATION_MS, seed: int = 1) -> None:
-        """Run the demonstration; exit 1 if a promise broke.
+        """Run the demonstrations on both paths; exit 1 if a promise broke.
 
         Parameters
         ----------
@@ -35,6 +37,7 @@
         """
         _only_warnings()
         kept = asyncio.run(run_demo(duration_ms, seed))
+        kept &= asyncio.run(run_platform_demo(PLATFORM_DURATION_MS, seed))
         raise SystemExit(0 if kept else 1)
 
     def serve(self, settings: str, instant: bool = False) -> None:
--- /dev/null
+++ b/packages/fennelhill-bench/src/fennelhill_bench/platformworld/demo.py
@@ -0,0 +1,173 @@
+"""Daemon processes on the platform's stand-ins lose a primary."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import os
+import random
+import sys
+import tempfile
+from collections import Counter
+from pathlib import Path
+
+from fennelhill_bench.platformworld.lineserver import LineClient
+from fennelhill_bench.platformworld.platform import DATABASES, PlatformWorld
+
+PROGRAM = Path("platform") / "main.py"
+HOSTS = 3
+CLIENTS = 24
+DURATION_MS = 8_000.0
+CRASH_AT_MS = 2_500.0
+PAUSE_MS = 40.0
+START_LIMIT_S = 15.0
+
+
+class PlatformDemo:
+    """Load, a crash, and the count of what became of each operation.
+
+    Parameters
+    ----------
+    duration_ms : float
+        How long the load runs, in milliseconds.
+    seed : int
+        Seed of the clients' choices.
+    """
+
+    def __init__(self, duration_ms: float, seed: int) -> None:
+        self.duration_ms = duration_ms
+        self.random = random.Random(seed)
+        self.world = PlatformWorld()
+        self.results: Counter[str] = Counter()
+        self.acknowledged: list[str] = []
+        self.write_times_ms: list[float] = []
+        self._numbers = 0
+        self._until_ms = 0.0
+
+    async def run(self) -> bool:
+        """Run the demonstration and print its figures.
+
+        Returns
+        -------
+        bool
+            Whether every promise was kept.
+        """
+        await self.world.start()
+        with tempfile.TemporaryDirectory() as folder:
+            daemons = [
+                await self._start_daemon(Path(folder), f"host-{number}")
+                for number in range(HOSTS)
+            ]
+            try:
+                addresses = [settings["listen"]["frontend"] for _, settings in daemons]
+                await asyncio.gather(*map(_wait_for_start, addresses))
+                self._until_ms = self.world.clock.now_ms() + self.duration_ms
+                await asyncio.gather(
+                    self._crash(), *(self._client(addresses) for _ in range(CLIENTS))
+                )
+            finally:
+                for process, _ in daemons:
+                    process.terminate()
+                for process, _ in daemons:
+                    await process.wait()
+        kept = self._report()
+        self.world.stop()
+        return kept
+
+    async def _start_daemon(
+        self, folder: Path, name: str
+    ) -> tuple[asyncio.subprocess.Process, dict]:
+        path, settings = self.world.node_file(folder, name)
+        log = (folder / f"{name}.log").open("wb")
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(PROGRAM),
+            env={**os.environ, "FENNELHILL_NODE_FILE": str(path)},
+            stdout=log,
+        )
+        return process, settings
+
+    async def _crash(self) -> None:
+        await self.world.clock.sleep_ms(CRASH_AT_MS)
+        self.world.targets[0].stop()
+
+    async def _client(self, addresses: list[str]) -> None:
+        clock = self.world.clock
+        while clock.now_ms() < self._until_ms:
+            database = self.random.choice(list(DATABASES))
+            client = await LineClient.connect(self.random.choice(addresses))
+            await client.start(database)
+            while clock.now_ms() < self._until_ms and self.random.random() < 0.9:
+                await self._operation(client, database)
+                await clock.sleep_ms(self.random.expovariate(1 / PAUSE_MS))
+            client.close()
+
+    async def _operation(self, client: LineClient, database: str) -> None:
+        self._numbers += 1
+        request = f"{self._numbers:x}"
+        writes = database != "aged" and self.random.random() < 0.3
+        answer = await client.ask(request, "WRITE item data" if writes else "READ item")
+        result = answer[-2].split(" ")[1] if len(answer) > 1 else "closed"
+        if not answer[0].startswith("ERROR"):
+            result = "served"
+            if writes:
+                self.acknowledged.append(request)
+                self.write_times_ms.append(self.world.clock.now_ms())
+        self.results[result] += 1
+
+    def _report(self) -> bool:
+        held = Counter(
+            request
+            for entry in self.world.group.leader.log
+            for request in entry.requests
+        )
+        doubled = sum(count > 1 for count in held.values())
+        lost = sum(request not in held for request in self.acknowledged)
+        times = self.write_times_ms
+        gap_ms = max(
+            (after - before for before, after in itertools.pairwise(times)),
+            default=0.0,
+        )
+        total = sum(self.results.values())
+        served = self.results["served"] / max(1, total)
+        print(
+            f"platform demo: operations={total} served={served:.3f} "
+            f"failover_gap_ms={gap_ms:.0f} doubled={doubled} rolled_back={lost} "
+            f"other_results={dict(self.results - Counter(served=total))}"
+        )
+        return doubled == 0 and total > 0
+
+
+async def _wait_for_start(address: str) -> None:
+    loop = asyncio.get_running_loop()
+    give_up_s = loop.time() + START_LIMIT_S
+    while True:
+        try:
+            client = await LineClient.connect(address)
+            answer = await client.start("current")
+            client.close()
+        except ConnectionError:
+            answer = ""
+        if answer.startswith("READY"):
+            return
+        if loop.time() > give_up_s:
+            raise TimeoutError(f"no daemon at {address}")
+        await asyncio.sleep(0.1)
+
+
+async def run_platform_demo(duration_ms: float, seed: int) -> bool:
+    """Run the demonstration on the users' platform.
+
+    Parameters
+    ----------
+    duration_ms : float
+        How long the load runs, in milliseconds.
+    seed : int
+        Seed of the clients' choices.
+
+    Returns
+    -------
+    bool
+        Whether every promise was kept.
+    """
+    return await PlatformDemo(duration_ms, seed).run()
--- /dev/null
+++ b/packages/fennelhill-bench/src/fennelhill_bench/platformworld/lineserver.py
@@ -0,0 +1,194 @@
+"""Targets that speak the line protocol on sockets, over the target model."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+from fennelhill_core.tokens import Position
+from fennelhilld.links.messages import (
+    Command,
+    CommandKind,
+    LinkLostError,
+    TargetAnswer,
+    TargetFault,
+)
+from fennelhilld.statements.messages import Statement, StatementKind, TransactionState
+
+from fennelhill_bench.sessionworld.targets import DriverModel, LinkModel, TargetModel
+
+WORDS = {
+    TargetFault.BUSY: "BUSY",
+    TargetFault.UNKNOWN_PREPARED: "NOSTMT",
+    TargetFault.BEHIND: "LAGGING",
+    TargetFault.NOT_LEADING: "READONLY",
+    TargetFault.MALFORMED: "MALFORMED",
+}
+LETTERS = {
+    TransactionState.IDLE: "I",
+    TransactionState.OPEN: "T",
+    TransactionState.FAILED: "E",
+}
+OWN_KINDS = {
+    "BEGIN": CommandKind.BEGIN,
+    "BEGIN READ": CommandKind.BEGIN_READ_ONLY,
+    "ROLLBACK": CommandKind.ROLLBACK,
+    "RESET": CommandKind.RESET,
+    "STATUS": CommandKind.STATUS,
+}
+CLIENT_KINDS = {
+    "READ": StatementKind.READ,
+    "WRITE": StatementKind.WRITE,
+    "EXECUTE": StatementKind.EXECUTE,
+    "COMMIT": StatementKind.COMMIT,
+}
+
+
+class LineTarget:
+    """Serves one target model on an address."""
+
+    def __init__(self, model: TargetModel) -> None:
+        self.model = model
+        self.address = ""
+        self._server: asyncio.Server | None = None
+        self._driver = DriverModel({model.group.name: model.group})
+
+    async def start(self) -> None:
+        """Listen on a free port of the loopback address."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    def stop(self) -> None:
+        """Crash: refuse new connections and break the open ones."""
+        if self._server is not None:
+            self._server.close()
+        self.model.crash()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        link = None
+        try:
+            link = await self._start(reader, writer)
+            while link is not None:
+                line = (await reader.readuntil(b"\r\n"))[:-2].decode()
+                command = parse_command(line)
+                await link.send([command])
+                answer = await link.receive()
+                self._write(writer, command, answer)
+        except (LinkLostError, asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            if link is not None:
+                link.close()
+            writer.close()
+
+    async def _start(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> LinkModel | None:
+        line = (await reader.readuntil(b"\r\n"))[:-2].decode()
+        word, group, _caller, target_id = line.split(" ")
+        right = (group, target_id) == (self.model.group.name, self.model.id)
+        if word != "STARTUP" or not right:
+            writer.write(b"ERROR MISROUTED another target\r\n")
+            return None
+        if len(self.model.links) >= self.model.traits.max_connections:
+            writer.write(b"ERROR TOOMANY connections\r\n")
+            return None
+        await self.model.group.clock.sleep_ms(self.model.traits.set_up_ms)
+        writer.write(f"READY I {_text(self.model.applied_position)}\r\n".encode())
+        return LinkModel(self.model, self._driver)
+
+    def _write(
+        self, writer: asyncio.StreamWriter, command: Command, answer: TargetAnswer
+    ) -> None:
+        lines = [f"DATAROW {row}" for row in answer.rows]
+        if command.kind is CommandKind.STATUS and answer.fault is None:
+            model = self.model
+            role = "primary" if model.leads else "replica"
+            received = _text(model.received_position)
+            lines.append(f"DATAROW {role} {model.term} {received} 0 0 0 1")
+        if answer.fault is not None:
+            lines.append(f"ERROR {WORDS[answer.fault]} {self.model.id}")
+        else:
+            lines.append(f"COMPLETE {answer.signature or '-'}")
+        lines.append(f"READY {LETTERS[answer.state]} {_text(answer.position)}")
+        writer.write("".join(f"{line}\r\n" for line in lines).encode())
+
+
+def parse_command(line: str) -> Command:
+    """Decode what a daemon sends to a target."""
+    _query, request_id, text = line.split(" ", 2)
+    after = None
+    if text.startswith("AFTERLSN "):
+        _, position, text = text.split(" ", 2)
+        term, number = position.split(".")
+        after = Position(int(term), int(number))
+    if request_id == "-":
+        return _parse_own(text, after)
+    word, _, rest = text.partition(" ")
+    kind = CLIENT_KINDS[word]
+    statement = Statement(request_id, kind, text, writes=word == "WRITE")
+    name = rest.split(" ")[0] if kind is StatementKind.EXECUTE else ""
+    commits = kind is StatementKind.COMMIT
+    command_kind = CommandKind.COMMIT if commits else CommandKind.STATEMENT
+    return Command(command_kind, statement, name=name, after=after)
+
+
+def _parse_own(text: str, after: Position | None) -> Command:
+    if text in OWN_KINDS:
+        return Command(OWN_KINDS[text], after=after)
+    word, name, rest = text.split(" ", 2)
+    if word == "SET":
+        return Command(CommandKind.SET_VALUE, name=name, value=rest)
+    kind, _, shape = rest.partition(" ")
+    writes = kind == "WRITE"
+    return Command(CommandKind.PREPARE, name=name, value=shape, writes=writes)
+
+
+def _text(position: Position) -> str:
+    return f"{position.term}.{position.index}"
+
+
+class LineClient:
+    """A client's connection in the line protocol, for tests and the demo."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.reader = reader
+        self.writer = writer
+
+    @classmethod
+    async def connect(cls, address: str) -> LineClient:
+        """Open a connection."""
+        ip, _, port = address.rpartition(":")
+        return cls(*await asyncio.open_connection(ip, int(port)))
+
+    def send(self, line: str) -> None:
+        """Send one line."""
+        self.writer.write(f"{line}\r\n".encode())
+
+    async def line(self) -> str:
+        """Return the next line; empty at the end."""
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            return (await self.reader.readuntil(b"\r\n"))[:-2].decode()
+        return ""
+
+    async def start(self, database: str) -> str:
+        """Start a session; return the first answer."""
+        self.send(f"STARTUP {database} user")
+        return await self.line()
+
+    async def ask(self, request_id: str, text: str) -> list[str]:
+        """Run a statement; return all lines of its answer."""
+        self.send(f"QUERY {request_id} {text}")
+        lines = [await self.line()]
+        while lines[-1] and not lines[-1].startswith("READY"):
+            lines.append(await self.line())
+        return lines
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.writer.close()
--- /dev/null
+++ b/packages/fennelhill-bench/src/fennelhill_bench/platformworld/platform.py
@@ -0,0 +1,153 @@
+"""A small deployment on the users' platform, all on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+from pathlib import Path
+
+import yaml
+from fennelhill_core.clock import Clock
+from tornado.httpserver import HTTPServer
+
+from fennelhill_bench.platformworld.lineserver import LineTarget
+from fennelhill_bench.platformworld.store import StoreStandIn
+from fennelhill_bench.sessionworld.checks import Observer, Run
+from fennelhill_bench.sessionworld.targets import GroupModel, TargetModel, Traits
+
+GROUP = "g0"
+DATABASES = {"current": "primary", "aged": "bounded_stale", "own": "read_own"}
+MAX_AGE_MS = 1_500
+
+
+class RunRecorder(Observer):
+    """Notes runs; clients of this deployment check their answers themselves."""
+
+    def ran(self, run: Run, target: TargetModel, writes: bool) -> None:
+        """Note a run."""
+        self.runs.setdefault(run.request, []).append(run)
+
+    def commit_ran(self, request: str, written: tuple[str, ...]) -> None:
+        """Accept any commit."""
+
+
+class PlatformWorld:
+    """Store, orders and one group of three targets, with settings for daemons."""
+
+    def __init__(self, traits: Traits | None = None) -> None:
+        self.clock = Clock()
+        self.store = StoreStandIn()
+        self.observer = RunRecorder()
+        self.group = GroupModel(
+            GROUP, 3, traits or Traits(), self.clock, random.Random(1), self.observer
+        )
+        self.targets = [LineTarget(model) for model in self.group.targets.values()]
+        self.version = 0
+        self.address = ""
+        self._server: HTTPServer | None = None
+
+    async def start(self) -> None:
+        """Listen, and list configuration and targets in the store."""
+        self._server = HTTPServer(self.store.application())
+        port = free_port()
+        self._server.listen(port, "127.0.0.1")
+        self.address = f"127.0.0.1:{port}"
+        self.store.promote = self._promote
+        for target in self.targets:
+            await target.start()
+            self.list_target(target)
+        self.configure()
+
+    def stop(self) -> None:
+        """Stop all."""
+        self._server.stop()
+        for target in self.targets:
+            target.stop()
+
+    def configure(self, databases: dict[str, str] | None = None) -> int:
+        """Write a new version of the configuration."""
+        self.version += 3
+        routes = [
+            {
+                "name": f"r-{name}",
+                "host": name,
+                "kind": kind,
+                "timeout_ms": 800,
+                "latency_goal_ms": 200,
+                "priority": 1,
+                "service": GROUP,
+                "max_staleness_ms": MAX_AGE_MS,
+            }
+            for name, kind in (databases or DATABASES).items()
+        ]
+        document = {
+            "version": self.version,
+            "routes": routes,
+            "services": [{"name": GROUP, "max_conns": 16}],
+            "limits": {"tx_idle_ms": 400, "header_timeout_ms": 500},
+        }
+        self.store.put("op", "config", document)
+        return self.version
+
+    def list_target(self, target: LineTarget, state: str = "ready") -> None:
+        """Write a target's entry."""
+        model = target.model
+        document = {
+            "service": GROUP,
+            "address": target.address,
+            "zone": "a",
+            "version": "v1",
+            "slots": model.traits.slots,
+            "state": state,
+            "cold_left_ms": 0,
+            "db_role": "primary" if model.leads else "replica",
+            "sequence": 1,
+            "born": 1_790_000_000_000,
+        }
+        self.store.put("servers", model.id, document)
+
+    def node_file(self, folder: Path, name: str) -> tuple[Path, dict]:
+        """Write the settings file of a daemon; return it and its content."""
+        settings = {
+            "node_name": name,
+            "ip": "127.0.0.1",
+            "zone": "a",
+            "listen": {
+                "frontend": f"127.0.0.1:{free_port()}",
+                "ready": f"127.0.0.1:{free_port()}",
+            },
+            "internal_ports": [free_port(), 65_535],
+            "platform": {"address": self.address, "form": "table"},
+            "cloud_api": {"address": self.address},
+            "bounds": {"grace_s": 4},
+        }
+        path = folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        return path, settings
+
+    def _promote(self, group: str, target_id: str) -> None:
+        self.group.spawn(self._carry_out(target_id))
+
+    async def _carry_out(self, target_id: str) -> None:
+        await self.group.promote(target_id)
+        for target in self.targets:
+            if target.model.up:
+                self.list_target(target)
+
+
+def free_port() -> int:
+    """Return a port of the loopback address that is free now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+async def until(holds: object, limit_s: float = 5.0) -> None:
+    """Wait until a condition holds; fails with `TimeoutError`."""
+    loop = asyncio.get_running_loop()
+    give_up_s = loop.time() + limit_s
+    while not holds():
+        if loop.time() > give_up_s:
+            raise TimeoutError("the condition did not come to hold")
+        await asyncio.sleep(0.01)
--- /dev/null
+++ b/packages/fennelhill-bench/src/fennelhill_bench/platformworld/store.py
@@ -0,0 +1,189 @@
+"""The platform's metadata store and its order interface, over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+
+from tornado.web import Application, RequestHandler
+
+TABLES_OF_OTHERS = ("op", "servers")
+
+
+class Table:
+    """Rows of all tables, one rising version, and the history of changes."""
+
+    def __init__(self) -> None:
+        self.rows: dict[tuple[str, str, str], dict] = {}
+        self.version = 0
+        self.first_version = 0
+        self.history: list[dict] = []
+        self.changed = asyncio.Event()
+
+    def write(self, puts: list[dict], deletes: list[dict]) -> int:
+        """Apply a transaction whose conditions hold."""
+        self.version += 1
+        for put in puts:
+            row = {**put, "ver": self.version}
+            self.rows[_name(put)] = row
+            self.history.append(row)
+        for name in deletes:
+            if self.rows.pop(_name(name), None) is not None:
+                self.history.append({**name, "ver": self.version, "removed": True})
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return self.version
+
+    def forget_history(self) -> None:
+        """Drop what a feed would need."""
+        self.history = []
+        self.first_version = self.version
+
+
+class StoreStandIn:
+    """The store, with the troubles that it may have.
+
+    ``fault`` is one of ``""``, ``down`` (503), ``busy`` (429), ``lost`` (done but
+    not answered) and ``silent``; ``turned_away`` limits it to callers by address.
+    """
+
+    def __init__(self) -> None:
+        self.table = Table()
+        self.fault = ""
+        self.turned_away: set[str] | None = None
+        self.calls = 0
+        self.promotions: list[tuple[str, str, str, int]] = []
+        self.highest_token: dict[str, int] = {}
+        self.promote = None
+
+    def put(self, table: str, key: str, document: dict | bytes) -> int:
+        """Write a row as the operator or a target does."""
+        text = (
+            document if isinstance(document, bytes) else json.dumps(document).encode()
+        )
+        value = base64.b64encode(text).decode()
+        row = {"table": table, "part": "", "key": key, "value": value}
+        return self.table.write([row], [])
+
+    def drop(self, table: str, key: str) -> None:
+        """Remove a row."""
+        self.table.write([], [{"table": table, "part": "", "key": key}])
+
+    def application(self) -> Application:
+        """Return the store's and the order interface's routes."""
+        mine = {"store": self}
+        return Application(
+            [
+                ("/-/rows-tx", _Transaction, mine),
+                ("/-/rows-get", _Get, mine),
+                ("/-/rows-feed", _Feed, mine),
+                ("/promote", _Promote, mine),
+            ],
+            log_function=lambda _: None,
+        )
+
+
+class _Call(RequestHandler):
+    def initialize(self, store: StoreStandIn) -> None:
+        self.store = store
+
+    async def prepare(self) -> None:
+        self.store.calls += 1
+        away = self.store.turned_away
+        if away is not None and self.request.remote_ip not in away:
+            return
+        if self.store.fault in ("down", "busy"):
+            self.set_status(503 if self.store.fault == "down" else 429)
+            self.finish()
+        elif self.store.fault == "silent":
+            await asyncio.sleep(3_600)
+
+    def answer(self, body: dict) -> None:
+        if self.store.fault == "lost":
+            self.request.connection.stream.close()
+            return
+        self.finish(json.dumps({**body, "now_ms": 0}))
+
+
+class _Transaction(_Call):
+    def post(self) -> None:
+        call = json.loads(self.request.body)
+        table = self.store.table
+        touched = [*call["puts"], *call["deletes"]]
+        if any(row["table"] in TABLES_OF_OTHERS for row in touched):
+            self.set_status(403)
+            self.finish()
+            return
+        held = [table.rows.get(_name(row), {"ver": 0}) for row in call["expect"]]
+        versions = [row["ver"] for row in call["expect"]]
+        if [row["ver"] for row in held] != versions:
+            self.set_status(412)
+            self.answer({"rows": held})
+            return
+        self.answer({"ver": table.write(call["puts"], call["deletes"])})
+
+
+class _Get(_Call):
+    def get(self) -> None:
+        table = self.store.table
+        wanted = self.get_query_argument("table")
+        first = self.get_query_argument("from", "")
+        limit = int(self.get_query_argument("limit", "500"))
+        rows = sorted(
+            (row for name, row in table.rows.items() if name[0] == wanted),
+            key=lambda row: row["key"],
+        )
+        rows = [row for row in rows if row["key"] >= first]
+        more = len(rows) > limit
+        self.answer({"rows": rows[:limit], "has_more": more, "ver": table.version})
+
+
+class _Feed(_Call):
+    async def get(self) -> None:
+        table = self.store.table
+        wanted = self.get_query_argument("table")
+        after = int(self.get_query_argument("after"))
+        give_up_s = int(self.get_query_argument("wait_ms")) / 1000
+        end_s = asyncio.get_running_loop().time() + give_up_s
+        while True:
+            if after < table.first_version:
+                self.set_status(410)
+                self.answer({})
+                return
+            rows = [
+                row
+                for row in table.history
+                if row["ver"] > after and row["table"] == wanted
+            ]
+            left_s = end_s - asyncio.get_running_loop().time()
+            if rows or left_s <= 0:
+                self.answer({"rows": rows, "ver": table.version})
+                return
+            changed = table.changed
+            try:
+                await asyncio.wait_for(changed.wait(), left_s)
+            except TimeoutError:
+                continue
+
+
+class _Promote(_Call):
+    async def post(self) -> None:
+        call = json.loads(self.request.body)
+        headers = self.request.headers
+        holder = headers["Fennelhill-Duty-Holder"]
+        token = int(headers["Fennelhill-Fencing-Token"])
+        group = call["service"]
+        if token < self.store.highest_token.get(group, 0):
+            self.set_status(409)
+            self.finish()
+            return
+        self.store.highest_token[group] = token
+        self.store.promotions.append((group, call["id"], holder, token))
+        if self.store.promote is not None:
+            self.store.promote(group, call["id"])
+        self.answer({})
+
+
+def _name(row: dict) -> tuple[str, str, str]:
+    return row["table"], row["part"], row["key"]
