--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -22,6 +22,8 @@
 ASSESS_PAUSE_MS = 150.0
 # Each look at the pools; surplus links are closed after seconds, so this is fine.
 TRIM_TICKS = 5
+# A line with the counts so far every ten seconds.
+COUNT_TICKS = 100
 # How far a host may go beyond its equal share while the target admits it.
 OVERDRAW = 1.6
 # After a start each host opens one link a target, so that all hosts of a fleet that
@@ -312,6 +314,8 @@
                 if target is not None:
                     self._forget(target)
                 self._events.record("target.gone", group=entry.group, target=entry.id)
+            if ticks % COUNT_TICKS == 0:
+                self._events.record("statements.counted", **self.env.counters.totals())
             if self.replacement.reach.cut_off and not self._looking_around:
                 self._looking_around = True
                 self._tasks.spawn(self._look_around())
--- a/packages/fennelhilld/src/fennelhilld/statements/counters.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/counters.py
@@ -50,6 +50,7 @@
         "failures",
         "latency",
         "leader_reads",
+        "permitted_reads",
         "replica_reads",
         "replica_refusals",
         "retried",
@@ -64,9 +65,46 @@
         self.served = 0
         self.replica_reads = 0
         self.leader_reads = 0
+        # Reads that accept a replica's data if it is proven fresh enough.
+        self.permitted_reads = 0
         self.replica_refusals = 0
         self.writes = 0
 
+    def read_served(self, permitted: bool, at_leader: bool) -> None:
+        """Count a read.
+
+        Parameters
+        ----------
+        permitted : bool
+            Whether a replica would have been allowed to answer it.
+        at_leader : bool
+            Whether the leader answered it.
+        """
+        self.permitted_reads += permitted
+        if at_leader:
+            self.leader_reads += 1
+        else:
+            self.replica_reads += 1
+
+    def totals(self) -> dict[str, int]:
+        """Return all counts by name, for the log.
+
+        Returns
+        -------
+        dict
+            Counts since the start.
+        """
+        return {
+            "served": self.served,
+            "writes": self.writes,
+            "permitted_reads": self.permitted_reads,
+            "replica_reads": self.replica_reads,
+            "leader_reads": self.leader_reads,
+            "replica_refusals": self.replica_refusals,
+            "retried": self.retried,
+            "failed": self.failures.total(),
+        }
+
     def failed(self, number: int) -> None:
         """Count a failure.
 
--- a/packages/fennelhilld/src/fennelhilld/statements/execution.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/execution.py
@@ -5,7 +5,7 @@
 from fennelhill_core import codes
 from fennelhill_core.tokens import Position
 
-from fennelhilld.catalog.state import Database
+from fennelhilld.catalog.state import Database, ReadKind
 from fennelhilld.freshness.floors import ReadFloor
 from fennelhilld.links.lease import Exchange, Lease
 from fennelhilld.links.messages import (
@@ -269,12 +269,13 @@
         opening = exchange.answers[0]
         failed = opening if opening.fault is not None else answer
         if failed.fault is None:
-            return self._read_served(group, target, exchange, answer, floor)
+            return self._read_served(group, database, target, exchange, answer, floor)
         return await self._read_refused(target, lease, statement, failed, floor)
 
     def _read_served(
         self,
         group: GroupState,
+        database: Database,
         target: TargetState,
         exchange: Exchange,
         answer: TargetAnswer,
@@ -283,10 +284,10 @@
         env = self.env
         target.answered(exchange.took_ms)
         env.counters.served += 1
-        if target.entry.id == group.leadership.leader_id:
-            env.counters.leader_reads += 1
-        else:
-            env.counters.replica_reads += 1
+        env.counters.read_served(
+            database.reads is not ReadKind.CURRENT,
+            target.entry.id == group.leadership.leader_id,
+        )
         if floor is not None:
             env.replica_answered(group, target, answer, floor)
         else:
--- a/packages/fennelhilld/src/fennelhilld/statements/transaction.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/transaction.py
@@ -310,9 +310,9 @@
         group = env.group(self.database.group)
         if self._floor is None:
             env.leader_answered(group, self._target, exchange, answer)
-            env.counters.leader_reads += 1
-        else:
-            env.counters.replica_reads += 1
+        if not self.fenced and answer.signature:
+            at_leader = self._target.entry.id == group.leadership.leader_id
+            env.counters.read_served(True, at_leader)
 
     def _lost(
         self, statement: Statement, error: LinkLostError, left_ms: float
--- a/packages/fennelhilld/src/fennelhilld/timeline/statements.py
+++ b/packages/fennelhilld/src/fennelhilld/timeline/statements.py
@@ -36,9 +36,8 @@
     gauge = partial(Gauge, const_labels=labels, registry=registry)
     counters = gateway.env.counters
     statements = gauge("fennelhill_statements_total", "Statements by how they ended.")
-    for kind in ("served", "replica_reads", "leader_reads", "writes", "retried"):
-        statements.set({"kind": kind}, getattr(counters, kind))
-    statements.set({"kind": "replica_refusals"}, counters.replica_refusals)
+    for kind, count in counters.totals().items():
+        statements.set({"kind": kind}, count)
     failures = gauge("fennelhill_failures_total", "Failed statements by result code.")
     for number, count in counters.failures.items():
         failures.set({"code": str(number), "name": CODES[number].name}, count)
