--- a/packages/fennelhilld/src/fennelhilld/freshness/floors.py
+++ b/packages/fennelhilld/src/fennelhilld/freshness/floors.py
@@ -174,9 +174,11 @@
     RISE = 1.25  # a refusal says that it lacks more than was asked
     MAX_MS = 20_000.0
 
-    def __init__(self) -> None:
-        self._lag_ms = 0.0
-        self._at_ms = 0.0
+    FIRST_MS = 150.0  # before anything is known; most commits are applied by then
+
+    def __init__(self, now_ms: float = 0.0) -> None:
+        self._lag_ms = self.FIRST_MS
+        self._at_ms = now_ms
 
     def lag_ms(self, now_ms: float) -> float:
         """Return the estimate.
--- a/packages/fennelhilld/src/fennelhilld/links/pool.py
+++ b/packages/fennelhilld/src/fennelhilld/links/pool.py
@@ -76,6 +76,7 @@
         self.entry = entry
         self.counters = PoolCounters()
         self.closed = False
+        self.opened_at_ms = clock.now_ms()
         # Set by silence, cleared by the next link that could be opened.
         self.unreachable = False
         self.in_use = 0
--- a/packages/fennelhilld/src/fennelhilld/placement/state.py
+++ b/packages/fennelhilld/src/fennelhilld/placement/state.py
@@ -81,7 +81,7 @@
     ) -> None:
         self.entry = entry
         self.pool = open_pool(self)
-        self.lag = LagEstimate()
+        self.lag = LagEstimate(self.pool.opened_at_ms)
         self.slowness = 1.0
         self.avoid_until_ms = 0.0
 
--- a/packages/fennelhilld/src/fennelhilld/placement/tests/test_state.py
+++ b/packages/fennelhilld/src/fennelhilld/placement/tests/test_state.py
@@ -17,6 +17,7 @@
         self.in_use = 0
         self.idle = 1
         self.open = 1
+        self.opened_at_ms = 0.0
         self.unreachable = False
 
 
