--- a/packages/fennelhilld/src/fennelhilld/promotion/reach.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/reach.py
@@ -21,24 +21,30 @@
         Takes changes.
     """
 
-    __slots__ = ("_clock", "_events", "cut_off", "since_ms")
+    __slots__ = ("_asked_ms", "_clock", "_events", "cut_off", "since_ms")
 
     def __init__(self, clock: Clock, events: EventLog) -> None:
         self._clock = clock
         self._events = events
         self.cut_off = False
         self.since_ms = 0.0
+        self._asked_ms = float("-inf")
 
-    def update(self, answered: int, others: int) -> None:
+    def update(self, asked_ms: float, answered: int, others: int) -> None:
         """Take the result of asking all other hosts.
 
         Parameters
         ----------
+        asked_ms : float
+            When they were asked; a result older than the last one is dropped.
         answered : int
             Hosts that answered.
         others : int
             Hosts that were asked.
         """
+        if asked_ms < self._asked_ms:
+            return
+        self._asked_ms = asked_ms
         cut_off = 2 * (answered + 1) < others + 1
         if cut_off == self.cut_off:
             return
--- a/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
@@ -216,7 +216,7 @@
         if self._confirmed(group, leader, look, started_ms):
             return
         if self.peers is not None:
-            self.reach.update(len(views), len(self.peers.names()))
+            self.reach.update(started_ms, len(views), len(self.peers.names()))
         if not self._adopt(group, statuses, leader, started_ms):
             await self._replace(group, leader, statuses, views)
 
@@ -239,8 +239,9 @@
     async def look_around(self) -> None:
         """Ask whether a fleet that was out of reach is back."""
         if self.peers is not None:
+            asked_ms = self._clock.now_ms()
             views = await self.peers.leader_views("", "")
-            self.reach.update(len(views), len(self.peers.names()))
+            self.reach.update(asked_ms, len(views), len(self.peers.names()))
 
     async def _views(self, group: GroupState, leader: TargetState) -> list[LeaderView]:
         if self.peers is None:
--- a/packages/fennelhilld/src/fennelhilld/promotion/tests/test_reach.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/tests/test_reach.py
@@ -11,7 +11,7 @@
     async def main():
         clock = VirtualClock()
         reach = FleetReach(clock, EventLog("h", "z", clock))
-        reach.update(answered, others)
+        reach.update(0.0, answered, others)
         return reach.cut_off
 
     return run_virtual(main())
@@ -27,5 +27,17 @@
     def test_neither_of_two_equal_sides_is(self):
         assert not cut_off(2, 5)
 
+    def test_a_late_answer_to_an_older_question_changes_nothing(self):
+        # Seen in incident inc-1890: hosts flapped as a cut healed.
+        async def main():
+            clock = VirtualClock()
+            reach = FleetReach(clock, EventLog("h", "z", clock))
+            reach.update(0.0, 1, 5)
+            reach.update(200.0, 5, 5)
+            reach.update(100.0, 1, 5)
+            return reach.cut_off
+
+        assert not run_virtual(main())
+
     def test_a_fleet_of_one_is_not(self):
         assert not cut_off(0, 0)
