--- a/packages/fennelhilld/src/fennelhilld/statements/environment.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/environment.py
@@ -24,8 +24,9 @@
 ANSWER_MARGIN_MS = 20.0
 # Nothing can be done in less; timers are not finer either.
 LEAST_LEFT_MS = 1.0
-# Other hosts replace a leader within two seconds, if the store serves any of them.
-OTHERS_ACT_MS = 2_500.0
+# A leader that could not be replaced for this long will hardly come back within a
+# client's deadline (2 to 3 s for writes); before, waiting serves more of them.
+HOPELESS_AFTER_MS = 8_000.0
 # A link should come free within a few statements; a longer wait elsewhere is better.
 READ_LINK_WAIT_MS = 150.0
 # A queue in the target takes 100 to 150 ms; an answer that had less time than this
@@ -119,7 +120,7 @@
         if self.cut_off():
             return True
         lost_ms = self.clock.now_ms() - (leadership.failing_since_ms or 0.0)
-        return bool(leadership.no_remedy) and lost_ms >= OTHERS_ACT_MS
+        return bool(leadership.no_remedy) and lost_ms >= HOPELESS_AFTER_MS
 
     def out_of_reach_reason(self, group: GroupState) -> tuple[Code, str]:
         """Say why waiting for a group's leader makes no sense.
