fix: the platform's list never outvotes the hosts; a lost lead has a beginning

From 13.5 s they refused at once (1012, about 280 requests): a lead that ended by a refusal had no time of loss, so the eight seconds counted from zero. Ruled out: the store's feed (regained in order), the choice of the replica (the only one it reached). Change: a cut-off host replaces a leader only when it has been alone for 20 s and the list lacks the leader; a refused lead is lost from that moment.

--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -303,7 +303,7 @@
         if group.targets.get(target.entry.id) is target:
             del group.targets[target.entry.id]
         if group.leadership.leader_id == target.entry.id:
-            group.leadership.not_leading(target.entry.id)
+            group.leadership.not_leading(target.entry.id, self._clock.now_ms())
         target.pool.close()
 
     async def _tick_forever(self) -> None:
--- a/packages/fennelhilld/src/fennelhilld/leadership/state.py
+++ b/packages/fennelhilld/src/fennelhilld/leadership/state.py
@@ -78,16 +78,20 @@
         if target_id != self.leader_id:
             self._follow(target_id, self.term, now_ms, "listed as the primary")
 
-    def not_leading(self, target_id: str) -> None:
+    def not_leading(self, target_id: str, now_ms: float) -> None:
         """Note that a target refused because it does not lead.
 
         Parameters
         ----------
         target_id : str
             The target.
+        now_ms : float
+            Time on this host's clock.
         """
         if target_id == self.leader_id:
             self.leader_id = None
+            if self.failing_since_ms is None:
+                self.failing_since_ms = now_ms
             self._notified("leadership.lost", target=target_id, term=self.term)
 
     def failed(self, target_id: str, now_ms: float) -> bool:
--- a/packages/fennelhilld/src/fennelhilld/leadership/tests/test_state.py
+++ b/packages/fennelhilld/src/fennelhilld/leadership/tests/test_state.py
@@ -49,5 +49,6 @@
     def test_a_refusal_leaves_the_group_without_a_leader(self):
         state = leadership()
         state.reported("a", 0.0)
-        state.not_leading("a")
+        state.not_leading("a", 300.0)
         assert state.leader_id is None
+        assert state.failing_since_ms == 300.0
--- a/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
@@ -35,6 +35,8 @@
 from fennelhilld.promotion.probing import Look, TargetProbes
 from fennelhilld.promotion.reach import FleetReach
 
+# Hosts that have not been seen for so long are gone for good; cuts last seconds.
+ALONE_AFTER_MS = 20_000.0
 # A leader that answers at once needs no questions to others.
 LEADER_HEAD_START_MS = 80.0
 # The promoted target leads some hundred milliseconds after the call.
@@ -131,7 +133,7 @@
             return False
         if look.status is not None:
             if not look.status.leads:
-                leadership.not_leading(leader.entry.id)
+                leadership.not_leading(leader.entry.id, asked_ms)
                 return False
             leadership.proven(leader.entry.id, look.status.term, asked_ms)
         leadership.recovered()
@@ -265,8 +267,10 @@
             return False
         lost = leader_is_lost(views, target_id, len(self.peers.names()))
         if self.reach.cut_off:
-            # The larger side decides, unless the platform misses the leader too.
-            lost = self._directory.is_removed(target_id)
+            # The larger side decides.  The platform's list is no proof against it:
+            # the platform may be on this side and the leader on the other.
+            alone = self.reach.cut_off_for_ms() >= ALONE_AFTER_MS
+            lost = alone and self._directory.is_removed(target_id)
         self._record(
             "promotion.weighed",
             group,
--- a/packages/fennelhilld/src/fennelhilld/statements/environment.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/environment.py
@@ -120,8 +120,10 @@
             return False
         if self.cut_off():
             return True
-        lost_ms = self.clock.now_ms() - (leadership.failing_since_ms or 0.0)
-        return bool(leadership.no_remedy) and lost_ms >= HOPELESS_AFTER_MS
+        if not leadership.no_remedy or leadership.failing_since_ms is None:
+            return False
+        lost_ms = self.clock.now_ms() - leadership.failing_since_ms
+        return lost_ms >= HOPELESS_AFTER_MS
 
     def out_of_reach_reason(self, group: GroupState) -> tuple[Code, str]:
         """Say why waiting for a group's leader makes no sense.
--- a/packages/fennelhilld/src/fennelhilld/statements/execution.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/execution.py
@@ -315,7 +315,9 @@
             group = env.group(target.entry.group)
             env.replica_answered(group, target, answer, floor)
         elif fault is TargetFault.NOT_LEADING:
-            env.group(target.entry.group).leadership.not_leading(target.entry.id)
+            env.group(target.entry.group).leadership.not_leading(
+                target.entry.id, now_ms
+            )
         elif fault is TargetFault.UNKNOWN_PREPARED:
             lease.link.prepared.clear()
         elif fault is TargetFault.BUSY:
@@ -456,7 +458,7 @@
         """
         self.env.retried(statement, target, fault_reason(answer))
         if answer.fault is TargetFault.NOT_LEADING:
-            group.leadership.not_leading(target.entry.id)
+            group.leadership.not_leading(target.entry.id, self.env.clock.now_ms())
         elif answer.fault is TargetFault.UNKNOWN_PREPARED:
             lease.link.prepared.clear()
         else:
--- a/packages/fennelhilld/src/fennelhilld/statements/transaction.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/transaction.py
@@ -340,7 +340,8 @@
         fault = answer.fault or TargetFault.OTHER
         if fault is TargetFault.NOT_LEADING and self._target is not None:
             group = self.runner.env.group(self.database.group)
-            group.leadership.not_leading(self._target.entry.id)
+            now_ms = self.runner.env.clock.now_ms()
+            group.leadership.not_leading(self._target.entry.id, now_ms)
         if answer.state is TransactionState.OPEN and not fault.not_run:
             # The statement failed on its own; the client may go on.
             return self.runner.env.refused(
--- a/scenarios/test_sessions.py
+++ b/scenarios/test_sessions.py
@@ -253,6 +253,28 @@
 
         run_virtual(main())
 
+    def test_a_group_that_has_just_lost_its_leader_is_waited_for(self):
+        async def main():
+            world = SessionWorld(1, hosts=1)
+            client = world.client(world.gateways[0], world.database(ReadKind.CURRENT))
+            await world.clock.sleep_ms(20_000)
+            await client.write()
+            world.store.down = True
+            model = world.groups["g0"]
+            other = next(one for one in model.targets.values() if not one.leads)
+            model.leader.leads = False
+            await world.clock.sleep_ms(10)
+            asked_ms = world.clock.now_ms()
+            assert (await client.write()).code is codes.NO_PRIMARY
+            assert (await client.write()).code is codes.NO_PRIMARY
+            assert world.clock.now_ms() - asked_ms > 1_000
+            await model.promote(other.id)
+            await world.clock.sleep_ms(500)
+            assert (await client.write()).code is None
+            world.close()
+
+        run_virtual(main())
+
 
 class TestCutOffHost:
     def cut(self, world, number):
@@ -313,6 +335,27 @@
 
         run_virtual(main())
 
+    def test_promotes_nobody_though_the_platform_misses_the_leader_too(self):
+        # Trouble-3 of Johannesburg: one host and the platform on one side, the
+        # leader and all other hosts on the other.
+        async def main():
+            world = SessionWorld(1, hosts=5)
+            client = world.client(world.gateways[0], world.database(ReadKind.CURRENT))
+            await client.read()
+            world.cut_hosts.add("host-0")
+            leader = world.groups["g0"].leader
+            world.drivers[0].cut_off.add(leader.id)
+            for link in list(leader.links):
+                if link.driver is world.drivers[0]:
+                    link.silent = True
+            world.gateways[0].remove_target(leader.id)
+            for _ in range(4):
+                await client.write()
+            assert world.groups["g0"].promotions == []
+            world.close()
+
+        run_virtual(main())
+
 
 class TestLostAnswers:
     def test_replace_only_the_link_while_the_target_answers_others(self):
