fix: a host without a known leader asks the others before it promotes

Ruled out: the claim (the store serves it), the fence (it only orders the takings). Change: the other hosts are asked there too; a cut-off host then leaves the balancer and promotes nobody. Conclusion: both ways to lose a leader now ask the same question.

--- a/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
@@ -107,8 +107,11 @@
         started_ms = self._clock.now_ms()
         if leader is None or leader.entry.leaving:
             statuses = await self._statuses(group, leader)
-            if not self._adopt(group, statuses, leader, started_ms):
-                await self._replace(group, leader, statuses, [])
+            if self._adopt(group, statuses, leader, started_ms):
+                return
+            views = await self._views(group, leader)
+            self._note_reach(started_ms, views)
+            await self._replace(group, leader, statuses, views)
             return
         asked = asyncio.ensure_future(self.probes.look(leader))
         await asyncio.wait({asked}, timeout=LEADER_HEAD_START_MS / MS_PER_S)
@@ -119,11 +122,14 @@
         )
         if self._confirmed(group, leader, look, started_ms):
             return
-        if self.peers is not None:
-            self.reach.update(started_ms, len(views), len(self.peers.names()))
+        self._note_reach(started_ms, views)
         if not self._adopt(group, statuses, leader, started_ms):
             await self._replace(group, leader, statuses, views)
 
+    def _note_reach(self, asked_ms: float, views: list[LeaderView]) -> None:
+        if self.peers is not None:
+            self.reach.update(asked_ms, len(views), len(self.peers.names()))
+
     def _confirmed(
         self, group: GroupState, leader: TargetState, look: Look, asked_ms: float
     ) -> bool:
@@ -147,10 +153,13 @@
             views = await self.peers.leader_views("", "")
             self.reach.update(asked_ms, len(views), len(self.peers.names()))
 
-    async def _views(self, group: GroupState, leader: TargetState) -> list[LeaderView]:
+    async def _views(
+        self, group: GroupState, leader: TargetState | None
+    ) -> list[LeaderView]:
         if self.peers is None:
             return []
-        return await self.peers.leader_views(group.name, leader.entry.id)
+        target_id = leader.entry.id if leader else ""
+        return await self.peers.leader_views(group.name, target_id)
 
     async def status(self, target: TargetState) -> TargetStatus | None:
         """Ask a target for its status.
@@ -257,8 +266,11 @@
         leader: TargetState | None,
         views: list[LeaderView],
     ) -> bool:
-        if leader is None or self.peers is None:
+        if self.peers is None:
             return True
+        if leader is None:
+            # A leader that has refused was replaced by somebody, perhaps out of reach.
+            return not self.reach.cut_off
         target_id = leader.entry.id
         newer = [view for view in views if view.term > group.leadership.term]
         if newer:
--- a/scenarios/test_sessions.py
+++ b/scenarios/test_sessions.py
@@ -335,6 +335,23 @@
 
         run_virtual(main())
 
+    def test_promotes_nobody_after_its_leader_was_replaced_on_the_other_side(self):
+        async def main():
+            world = SessionWorld(1, hosts=5)
+            client = world.client(world.gateways[0], world.database(ReadKind.CURRENT))
+            await client.read()
+            world.cut_hosts |= {"host-0", "host-1"}
+            for number in (0, 1):
+                world.drivers[number].cut_off.add("g0-1")
+            await world.groups["g0"].promote("g0-1")
+            for _ in range(6):
+                await client.write()
+            assert world.groups["g0"].promotions == []
+            assert not world.gateways[0].ready
+            world.close()
+
+        run_virtual(main())
+
     def test_promotes_nobody_though_the_platform_misses_the_leader_too(self):
         # Trouble-3 of Johannesburg: one host and the platform on one side, the
         # leader and all other hosts on the other.
