fix: hosts that are gone no longer count as hosts that do not answer

Cause: the row of a host that was killed for good stays in the store, and a whole reading of the table after lost history did not drop hosts that it lacked. Such rows count as silent hosts, so that after enough replacements the living would look like the smaller side of a cut and promote nobody. A host that started under its old name with another address also left its old row as it was.

Ruled out: dropping silent hosts from the count at once. A host on the smaller side of a cut would then count itself as the whole fleet.

Change: Roster keeps the hosts and since when each one has left every question unanswered; after a minute a host that is not cut off removes the row, under the condition that it was not renewed since. A host that lives registers again when it sees that its row is gone. Whole readings drop what they lack; a host corrects its own row.

--- a/packages/fennelhill-bench/src/fennelhill_bench/sessionworld/world.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/sessionworld/world.py
@@ -104,7 +104,7 @@
 
     def names(self) -> list[str]:
         """Names of the other hosts."""
-        return list(self._gateway.members)
+        return list(self._gateway.roster.addresses)
 
     async def leader_views(self, group: str, target_id: str) -> list[LeaderView]:
         """Ask all hosts about a target."""
--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -10,6 +10,7 @@
 from fennelhilld.directory.state import TargetDirectory, TargetEntry
 from fennelhilld.links.messages import LinkDriver
 from fennelhilld.links.pool import TargetPool
+from fennelhilld.neighbours.roster import Roster
 from fennelhilld.placement.state import GroupState, TargetState
 from fennelhilld.promotion.messages import ClaimPhase, ClaimRow
 from fennelhilld.promotion.replacement import HOLD_MS, LeaderReplacement
@@ -65,7 +66,7 @@
         self.catalog = CatalogHolder()
         self.directory = TargetDirectory()
         self.groups: dict[str, GroupState] = {}
-        self.members: dict[str, str] = {}
+        self.roster = Roster(clock)
         self.env = Environment(zone, self.catalog, self.groups, clock, events)
         self.replacement = LeaderReplacement(
             host, self.directory, driver, clock, events
@@ -211,7 +212,7 @@
             ``ip:port`` for other hosts.
         """
         if name != self.host:
-            self.members[name] = address
+            self.roster.put(name, address)
 
     def remove_member(self, name: str) -> None:
         """Note that a host has left.
@@ -221,7 +222,7 @@
         name : str
             Its name.
         """
-        self.members.pop(name, None)
+        self.roster.remove(name)
 
     def claim_changed(self, group_name: str, row: ClaimRow) -> None:
         """Take a newer claim on the duty to replace a leader.
@@ -269,7 +270,7 @@
         catalog = self.catalog.current
         group = catalog.groups.get(group_name) if catalog else None
         limit = group.max_connections if group else DEFAULT_CONNECTIONS
-        return max(1, limit // (len(self.members) + 1))
+        return max(1, limit // (len(self.roster) + 1))
 
     def link_limit(self, group_name: str) -> int:
         """Return how many links to a target this host may open now.
--- a/packages/fennelhilld/src/fennelhilld/neighbours/http.py
+++ b/packages/fennelhilld/src/fennelhilld/neighbours/http.py
@@ -89,7 +89,7 @@
         list of str
             In no order.
         """
-        return list(self._gateway.members)
+        return list(self._gateway.roster.addresses)
 
     async def leader_views(self, group: str, target_id: str) -> list[LeaderView]:
         """Ask all hosts how they see a leader.
@@ -106,10 +106,13 @@
         list of LeaderView
             Of the hosts that answered in time.
         """
-        addresses = list(self._gateway.members.values())
+        roster = self._gateway.roster
+        addresses = dict(roster.addresses)
         views = await asyncio.gather(
-            *(self._ask(address, group, target_id) for address in addresses)
+            *(self._ask(address, group, target_id) for address in addresses.values())
         )
+        for name, view in zip(addresses, views, strict=True):
+            roster.asked(name, view is not None)
         return [view for view in views if view is not None]
 
     async def _ask(self, address: str, group: str, target_id: str) -> LeaderView | None:
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/neighbours/roster.py
@@ -0,0 +1,98 @@
+"""The other hosts of the fleet, and which of them are gone for good."""
+
+from __future__ import annotations
+
+from fennelhill_core.clock import Clock
+
+# Planned work and the users' longest troubles keep a host silent for some 15 s; a
+# host that was only cut off registers again once it sees that its row is gone.
+GONE_AFTER_MS = 60_000.0
+
+
+class Roster:
+    """Hosts by name, as the store lists them.
+
+    A host that was killed for good leaves its row behind.  Such rows would be
+    counted as hosts that do not answer, until the living look like the smaller
+    side of a cut, so a host that stays silent for long is reported as gone.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    """
+
+    __slots__ = ("_clock", "_silent_since_ms", "addresses")
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self.addresses: dict[str, str] = {}
+        self._silent_since_ms: dict[str, float] = {}
+
+    def __len__(self) -> int:
+        return len(self.addresses)
+
+    def put(self, name: str, address: str) -> None:
+        """Note a host that has registered.
+
+        Parameters
+        ----------
+        name : str
+            Its name.
+        address : str
+            ``ip:port`` for questions of other hosts.
+        """
+        self.addresses[name] = address
+        self._silent_since_ms.pop(name, None)
+
+    def remove(self, name: str) -> None:
+        """Note that a host is no longer listed.
+
+        Parameters
+        ----------
+        name : str
+            Its name.
+        """
+        self.addresses.pop(name, None)
+        self._silent_since_ms.pop(name, None)
+
+    def keep_only(self, names: set[str]) -> None:
+        """Remove all hosts that a whole reading of the list lacks.
+
+        Parameters
+        ----------
+        names : set of str
+            Hosts in the list.
+        """
+        for name in set(self.addresses) - names:
+            self.remove(name)
+
+    def asked(self, name: str, answered: bool) -> None:
+        """Note whether a host answered a question.
+
+        Parameters
+        ----------
+        name : str
+            Its name.
+        answered : bool
+            Whether it answered in time.
+        """
+        if answered:
+            self._silent_since_ms.pop(name, None)
+        elif name in self.addresses:
+            self._silent_since_ms.setdefault(name, self._clock.now_ms())
+
+    def gone(self) -> list[str]:
+        """Return the hosts that have left every question unanswered for long.
+
+        Returns
+        -------
+        list of str
+            Names.
+        """
+        long_ago_ms = self._clock.now_ms() - GONE_AFTER_MS
+        return [
+            name
+            for name, since_ms in self._silent_since_ms.items()
+            if since_ms <= long_ago_ms
+        ]
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/neighbours/tests/test_roster.py
@@ -0,0 +1,59 @@
+"""Tests of the list of the other hosts."""
+
+from __future__ import annotations
+
+from fennelhilld.neighbours.roster import GONE_AFTER_MS, Roster
+
+
+class ClockStub:
+    def __init__(self):
+        self.ms = 0.0
+
+    def now_ms(self):
+        return self.ms
+
+
+class TestRoster:
+    def roster(self, *names):
+        clock = ClockStub()
+        roster = Roster(clock)
+        for name in names:
+            roster.put(name, f"{name}:1")
+        return roster, clock
+
+    def test_drops_hosts_that_a_whole_reading_lacks(self):
+        roster, _ = self.roster("a", "b")
+        roster.keep_only({"b"})
+        assert roster.addresses == {"b": "b:1"}
+
+    def test_reports_a_host_that_stays_silent(self):
+        roster, clock = self.roster("a", "b")
+        roster.asked("a", False)
+        roster.asked("b", True)
+        clock.ms = GONE_AFTER_MS - 1
+        roster.asked("a", False)
+        assert roster.gone() == []
+        clock.ms = GONE_AFTER_MS
+        assert roster.gone() == ["a"]
+
+    def test_forgets_silence_before_an_answer(self):
+        roster, clock = self.roster("a")
+        roster.asked("a", False)
+        roster.asked("a", True)
+        clock.ms = 2 * GONE_AFTER_MS
+        roster.asked("a", False)
+        assert roster.gone() == []
+
+    def test_a_host_that_registers_again_is_not_gone(self):
+        roster, clock = self.roster("a")
+        roster.asked("a", False)
+        clock.ms = 2 * GONE_AFTER_MS
+        roster.put("a", "a:2")
+        assert roster.gone() == []
+
+    def test_silence_of_an_unlisted_host_is_not_kept(self):
+        roster, clock = self.roster("a")
+        roster.remove("a")
+        roster.asked("a", False)
+        clock.ms = 2 * GONE_AFTER_MS
+        assert roster.gone() == []
--- a/scenarios/adapter/test_daemon.py
+++ b/scenarios/adapter/test_daemon.py
@@ -7,11 +7,15 @@
 
 import pytest
 from adapter.node import load_node_settings
+from adapter.targets import LineDriver
 from fennelhill_bench.platformworld.lineserver import LineClient
 from fennelhill_bench.platformworld.platform import PlatformWorld, until
 from fennelhill_bench.sessionworld.targets import Traits
 from fennelhill_core.sockets import http_client
 from fennelhilld.draining.release import BALANCER_NOTICE_MS
+from fennelhilld.links.messages import LinkRefusedError
+from fennelhilld.neighbours.roster import GONE_AFTER_MS
+from fennelhilld.statements.transaction import Transaction
 from main import PlatformDaemon
 
 QUICK = {"set_up_ms": 1.0, "service_ms": 1.0, "lag_ms": 5.0, "promote_ms": 200.0}
@@ -47,7 +51,7 @@
         try:
             await until(lambda: all(one.gateway.ready for one in daemons))
             await until(
-                lambda: all(len(one.gateway.members) == hosts - 1 for one in daemons)
+                lambda: all(len(one.gateway.roster) == hosts - 1 for one in daemons)
             )
             await check(Deployment(world, daemons))
         finally:
@@ -101,6 +105,52 @@
 
         deployed(tmp_path, check)
 
+    def test_that_meet_a_fault_of_our_own_get_a_numbered_code(
+        self, tmp_path, monkeypatch
+    ):
+        async def check(case):
+            client, other = await case.client(), await case.client()
+            await client.ask("b", "BEGIN")
+            await client.ask("w", "WRITE item data")
+            with monkeypatch.context() as patch:
+                patch.setattr(Transaction, "run", _broken)
+                client.send("QUERY w2 WRITE item data")
+                assert (await client.line()).startswith("ERROR INDOUBT 2004")
+                assert await client.line() == ""
+            lines = case.daemons[0].events.since(0)
+            crash = next(one for one in lines if one.kind == "request.crashed")
+            assert crash.detail["request"] == "w2"
+            assert "KeyError" in crash.detail["reason"]
+            assert (await other.ask("r", "READ item"))[-1].startswith("READY I")
+            await until(lambda: not any(one.open for one in case.world.open_links()))
+            assert case.world.group.leader.log == []
+
+        deployed(tmp_path, check)
+
+    def test_half_an_answer_to_a_write_leaves_it_in_doubt(self, tmp_path):
+        async def check(case):
+            client = await case.client()
+            await client.ask("w1", "WRITE item data")
+            case.world.targets[0].half_answers = True
+            answer = await client.ask("w2", "WRITE item data")
+            assert answer[0].startswith("ERROR INDOUBT")
+            case.world.targets[0].half_answers = False
+            assert (await client.ask("w3", "WRITE item data"))[1].endswith(":w3")
+            assert len(case.world.observer.runs["w2"]) == 1
+
+        deployed(tmp_path, check)
+
+    def test_half_an_answer_to_a_read_is_asked_for_elsewhere(self, tmp_path):
+        async def check(case):
+            client = await case.client("aged")
+            await client.ask("r1", "READ item")
+            for target in case.world.targets[1:]:
+                target.half_answers = True
+            answer = await client.ask("r2", "READ item")
+            assert answer[:2] == ["DATAROW row r2", "COMPLETE g0-0:r2"]
+
+        deployed(tmp_path, check)
+
     def test_a_resting_transaction_is_ended(self, tmp_path):
         async def check(case):
             client = await case.client()
@@ -114,6 +164,27 @@
         deployed(tmp_path, check)
 
 
+async def _broken(*_):
+    raise KeyError("a fault of our own")
+
+
+class TestTargets:
+    @pytest.mark.parametrize("line", [b"\xff\xfe\r\n", b"x" * 1_100_000 + b"\r\n"])
+    def test_whose_first_line_is_no_message_are_refused(self, line):
+        async def main():
+            async def serve(reader, writer):
+                await reader.readuntil(b"\r\n")
+                writer.write(line)
+
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            ip, port = server.sockets[0].getsockname()
+            with pytest.raises(LinkRefusedError):
+                await LineDriver().open("g", "t", f"{ip}:{port}", 1_000.0)
+            server.close()
+
+        asyncio.run(main())
+
+
 class TestStart:
     @pytest.mark.parametrize(
         ("line", "word"),
@@ -211,6 +282,66 @@
         deployed(tmp_path, check)
 
 
+class TestFleet:
+    def test_drops_hosts_whose_removal_was_missed(self, tmp_path):
+        async def check(case):
+            gateway = case.daemons[0].gateway
+            store = case.world.store
+            store.put("fennelhill", "member/ghost", {"address": "a:1", "zone": "a"})
+            await until(lambda: "ghost" in gateway.roster.addresses)
+            store.drop("fennelhill", "member/ghost")
+            store.table.forget_history()
+            case.world.configure()
+            await until(lambda: "ghost" not in gateway.roster.addresses)
+
+        deployed(tmp_path, check)
+
+    def test_removes_the_row_of_a_host_that_is_gone_for_good(self, tmp_path):
+        async def check(case):
+            daemon = case.daemons[0]
+            roster = daemon.gateway.roster
+            store = case.world.store
+            dead = {"address": "127.0.0.1:1", "zone": "a"}
+            store.put("fennelhill", "member/ghost", dead)
+            await until(lambda: "ghost" in roster.addresses)
+            await daemon.gateway.replacement.look_around()
+            roster._silent_since_ms["ghost"] -= GONE_AFTER_MS
+            await daemon.feeds.remove_gone_hosts()
+            await until(lambda: "ghost" not in roster.addresses)
+            assert len(roster) == 1
+
+        deployed(tmp_path, check, hosts=2)
+
+    def test_keeps_the_row_of_a_host_that_has_just_registered_again(self, tmp_path):
+        async def check(case):
+            daemon = case.daemons[0]
+            roster = daemon.gateway.roster
+            store = case.world.store
+            dead = {"address": "127.0.0.1:1", "zone": "a"}
+            store.put("fennelhill", "member/ghost", dead)
+            await until(lambda: "ghost" in roster.addresses)
+            await daemon.gateway.replacement.look_around()
+            roster._silent_since_ms["ghost"] -= GONE_AFTER_MS
+            # The new row has not reached this host when it decides.
+            store.put("fennelhill", "member/ghost", {**dead, "zone": "b"})
+            await daemon.feeds.remove_gone_hosts()
+            assert ("fennelhill", "", "member/ghost") in store.table.rows
+
+        deployed(tmp_path, check, hosts=2)
+
+    def test_corrects_its_own_row_of_an_earlier_life(self, tmp_path):
+        async def check(case):
+            store = case.world.store
+            key = ("fennelhill", "", "member/h0")
+            await until(lambda: key in store.table.rows)
+            right = store.table.rows[key]["value"]
+            stale = {"address": "127.0.0.1:1", "zone": "a"}
+            store.put("fennelhill", "member/h0", stale)
+            await until(lambda: store.table.rows[key]["value"] == right)
+
+        deployed(tmp_path, check)
+
+
 class TestFailover:
     def test_a_crashed_primary_is_replaced_and_the_new_one_serves(self, tmp_path):
         async def check(case):
