--- /dev/null
+++ b/packages/fennelhill-bench/src/fennelhill_bench/loadworld/__init__.py
@@ -0,0 +1,1 @@
+"""Patterns of load, replayed against the session core in virtual time."""
--- /dev/null
+++ b/packages/fennelhill-bench/src/fennelhill_bench/loadworld/arrivals.py
@@ -0,0 +1,247 @@
+"""Recorded lists of arrivals, and how they were drawn."""
+
+from __future__ import annotations
+
+import csv
+import math
+import random
+from importlib import resources
+from pathlib import Path
+
+import msgspec
+from fennelhilld.catalog.state import Database, ReadKind
+
+GROUP = "g0"
+ZONES = 3
+SPREAD = 0.7  # of the logarithm of work, as on the users' sheets
+LONGEST_MS = 170.0
+DURATION_MS = 4_000.0
+# A third of what one group's three targets with two slots can do.
+BASE_PER_S = 150.0
+
+
+class Kind(msgspec.Struct, frozen=True):
+    """A kind of request: what it asks for and what its answer is worth.
+
+    Parameters
+    ----------
+    name : str
+        Its name, also of its database.
+    reads : ReadKind
+        How current its reads must be.
+    max_age_ms : float
+        Age that its reads accept.
+    goal_ms : float
+        Answers are worth most until then.
+    deadline_ms : float
+        Its client waits no longer, over all tries.
+    timeout_ms : float
+        Limit of one try.
+    priority : int
+        Class of urgency.
+    worth : float
+        Of an answer in time.
+    late_worth : float
+        Of a later answer, as a share of that.
+    work_ms : float
+        Mean time in a target's slot.
+    write_share : float
+        Share of single writes.
+    transaction_share : float
+        Share of transactions.
+    share : float
+        Of all arrivals.
+    """
+
+    name: str
+    reads: ReadKind
+    max_age_ms: float
+    goal_ms: float
+    deadline_ms: float
+    timeout_ms: float
+    priority: int
+    worth: float
+    late_worth: float
+    work_ms: float
+    write_share: float
+    transaction_share: float
+    share: float
+
+    def database(self) -> Database:
+        """Return the database that requests of this kind name."""
+        return Database(
+            self.name,
+            GROUP,
+            self.reads,
+            self.max_age_ms,
+            self.timeout_ms,
+            self.goal_ms,
+            self.priority,
+        )
+
+
+# As the first user's sheet gives them.
+KINDS = {
+    kind.name: kind
+    for kind in (
+        Kind(
+            "orders",
+            ReadKind.CURRENT,
+            0.0,
+            120.0,
+            2_000.0,
+            800.0,
+            1,
+            2.0,
+            0.2,
+            4.5,
+            0.35,
+            0.25,
+            0.15,
+        ),
+        Kind(
+            "catalogue",
+            ReadKind.MAX_AGE,
+            1_500.0,
+            400.0,
+            6_000.0,
+            1_500.0,
+            2,
+            1.0,
+            0.1,
+            22.0,
+            0.0,
+            0.1,
+            0.15,
+        ),
+        Kind(
+            "progress",
+            ReadKind.OWN_WRITES,
+            2_500.0,
+            200.0,
+            2_000.0,
+            800.0,
+            2,
+            2.0,
+            0.1,
+            14.0,
+            0.12,
+            0.12,
+            0.7,
+        ),
+    )
+}
+
+
+class Arrival(msgspec.Struct, frozen=True):
+    """One request.
+
+    Parameters
+    ----------
+    at_ms : float
+        When it comes, from the start of the pattern.
+    zone : int
+        Where its client is.
+    kind : str
+        Name of its kind.
+    operation : str
+        ``read``, ``write`` or ``transaction``.
+    work_ms : float
+        Time of each of its statements in a target's slot.
+    """
+
+    at_ms: float
+    zone: int
+    kind: str
+    operation: str
+    work_ms: float
+
+
+def draw(
+    seed: int,
+    factor: float = 1.0,
+    shares: dict[str, float] | None = None,
+    zones: tuple[float, ...] = (1.0, 1.0, 1.0),
+    from_ms: float = 0.0,
+    until_ms: float = DURATION_MS,
+) -> list[Arrival]:
+    """Draw a list of arrivals at random.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of all choices.
+    factor : float
+        Multiple of `BASE_PER_S`.
+    shares : dict or None
+        Share of each kind; those of the sheet where nothing is given.
+    zones : tuple of float
+        Weight of each zone.
+    from_ms : float
+        First arrivals.
+    until_ms : float
+        Last arrivals.
+
+    Returns
+    -------
+    list of Arrival
+        In order of time.
+    """
+    random_state = random.Random(seed)
+    kinds = list(KINDS.values())
+    weights = [(shares or {}).get(kind.name, kind.share) for kind in kinds]
+    arrivals = []
+    at_ms = from_ms
+    while True:
+        at_ms += random_state.expovariate(BASE_PER_S * factor / 1_000.0)
+        if at_ms >= until_ms:
+            return arrivals
+        kind = random_state.choices(kinds, weights)[0]
+        zone = random_state.choices(range(ZONES), zones)[0]
+        mean = math.log(kind.work_ms) - SPREAD**2 / 2
+        work_ms = min(LONGEST_MS, random_state.lognormvariate(mean, SPREAD))
+        draw_operation = random_state.random()
+        operation = "read"
+        if draw_operation < kind.write_share:
+            operation = "write"
+        elif draw_operation < kind.write_share + kind.transaction_share:
+            operation = "transaction"
+        arrivals.append(
+            Arrival(round(at_ms, 1), zone, kind.name, operation, round(work_ms, 2))
+        )
+
+
+def save(path: Path, arrivals: list[Arrival]) -> None:
+    """Write a list of arrivals.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        The file.
+    arrivals : list of Arrival
+        What to write.
+    """
+    with path.open("w", newline="") as file:
+        writer = csv.writer(file, lineterminator="\n")
+        writer.writerows(msgspec.structs.astuple(one) for one in arrivals)
+
+
+def recorded(name: str) -> list[Arrival]:
+    """Read a recorded list of arrivals.
+
+    Parameters
+    ----------
+    name : str
+        Name of the list.
+
+    Returns
+    -------
+    list of Arrival
+        In order of time.
+    """
+    folder = resources.files("fennelhill_bench.loadworld") / "recorded"
+    rows = csv.reader((folder / f"{name}.csv").read_text().splitlines())
+    return [
+        Arrival(float(at_ms), int(zone), kind, operation, float(work_ms))
+        for at_ms, zone, kind, operation, work_ms in rows
+    ]
--- /dev/null
+++ b/packages/fennelhill-bench/src/fennelhill_bench/loadworld/patterns.py
@@ -0,0 +1,200 @@
+"""The patterns of load: a recorded list of arrivals and what happens meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Protocol
+
+from fennelhill_core.registry import Registry
+from fennelhilld.statements.messages import Statement, StatementKind
+
+from fennelhill_bench.loadworld.arrivals import DURATION_MS, Arrival, draw
+from fennelhill_bench.loadworld.replay import LoadWorld
+
+START_MS = 1_000.0
+SPAN_MS = 1_500.0
+SLOW = 5.0
+FAR_BEHIND = 60.0
+RESTART_MS = 350.0
+STORE_SLOW_MS = 240.0  # 60 times the usual 4 ms
+IDLE_CLIENTS = 12
+# Transactions that rest longer are ended, as on the users' platform.
+IDLE_LIMIT_MS = 1_000.0
+
+
+class Pattern(Protocol):
+    """A list of arrivals, and what happens while they come."""
+
+    list_name: str
+
+    def draw(self) -> list[Arrival]:
+        """Draw the list that is recorded."""
+
+    async def disturb(self, world: LoadWorld) -> None:
+        """Run beside the arrivals."""
+
+
+PATTERNS: Registry[Pattern] = Registry("load pattern")
+
+
+class _Steady:
+    """Even load of the users' mix."""
+
+    list_name = "steady"
+
+    def draw(self) -> list[Arrival]:
+        """Draw the list that is recorded."""
+        return draw(1)
+
+    async def disturb(self, world: LoadWorld) -> None:
+        """Do nothing."""
+
+
+@PATTERNS.register("burst")
+class Burst(_Steady):
+    """Load rises to 1.7 times the usual one."""
+
+    list_name = "burst"
+
+    def draw(self) -> list[Arrival]:
+        """Draw the list that is recorded."""
+        before = draw(2, until_ms=START_MS)
+        during = draw(3, factor=1.7, from_ms=START_MS, until_ms=START_MS + SPAN_MS)
+        return before + during + draw(4, from_ms=START_MS + SPAN_MS)
+
+
+@PATTERNS.register("shift")
+class Shift(_Steady):
+    """Half of one zone's clients move to another."""
+
+    list_name = "shift"
+
+    def draw(self) -> list[Arrival]:
+        """Draw the list that is recorded."""
+        before = draw(5, until_ms=START_MS)
+        return before + draw(6, zones=(0.5, 1.5, 1.0), from_ms=START_MS)
+
+
+@PATTERNS.register("flood")
+class Flood(_Steady):
+    """One kind of request comes at many times its usual rate."""
+
+    list_name = "flood"
+
+    def draw(self) -> list[Arrival]:
+        """Draw the list that is recorded."""
+        only = {"orders": 0.0, "catalogue": 1.0, "progress": 0.0}
+        extra = draw(
+            7, factor=2.0, shares=only, from_ms=START_MS, until_ms=START_MS + SPAN_MS
+        )
+        return sorted([*draw(8), *extra], key=lambda one: one.at_ms)
+
+
+@PATTERNS.register("zone_loss")
+class ZoneLoss(_Steady):
+    """All hosts and the target of one zone end at once, and come back."""
+
+    async def disturb(self, world: LoadWorld) -> None:
+        """Stop a zone for a while."""
+        await world.clock.sleep_ms(START_MS)
+        lost = [one for one in world.gateways if one.zone == "zone-2"]
+        target = world.group.targets["g0-2"]
+        target.crash()
+        for gateway in lost:
+            world.stop_host(gateway)
+        await world.clock.sleep_ms(SPAN_MS)
+        target.restart()
+        for gateway in lost:
+            world.start_host(gateway)
+
+
+@PATTERNS.register("slow_primary")
+class SlowPrimary(_Steady):
+    """The primary takes five times as long."""
+
+    async def disturb(self, world: LoadWorld) -> None:
+        """Slow the primary down for a while."""
+        await world.clock.sleep_ms(START_MS)
+        traits = world.group.leader.traits
+        traits.slowdown = SLOW
+        await world.clock.sleep_ms(SPAN_MS)
+        traits.slowdown = 1.0
+
+
+@PATTERNS.register("replicas_behind")
+class ReplicasBehind(_Steady):
+    """All replicas are sixty times as far behind as usual."""
+
+    async def disturb(self, world: LoadWorld) -> None:
+        """Delay the replicas for a while."""
+        await world.clock.sleep_ms(START_MS)
+        replicas = [one for one in world.group.targets.values() if not one.leads]
+        usual_ms = replicas[0].traits.lag_ms
+        for replica in replicas:
+            replica.traits.lag_ms = usual_ms * FAR_BEHIND
+        await world.clock.sleep_ms(SPAN_MS)
+        for replica in replicas:
+            replica.traits.lag_ms = usual_ms
+
+
+@PATTERNS.register("promotion_gap")
+class PromotionGap(_Steady):
+    """The primary crashes; for over a second nobody takes writes."""
+
+    async def disturb(self, world: LoadWorld) -> None:
+        """Crash the primary; it comes back as a replica."""
+        await world.clock.sleep_ms(START_MS)
+        crashed = world.group.leader
+        crashed.crash()
+        await world.clock.sleep_ms(SPAN_MS + START_MS)
+        crashed.restart()
+
+
+@PATTERNS.register("rolling_restart")
+class RollingRestart(_Steady):
+    """One host after the other starts anew, without a moment's rest between."""
+
+    async def disturb(self, world: LoadWorld) -> None:
+        """Restart all hosts."""
+        await world.clock.sleep_ms(START_MS / 2)
+        for gateway in list(world.gateways):
+            world.stop_host(gateway)
+            await world.clock.sleep_ms(RESTART_MS)
+            world.start_host(gateway)
+
+
+@PATTERNS.register("store_slow")
+class StoreSlow(_Steady):
+    """The primary crashes while the platform's store is slow."""
+
+    async def disturb(self, world: LoadWorld) -> None:
+        """Slow the store down and crash the primary."""
+        world.store.call_ms = STORE_SLOW_MS
+        await PromotionGap().disturb(world)
+
+
+@PATTERNS.register("idle_in_transactions")
+class IdleInTransactions(_Steady):
+    """Clients begin, write, and rest with their links until they are ended."""
+
+    async def disturb(self, world: LoadWorld) -> None:
+        """Let clients rest in transactions, again and again."""
+        await world.clock.sleep_ms(START_MS)
+        await asyncio.gather(
+            *(self._rest(world, number) for number in range(IDLE_CLIENTS))
+        )
+
+    async def _rest(self, world: LoadWorld, number: int) -> None:
+        gateway = world.gateways[number % len(world.gateways)]
+        while world.clock.now_ms() < DURATION_MS:
+            session = gateway.open_session("orders")
+            for kind, text in (
+                (StatementKind.BEGIN, "BEGIN"),
+                (StatementKind.WRITE, "WRITE item"),
+            ):
+                writes = kind is StatementKind.WRITE
+                statement = Statement(world.next_id(), kind, text, writes=writes)
+                await session.execute(statement)
+            await world.clock.sleep_ms(IDLE_LIMIT_MS)
+            session.abort("the transaction rested too long")
+            await session.close()
--- /dev/null
+++ b/packages/fennelhill-bench/src/fennelhill_bench/loadworld/replay.py
@@ -0,0 +1,314 @@
+"""Replays arrivals with clients that try again, and tells how they were served."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Awaitable, Callable
+
+import msgspec
+from fennelhill_core.codes import Outcome
+from fennelhilld.catalog.state import Catalog, Group
+from fennelhilld.gateway import SessionGateway
+from fennelhilld.links.messages import Command
+from fennelhilld.statements.messages import Reply, Statement, StatementKind
+from fennelhilld.statements.session import Session
+from fennelhilld.waiting.policies import PolicyNames
+
+from fennelhill_bench.loadworld.arrivals import GROUP, KINDS, ZONES, Arrival
+from fennelhill_bench.sessionworld.checks import RunRecorder
+from fennelhill_bench.sessionworld.targets import Traits
+from fennelhill_bench.sessionworld.world import SessionWorld
+from fennelhill_bench.virtual_time import run_virtual
+
+HOSTS = 6
+CONNECTIONS = 16
+TRIES = 3  # the users' clients try twice more
+RETRY_PAUSE_MS = 50.0
+COMMIT_WORK_MS = 1.0
+WARM_UP_MS = 1_500.0
+WINDOW_MS = 500.0
+# As the first user's sheet gives them.
+TRAITS = Traits(lag_ms=60.0, promote_ms=1_000.0, max_connections=CONNECTIONS)
+
+Disturbance = Callable[["LoadWorld"], Awaitable[None]]
+
+
+class Served(msgspec.Struct):
+    """What became of one request."""
+
+    arrival: Arrival
+    took_ms: float | None
+    tries: int
+    refused: int
+
+    @property
+    def worth(self) -> float:
+        """Worth of its answer, at most that of its kind."""
+        kind = KINDS[self.arrival.kind]
+        if self.took_ms is None:
+            return 0.0
+        in_time = self.took_ms <= kind.goal_ms
+        return kind.worth * (1.0 if in_time else kind.late_worth)
+
+
+class Result:
+    """How the requests of a replay were served.
+
+    Parameters
+    ----------
+    served : list of Served
+        All requests.
+    """
+
+    def __init__(self, served: list[Served]) -> None:
+        self.served = served
+
+    @property
+    def whole(self) -> float:
+        """Worth earned as a share of the worth owed."""
+        return _share(self.served)
+
+    def worst(self, key: Callable[[Arrival], object]) -> float:
+        """Return the least share among parts of the requests.
+
+        Parameters
+        ----------
+        key : callable
+            Tells the part that an arrival belongs to.
+
+        Returns
+        -------
+        float
+            Of parts with a twentieth of the requests or more.
+        """
+        parts = defaultdict(list)
+        for one in self.served:
+            parts[key(one.arrival)].append(one)
+        least = len(self.served) / 20
+        return min(_share(part) for part in parts.values() if len(part) >= least)
+
+    @property
+    def worst_kind(self) -> float:
+        """Least share of a kind."""
+        return self.worst(lambda arrival: arrival.kind)
+
+    @property
+    def worst_zone(self) -> float:
+        """Least share of a zone."""
+        return self.worst(lambda arrival: arrival.zone)
+
+    @property
+    def worst_window(self) -> float:
+        """Least share of a window of time."""
+        return self.worst(lambda arrival: arrival.at_ms // WINDOW_MS)
+
+    @property
+    def in_time(self) -> int:
+        """Requests that were answered within their goal."""
+        return sum(
+            one.took_ms is not None and one.took_ms <= KINDS[one.arrival.kind].goal_ms
+            for one in self.served
+        )
+
+    @property
+    def unanswered(self) -> int:
+        """Requests that got no answer but refusals."""
+        return sum(one.took_ms is None for one in self.served)
+
+    @property
+    def refused(self) -> int:
+        """Tries that were refused."""
+        return sum(one.refused for one in self.served)
+
+
+def _share(served: list[Served]) -> float:
+    owed = sum(KINDS[one.arrival.kind].worth for one in served)
+    return sum(one.worth for one in served) / owed
+
+
+class LoadWorld(SessionWorld):
+    """A fleet in three zones before one group, with clients that try again.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of everything that is not recorded.
+    policies : PolicyNames or None
+        How the hosts decide under load.
+    """
+
+    observer_class = RunRecorder
+
+    def __init__(self, seed: int, policies: PolicyNames | None = None) -> None:
+        super().__init__(seed, HOSTS, 1, TRAITS, ZONES, policies)
+        self._works: dict[str, float] = {}
+        self._down: set[str] = set()
+        self._tries: dict[str, set[asyncio.Task]] = defaultdict(set)
+        self.group = self.groups[GROUP]
+        self.group.work_ms = self._work_of
+        databases = {name: kind.database() for name, kind in KINDS.items()}
+        self.catalog = Catalog(2, databases, {GROUP: Group(GROUP, CONNECTIONS)})
+        for gateway in self.gateways:
+            gateway.install_catalog(self.catalog)
+
+    def stop_host(self, gateway: SessionGateway) -> None:
+        """End a host at once; its clients lose their connections."""
+        self._down.add(gateway.host)
+        gateway.close()
+        for target in self.group.targets.values():
+            for link in list(target.links):
+                if link.driver is self.driver_of[gateway.host]:
+                    link.cut()
+        for task in list(self._tries[gateway.host]):
+            task.cancel()
+
+    def start_host(self, gateway: SessionGateway) -> None:
+        """Start a host anew under its name."""
+        number = self.gateways.index(gateway)
+        fresh = self._host(gateway.host, number)
+        fresh.install_catalog(self.catalog)
+        for other in self.gateways:
+            fresh.put_member(other.host, other.host)
+        self.gateways[number] = fresh
+        self._down.discard(gateway.host)
+
+    async def serve(self, arrival: Arrival) -> Served:
+        """Play the client of one request."""
+        kind = KINDS[arrival.kind]
+        started_ms = self.clock.now_ms()
+        refused = 0
+        for number in range(1, TRIES + 1):
+            left_ms = started_ms + kind.deadline_ms - self.clock.now_ms()
+            if left_ms <= 0:
+                break
+            reply = await self._try(arrival, left_ms)
+            if reply is not None and reply.code is None:
+                took_ms = self.clock.now_ms() - started_ms
+                return Served(arrival, took_ms, number, refused)
+            refused += reply is not None
+            lost = reply is None or reply.code.outcome is not Outcome.NOT_RUN
+            if lost and arrival.operation != "read":
+                break  # It may have run, so the client does not ask again.
+            await self.clock.sleep_ms(RETRY_PAUSE_MS)
+        return Served(arrival, None, number, refused)
+
+    async def _try(self, arrival: Arrival, left_ms: float) -> Reply | None:
+        gateway = self._choose_host(arrival.zone)
+        if gateway is None:
+            return None
+        work = asyncio.ensure_future(self._operate(gateway, arrival))
+        tries = self._tries[gateway.host]
+        tries.add(work)
+        done, _ = await asyncio.wait({work}, timeout=left_ms / 1_000.0)
+        tries.discard(work)
+        if not done:
+            work.cancel()
+            return None
+        return None if work.cancelled() else work.result()
+
+    def _choose_host(self, zone: int) -> SessionGateway | None:
+        up = [one for one in self.gateways if one.host not in self._down]
+        near = [one for one in up if one.zone == f"zone-{zone}"]
+        return self.random.choice(near or up) if up else None
+
+    async def _operate(self, gateway: SessionGateway, arrival: Arrival) -> Reply:
+        session = gateway.open_session(arrival.kind)
+        try:
+            if arrival.operation == "read":
+                return await self._ask(session, StatementKind.READ, arrival)
+            if arrival.operation == "write":
+                return await self._ask(session, StatementKind.WRITE, arrival)
+            return await self._transact(session, arrival)
+        finally:
+            await session.close()
+
+    async def _transact(self, session: Session, arrival: Arrival) -> Reply:
+        may_write = KINDS[arrival.kind].write_share > 0
+        begin = StatementKind.BEGIN if may_write else StatementKind.BEGIN_READ_ONLY
+        steps = [begin, StatementKind.READ]
+        steps += [StatementKind.WRITE] if may_write else []
+        for step in steps:
+            reply = await self._ask(session, step, arrival)
+            if reply.code is not None:
+                return reply
+        return await self._ask(session, StatementKind.COMMIT, arrival)
+
+    async def _ask(
+        self, session: Session, kind: StatementKind, arrival: Arrival
+    ) -> Reply:
+        request_id = self.next_id()
+        self._works[request_id] = arrival.work_ms
+        writes = kind is StatementKind.WRITE
+        text = f"{kind.value.upper()} item"
+        try:
+            return await session.execute(
+                Statement(request_id, kind, text, writes=writes)
+            )
+        finally:
+            del self._works[request_id]
+
+    def _work_of(self, command: Command) -> float:
+        if command.statement is None:
+            return COMMIT_WORK_MS
+        if command.statement.kind is StatementKind.COMMIT:
+            return COMMIT_WORK_MS
+        return self._works.get(command.statement.request_id, COMMIT_WORK_MS)
+
+
+def replay(
+    arrivals: list[Arrival],
+    disturb: Disturbance | None = None,
+    policies: PolicyNames | None = None,
+    seed: int = 1,
+    overdraw: float | None = None,
+) -> Result:
+    """Replay arrivals under virtual time.
+
+    Parameters
+    ----------
+    arrivals : list of Arrival
+        In order of time.
+    disturb : callable or None
+        Runs beside them.
+    policies : PolicyNames or None
+        How the hosts decide under load.
+    seed : int
+        Seed of everything that is not recorded.
+    overdraw : float or None
+        How far hosts go beyond their equal share of a target's connections; as the
+        daemon has it where nothing is given.
+
+    Returns
+    -------
+    Result
+        How they were served.
+    """
+    return run_virtual(_replay(arrivals, disturb, policies, seed, overdraw))
+
+
+async def _replay(
+    arrivals: list[Arrival],
+    disturb: Disturbance | None,
+    policies: PolicyNames | None,
+    seed: int,
+    overdraw: float | None,
+) -> Result:
+    world = LoadWorld(seed, policies)
+    if overdraw is not None:
+        for gateway in world.gateways:
+            gateway.overdraw = overdraw
+    await world.clock.sleep_ms(WARM_UP_MS)
+    start_ms = world.clock.now_ms()
+    beside = None if disturb is None else world.spawn(disturb(world))
+    requests = []
+    for arrival in arrivals:
+        await world.clock.sleep_ms(
+            max(0.0, start_ms + arrival.at_ms - world.clock.now_ms())
+        )
+        requests.append(world.spawn(world.serve(arrival)))
+    served = await asyncio.gather(*requests)
+    if beside is not None and beside.done():
+        beside.result()
+    world.close()
+    return Result(list(served))
--- /dev/null
+++ b/packages/fennelhill-bench/src/fennelhill_bench/loadworld/report.py
@@ -0,0 +1,206 @@
+"""Plays all load patterns under several policies and writes a page with a plot."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from pathlib import Path
+from statistics import mean
+
+import msgspec
+from fennelhilld.waiting.policies import PolicyNames
+from tornado.template import Loader
+
+from fennelhill_bench.loadworld.arrivals import GROUP, draw, recorded
+from fennelhill_bench.loadworld.patterns import PATTERNS
+from fennelhill_bench.loadworld.replay import TRAITS, Result, replay
+from fennelhill_bench.rounds import ROUNDS, Figures
+
+SEEDS = (1, 2, 3)
+POLICIES = {
+    "in use": PolicyNames(),
+    "first come, no limit": PolicyNames("arrival", "no_limit", "expected_time", "open"),
+    "least connections": PolicyNames(placing="least_connections"),
+}
+OVERDRAWS = (1.0, 1.6, 2.5)
+SWEPT_PATTERNS = ("flood", "promotion_gap", "rolling_restart")
+# Multiples of what the targets can do, for the goodput.
+FACTORS = (0.25, 0.5, 1.0, 2.0, 4.0)
+OVERLOAD_MS = 2_000.0
+COMMAND = "make measure ROUND=load"
+PAGE = Path("docs/RESULTS.md")
+PLOT = Path("docs/results-load.svg")
+TEMPLATES = Path(__file__).parent / "templates"
+
+
+class Line(msgspec.Struct):
+    """One line of a table, means over all seeds.
+
+    Parameters
+    ----------
+    pattern : str
+        Name of the pattern.
+    setting : str
+        Policies or setting in use.
+    whole : float
+        Worth earned as a share of the worth owed.
+    worst_kind : float
+        Least share of a kind of request.
+    worst_zone : float
+        Least share of a zone.
+    worst_window : float
+        Least share of half a second.
+    unanswered : float
+        Requests without an answer.
+    """
+
+    pattern: str
+    setting: str
+    whole: float
+    worst_kind: float
+    worst_zone: float
+    worst_window: float
+    unanswered: float
+
+    @classmethod
+    def from_results(cls, pattern: str, setting: str, results: list[Result]) -> Line:
+        """Take the means over the seeds."""
+        return cls(
+            pattern,
+            setting,
+            mean(one.whole for one in results),
+            mean(one.worst_kind for one in results),
+            mean(one.worst_zone for one in results),
+            mean(one.worst_window for one in results),
+            mean(one.unanswered for one in results),
+        )
+
+
+def play(
+    name: str, policies: PolicyNames, seeds: tuple[int, ...], overdraw: float | None
+) -> list[Result]:
+    """Replay a pattern, once for each seed.
+
+    Parameters
+    ----------
+    name : str
+        Name of the pattern.
+    policies : PolicyNames
+        How the hosts decide.
+    seeds : tuple of int
+        Seeds of everything that is not recorded.
+    overdraw : float or None
+        How far hosts go beyond their share of connections.
+
+    Returns
+    -------
+    list of Result
+        One for each seed.
+    """
+    pattern = PATTERNS.get(name)()
+    arrivals = recorded(pattern.list_name)
+    return [
+        replay(arrivals, pattern.disturb, policies, seed, overdraw) for seed in seeds
+    ]
+
+
+def capacity_factor() -> float:
+    """Return the multiple of the base load that the targets' slots can just do.
+
+    Returns
+    -------
+    float
+        From the mean work of the recorded arrivals and three targets' slots.
+    """
+    arrivals = recorded("steady")
+    works = [
+        one.work_ms * (3 if one.operation == "transaction" else 1) for one in arrivals
+    ]
+    span_ms = arrivals[-1].at_ms
+    return 3 * TRAITS.slots * span_ms / sum(works)
+
+
+def goodput_per_s(factor: float, policies: PolicyNames, seed: int = 1) -> float:
+    """Return the requests answered within their goal at a multiple of the capacity.
+
+    Parameters
+    ----------
+    factor : float
+        Multiple of the capacity.
+    policies : PolicyNames
+        How the hosts decide.
+    seed : int
+        Seed of everything.
+
+    Returns
+    -------
+    float
+        Requests a second.
+    """
+    # Reads alone, since replicas share them: writes have but one target.
+    shares = {"orders": 0.0, "catalogue": 0.3, "progress": 0.7}
+    load = factor * capacity_factor()
+    arrivals = draw(seed, factor=load, shares=shares, until_ms=OVERLOAD_MS)
+    result = replay(arrivals, policies=policies, seed=seed)
+    return result.in_time / (OVERLOAD_MS / 1_000.0)
+
+
+@ROUNDS.register("load")
+class LoadRound:
+    """All load patterns under the policies in use and two baselines."""
+
+    def run(self) -> Figures:
+        """Yield the figures, then write page and plot.
+
+        Yields
+        ------
+        tuple
+            Name and value.
+        """
+        lines = []
+        for name in PATTERNS:
+            for setting, policies in POLICIES.items():
+                results = play(name, policies, SEEDS, None)
+                lines.append(Line.from_results(name, setting, results))
+                yield f"{name}, {setting}", lines[-1].whole
+        swept = []
+        for name in SWEPT_PATTERNS:
+            for overdraw in OVERDRAWS:
+                results = play(name, POLICIES["in use"], SEEDS, overdraw)
+                swept.append(Line.from_results(name, f"{overdraw:g}", results))
+                yield f"{name}, overdraw {overdraw:g}", swept[-1].whole
+        goodputs: dict[str, list[float]] = {}
+        for setting, policies in POLICIES.items():
+            goodputs[setting] = [goodput_per_s(one, policies) for one in FACTORS]
+            share = goodputs[setting][-1] / max(goodputs[setting])
+            yield f"goodput at 4x of the peak, {setting}", share
+        _write(lines, swept, goodputs)
+
+
+def _write(
+    lines: list[Line], swept: list[Line], goodputs: dict[str, list[float]]
+) -> None:
+    loader = Loader(str(TEMPLATES), autoescape=None, whitespace="all")
+    shared = {
+        "bars": list(_bars(lines)),
+        "command": COMMAND,
+        "factors": FACTORS,
+        "goodputs": goodputs,
+        "group": GROUP,
+        "lines": lines,
+        "patterns": [(name, PATTERNS.get(name).__doc__) for name in PATTERNS],
+        "plot": PLOT.name,
+        "policies": POLICIES,
+        "seeds": SEEDS,
+        "swept": swept,
+    }
+    PAGE.write_bytes(loader.load("results.md").generate(**shared))
+    PLOT.write_bytes(loader.load("load.svg").generate(**shared))
+
+
+def _bars(lines: list[Line]) -> Iterator[tuple[int, int, int, str]]:
+    """Yield top, length, colour's number and text of each bar."""
+    for number, line in enumerate(lines):
+        setting = list(POLICIES).index(line.setting)
+        top = 14 * number + 8 * (number // len(POLICIES))
+        text = line.pattern if setting == 0 else ""
+        yield top, round(400 * line.whole), setting, text
--- /dev/null
+++ b/packages/fennelhill-bench/src/fennelhill_bench/loadworld/tests/test_patterns.py
@@ -0,0 +1,48 @@
+"""Tests that replay recorded load patterns against the session core."""
+
+from __future__ import annotations
+
+import pytest
+from fennelhill_bench.loadworld.arrivals import recorded
+from fennelhill_bench.loadworld.patterns import PATTERNS
+from fennelhill_bench.loadworld.report import POLICIES, goodput_per_s, play
+
+# The users' target: no zone and no kind under seven tenths of the mean.
+LEAST_PART = 0.7
+# The users' target for a load of four times the capacity.
+LEAST_GOODPUT_SHARE = 0.9
+IN_USE = POLICIES["in use"]
+
+
+def whole(name, setting):
+    return play(name, POLICIES[setting], (1,), None)[0].whole
+
+
+class TestPatterns:
+    @pytest.mark.parametrize("name", list(PATTERNS))
+    def test_lists_are_recorded_as_they_were_drawn(self, name):
+        pattern = PATTERNS.get(name)()
+        assert recorded(pattern.list_name) == pattern.draw()
+
+    @pytest.mark.parametrize("name", list(PATTERNS))
+    def test_no_kind_and_no_zone_is_served_much_worse_than_the_mean(self, name):
+        (result,) = play(name, IN_USE, (1,), None)
+        assert result.worst_kind >= LEAST_PART * result.whole
+        assert result.worst_zone >= LEAST_PART * result.whole
+
+
+class TestPoliciesInUse:
+    def test_serve_a_flood_better_than_in_order_of_arrival(self):
+        assert whole("flood", "in use") > whole("flood", "first come, no limit")
+
+    def test_serve_the_queue_of_a_promotion_better_than_in_order_of_arrival(self):
+        baseline = whole("promotion_gap", "first come, no limit")
+        assert whole("promotion_gap", "in use") > baseline
+
+    def test_serve_more_beside_a_slow_primary_than_with_least_connections(self):
+        baseline = whole("slow_primary", "least connections")
+        assert whole("slow_primary", "in use") > baseline
+
+    def test_keep_the_goodput_at_four_times_the_capacity(self):
+        peak = max(goodput_per_s(factor, IN_USE) for factor in (0.5, 1.0))
+        assert goodput_per_s(4.0, IN_USE) >= LEAST_GOODPUT_SHARE * peak
--- a/packages/fennelhill-bench/src/fennelhill_bench/platformworld/platform.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/platformworld/platform.py
@@ -13,11 +13,10 @@
 
 from fennelhill_bench.platformworld.lineserver import LineTarget
 from fennelhill_bench.platformworld.store import StoreStandIn
-from fennelhill_bench.sessionworld.checks import Observer, Run
+from fennelhill_bench.sessionworld.checks import RunRecorder
 from fennelhill_bench.sessionworld.targets import (
     GroupModel,
     LinkModel,
-    TargetModel,
     Traits,
 )
 
@@ -26,17 +25,6 @@
 MAX_AGE_MS = 1_500
 
 
-class RunRecorder(Observer):
-    """Notes runs; clients of this deployment check their answers themselves."""
-
-    def ran(self, run: Run, target: TargetModel, writes: bool) -> None:
-        """Note a run."""
-        self.runs.setdefault(run.request, []).append(run)
-
-    def commit_ran(self, request: str, written: tuple[str, ...]) -> None:
-        """Accept any commit."""
-
-
 class PlatformWorld:
     """Store, orders and one group of three targets, with settings for daemons."""
 
--- a/packages/fennelhill-bench/src/fennelhill_bench/sessionworld/checks.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/sessionworld/checks.py
@@ -155,3 +155,14 @@
                 late_ms = asked.began_ms - acknowledged_ms
                 self.broken.append(f"STALE {run} lacks {position}, {late_ms} ms old")
                 return
+
+
+class RunRecorder(Observer):
+    """Notes runs without judging them, for clients that do so themselves."""
+
+    def ran(self, run: Run, target: TargetModel, writes: bool) -> None:
+        """Note a run."""
+        self.runs.setdefault(run.request, []).append(run)
+
+    def commit_ran(self, request: str, written: tuple[str, ...]) -> None:
+        """Accept any commit."""
--- a/packages/fennelhill-bench/src/fennelhill_bench/sessionworld/targets.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/sessionworld/targets.py
@@ -6,6 +6,7 @@
 import itertools
 import random
 from collections import deque
+from collections.abc import Callable
 
 import msgspec
 from fennelhill_core.clock import Clock
@@ -50,6 +51,7 @@
     network_ms: float = 1.0
     lag_ms: float = 40.0
     promote_ms: float = 500.0
+    slowdown: float = 1.0
 
 
 class TargetModel:
@@ -156,6 +158,8 @@
         }
         self.leader = self.targets[f"{name}-0"]
         self.leader.leads = True
+        # Gives the work of a command in milliseconds; random where nothing is set.
+        self.work_ms: Callable[[Command], float] | None = None
         self.highest_token = 0
         self.promotions: list[tuple[str, int]] = []
         self._tasks: set[asyncio.Task] = set()
@@ -167,6 +171,12 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
+    def work_of(self, command: Command, traits: Traits) -> float:
+        """Return how long a command occupies a slot, in milliseconds."""
+        if self.work_ms is not None:
+            return self.work_ms(command) * traits.slowdown
+        return traits.service_ms * self.random.uniform(0.4, 1.6) * traits.slowdown
+
     def commit(self, target: TargetModel, requests: tuple[str, ...]) -> Position:
         """Append a commit and ship it."""
         position = Position(target.term, len(target.log) + 1)
@@ -282,11 +292,16 @@
             if target.waiting >= target.traits.queue:
                 return self._answer(TargetFault.BUSY)
             target.waiting += 1
-            async with target.free:
+            try:
+                await target.free.acquire()
+            finally:
+                # Also when the connection is cut while it waits.
                 target.waiting -= 1
-                random_state = target.group.random
-                service_ms = target.traits.service_ms * random_state.uniform(0.4, 1.6)
-                await target.group.clock.sleep_ms(service_ms)
+            try:
+                work_ms = target.group.work_of(command, target.traits)
+                await target.group.clock.sleep_ms(work_ms)
+            finally:
+                target.free.release()
         return getattr(self, f"_run_{kind.value}")(command)
 
     def _answer(self, fault: TargetFault | None = None, **more: object) -> TargetAnswer:
--- a/packages/fennelhill-bench/src/fennelhill_bench/sessionworld/world.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/sessionworld/world.py
@@ -24,6 +24,7 @@
     StatementKind,
     TransactionState,
 )
+from fennelhilld.waiting.policies import LoadPolicies, PolicyNames
 
 from fennelhill_bench.sessionworld.checks import Asked, Observer
 from fennelhill_bench.sessionworld.targets import DriverModel, GroupModel, Traits
@@ -42,6 +43,7 @@
         self.version = 0
         self.down = False
         self.lose_answers = False
+        self.call_ms = 4.0
 
     async def read_claim(self, group: str) -> ClaimRow:
         """Read a claim."""
@@ -63,7 +65,7 @@
         return self.version
 
     async def _call(self) -> None:
-        await self._world.clock.sleep_ms(4.0)
+        await self._world.clock.sleep_ms(self.call_ms)
         if self.down:
             raise StoreUnavailableError(StoreFault.DOWN)
 
@@ -138,14 +140,28 @@
         Database groups, each with three targets.
     traits : Traits or None
         Of each target.
+    zones : int
+        Availability zones, over which hosts and targets are spread.
+    policies : PolicyNames or None
+        How the hosts decide under load.
     """
 
+    observer_class = Observer
+
     def __init__(
-        self, seed: int, hosts: int = 2, groups: int = 1, traits: Traits | None = None
+        self,
+        seed: int,
+        hosts: int = 2,
+        groups: int = 1,
+        traits: Traits | None = None,
+        zones: int = 2,
+        policies: PolicyNames | None = None,
     ) -> None:
+        self.zones = zones
+        self.policies = policies
         self.clock = VirtualClock()
         self.random = random.Random(seed)
-        self.observer = Observer()
+        self.observer = self.observer_class()
         self.replies: list[tuple[float, float, Database, Reply]] = []
         self._tasks: set[asyncio.Task] = set()
         self._numbers = 0
@@ -170,14 +186,21 @@
             )
         ]
         self.cut_hosts: set[str] = set()
-        self.drivers: list[DriverModel] = []
+        self.driver_of: dict[str, DriverModel] = {}
         self.store = StoreModel(self)
         self.orders = OrdersModel(self)
-        self.gateways = [self._host(f"host-{number}") for number in range(hosts)]
+        self.gateways = [
+            self._host(f"host-{number}", number) for number in range(hosts)
+        ]
         for gateway in self.gateways:
             for other in self.gateways:
                 gateway.put_member(other.host, other.host)
 
+    @property
+    def drivers(self) -> list[DriverModel]:
+        """The hosts' drivers, in order."""
+        return [self.driver_of[gateway.host] for gateway in self.gateways]
+
     def spawn(self, work: object) -> asyncio.Task:
         """Run something beside."""
         task = asyncio.ensure_future(work)
@@ -202,7 +225,7 @@
     ) -> TargetEntry:
         """Return what a target says of itself."""
         target = model.targets[target_id]
-        zone = f"zone-{int(target_id[-1]) % 2}"
+        zone = f"zone-{int(target_id[-1]) % self.zones}"
         return TargetEntry(
             target_id,
             model.name,
@@ -249,12 +272,18 @@
                 await client.random_operation()
             await client.session.close()
 
-    def _host(self, name: str) -> SessionGateway:
-        driver = DriverModel(self.groups)
-        self.drivers.append(driver)
-        zone = f"zone-{len(self.drivers) % 2}"
+    def _host(self, name: str, number: int) -> SessionGateway:
+        driver = self.driver_of[name] = DriverModel(self.groups)
+        zone = f"zone-{number % self.zones}"
         events = EventLog(name, zone, self.clock)
-        gateway = SessionGateway(name, zone, driver, self.clock, events)
+        gateway = SessionGateway(
+            name,
+            zone,
+            driver,
+            self.clock,
+            events,
+            LoadPolicies.from_config(self.policies),
+        )
         gateway.install_catalog(
             Catalog(
                 1,
--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -16,6 +16,7 @@
 from fennelhilld.promotion.replacement import HOLD_MS, LeaderReplacement
 from fennelhilld.statements.environment import Environment
 from fennelhilld.statements.session import Session
+from fennelhilld.waiting.policies import LoadPolicies
 
 # How often beliefs are checked against time; each look costs some microseconds.
 TICK_MS = 100.0
@@ -51,6 +52,8 @@
         Source of time.
     events : EventLog
         Takes the decisions.
+    policies : LoadPolicies or None
+        Decide under load; the defaults where nothing is given.
     """
 
     def __init__(
@@ -60,6 +63,7 @@
         driver: LinkDriver,
         clock: Clock,
         events: EventLog,
+        policies: LoadPolicies | None = None,
     ) -> None:
         self.host = host
         self.zone = zone
@@ -67,7 +71,14 @@
         self.directory = TargetDirectory()
         self.groups: dict[str, GroupState] = {}
         self.roster = Roster(clock)
-        self.env = Environment(zone, self.catalog, self.groups, clock, events)
+        self.env = Environment(
+            zone,
+            self.catalog,
+            self.groups,
+            clock,
+            events,
+            policies or LoadPolicies.from_config(),
+        )
         self.replacement = LeaderReplacement(
             host, self.directory, driver, clock, events
         )
@@ -77,6 +88,7 @@
         self._assessing: set[str] = set()
         self._next_assess_ms: dict[str, float] = {}
         self._looking_around = False
+        self.overdraw = OVERDRAW
         self._started_ms = float("-inf")
         self._tasks = Tasks()
         self.env.cut_off = lambda: self.replacement.reach.cut_off
@@ -287,7 +299,7 @@
         """
         if self._clock.now_ms() - self._started_ms < SETTLE_MS:
             return 1
-        return max(1, int(self.fair_share(group_name) * OVERDRAW))
+        return max(1, int(self.fair_share(group_name) * self.overdraw))
 
     def _open_pool(self, target: TargetState) -> TargetPool:
         entry = target.entry
@@ -297,6 +309,7 @@
             self._clock,
             lambda: self.link_limit(entry.group),
             lambda reason: self.env.target_failed(target, reason),
+            self.env.policies,
         )
 
     def _forget(self, target: TargetState) -> None:
--- a/packages/fennelhilld/src/fennelhilld/links/lease.py
+++ b/packages/fennelhilld/src/fennelhilld/links/lease.py
@@ -54,6 +54,7 @@
         "_clock",
         "_overdue",
         "_pool",
+        "_resting",
         "_returned",
         "link",
         "sent",
@@ -75,6 +76,18 @@
         self._overdue = overdue
         self._broken = False
         self._returned = False
+        self._resting = False
+
+    def rest(self) -> None:
+        """Keep the link without using it until the next exchange."""
+        if not self._resting and not self._returned:
+            self._resting = True
+            self._pool.rest()
+
+    def _resume(self) -> None:
+        if self._resting:
+            self._resting = False
+            self._pool.resume()
 
     async def exchange(self, commands: list[Command], limit_ms: float) -> Exchange:
         """Send commands in one piece and read all answers.
@@ -96,6 +109,7 @@
         LinkLostError
             If an answer is missing, late or does not fit its command.
         """
+        self._resume()
         started_ms = self.sent_at_ms = self._clock.now_ms()
         sent_ms = self._clock.elapsed_ms()
         answers = []
@@ -130,6 +144,7 @@
     def release(self) -> None:
         """Give the link back, once."""
         if not self._returned:
+            self._resume()
             self._returned = True
             self._pool.release(self.link, self._broken)
 
--- a/packages/fennelhilld/src/fennelhilld/links/pool.py
+++ b/packages/fennelhilld/src/fennelhilld/links/pool.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import heapq
-import itertools
 from collections import deque
 from collections.abc import Callable
 
@@ -14,6 +12,9 @@
 from fennelhilld.directory.state import TargetEntry
 from fennelhilld.links.messages import LinkDriver, LinkRefusedError, TargetFault
 from fennelhilld.links.state import PooledLink, SessionContext
+from fennelhilld.waiting.order import Wish
+from fennelhilld.waiting.policies import LoadPolicies
+from fennelhilld.waiting.refusal import expected_wait_ms
 
 # A set-up takes the target's own time (12 to 27 ms at the users') and a slot.
 OPEN_LIMIT_MS = 600.0
@@ -28,21 +29,33 @@
 NEED_LOOKS = 4
 # Answers on other links may have been under way for this long when a target died.
 PROOF_OF_LIFE_MS = 100.0
+LEAST_DELAY_MS = 1.0  # timers are not finer
 
 
 class NoLinkError(Exception):
-    """No link became free in time; nothing was sent."""
+    """No link became free in time, or none will; nothing was sent.
+
+    Parameters
+    ----------
+    expected_ms : float
+        Expected wait that was too long, in milliseconds; 0 after the wait.
+    """
+
+    def __init__(self, expected_ms: float = 0.0) -> None:
+        super().__init__("no link came free in time")
+        self.expected_ms = expected_ms
 
 
 class PoolCounters:
     """Counts for the metrics."""
 
-    __slots__ = ("lost", "opened", "refused", "too_many")
+    __slots__ = ("lost", "opened", "refused", "too_many", "turned_away")
 
     def __init__(self) -> None:
         self.opened = 0
         self.refused = 0
         self.too_many = 0
+        self.turned_away = 0
         self.lost = 0
 
 
@@ -65,6 +78,8 @@
         Returns how many links this host may open now.
     failed : callable
         Called with a reason when the target can't be reached.
+    policies : LoadPolicies
+        Who waits, who is turned away.
     """
 
     def __init__(
@@ -74,6 +89,7 @@
         clock: Clock,
         link_limit: Callable[[], int],
         failed: Callable[[str], None],
+        policies: LoadPolicies,
     ) -> None:
         self.entry = entry
         self.counters = PoolCounters()
@@ -84,6 +100,11 @@
         # Set by silence, cleared by the next link that could be opened.
         self.unreachable = False
         self.in_use = 0
+        # Links of transactions that rest: the target has nothing to do for them.
+        self.resting = 0
+        self._window = policies.window()
+        self._order = policies.waiting()
+        self._refusal = policies.refusal
         self._driver = driver
         self._clock = clock
         self._link_limit = link_limit
@@ -92,9 +113,10 @@
         self._failed = failed
         self._idle: list[PooledLink] = []
         self._opening = 0
-        self._waiters: list[tuple[int, int, asyncio.Future[PooledLink]]] = []
-        self._order = itertools.count()
+        # In order of arrival.
+        self._waiters: list[tuple[Wish, asyncio.Future[PooledLink]]] = []
         self._blocked_until_ms = 0.0
+        self._timer_set = False
         self._tasks = Tasks()
 
     @property
@@ -110,26 +132,32 @@
     @property
     def waiting(self) -> int:
         """Requests that wait for a link."""
-        return sum(not waiter.done() for _, _, waiter in self._waiters)
+        return sum(not waiter.done() for _, waiter in self._waiters)
+
+    @property
+    def use_ms(self) -> float:
+        """Mean time for which a request uses a link."""
+        return self._window.use_ms
+
+    @property
+    def _window_open(self) -> bool:
+        """Whether the target may get another request of this host now."""
+        return self.in_use - self.resting < self._window.size(self.limit)
 
     @property
     def limit(self) -> int:
         """Links that this host may open."""
         return max(1, self._link_limit())
 
-    async def acquire(
-        self, context: SessionContext, priority: int, limit_ms: float
-    ) -> PooledLink:
+    async def acquire(self, context: SessionContext, wish: Wish) -> PooledLink:
         """Borrow a link.
 
         Parameters
         ----------
         context : SessionContext
             The session, to prefer a link that already holds its state.
-        priority : int
-            Lower is served first.
-        limit_ms : float
-            Longest wait in milliseconds.
+        wish : Wish
+            How urgent it is, and until when it waits.
 
         Returns
         -------
@@ -139,19 +167,24 @@
         Raises
         ------
         NoLinkError
-            If none became free in time.
+            If none became free in time, or the expected wait is too long.
         LinkRefusedError
             If the target can't be reached.
         """
         if self.closed:
             raise LinkRefusedError(TargetFault.WRONG_TARGET, "the target is gone")
-        link = self._take_idle(context)
+        link = self._take_idle(context) if self._window_open else None
         if link is not None:
             return self._lend(link)
+        limit_ms = wish.give_up_ms - self._clock.now_ms()
         if limit_ms <= 0:
             raise NoLinkError
+        expected_ms = self.expected_wait_ms(wish)
+        if self._refusal.refuses(expected_ms, limit_ms):
+            self.counters.turned_away += 1
+            raise NoLinkError(expected_ms)
         waiter: asyncio.Future[PooledLink] = asyncio.get_running_loop().create_future()
-        heapq.heappush(self._waiters, (priority, next(self._order), waiter))
+        self._waiters.append((wish, waiter))
         self._grow()
         try:
             async with asyncio.timeout(limit_ms / 1000.0):
@@ -174,14 +207,51 @@
             Whether it must not be used again.
         """
         self.in_use -= 1
+        if not broken:
+            used_ms = self._clock.now_ms() - link.busy_since_ms
+            self._window.observe(used_ms, self.limit)
         if broken or link.link.closed or self.closed:
             link.link.close()
             if broken:
                 self.counters.lost += 1
+            self._serve_waiters()
             self._grow()
             return
         self._offer(link)
 
+    def expected_wait_ms(self, wish: Wish) -> float:
+        """Estimate how long a request would wait for a link.
+
+        Parameters
+        ----------
+        wish : Wish
+            How urgent it is.
+
+        Returns
+        -------
+        float
+            Milliseconds.
+        """
+        now_ms = self._clock.now_ms()
+        blocked = now_ms < self._blocked_until_ms
+        at_once = self.open if blocked else max(self.open, self.limit)
+        at_once = min(at_once, self._window.size(self.limit) + self.resting)
+        if self.waiting < at_once - self.in_use:
+            return 0.0  # A free link, or one that may be opened.
+        wishes = [one for one, waiter in self._waiters if not waiter.done()]
+        ahead = self._order.ahead(wishes, wish, now_ms, self.use_ms)
+        return expected_wait_ms(ahead, at_once, self.use_ms)
+
+    def rest(self) -> None:
+        """Note that a transaction keeps a link without using it now."""
+        self.resting += 1
+        self._serve_waiters()
+        self._grow()
+
+    def resume(self) -> None:
+        """Note that a transaction goes on; it goes before what has not begun."""
+        self.resting -= 1
+
     def trim(self) -> None:
         """Close idle links that were not needed lately, and drop dead ones."""
         now_ms = self._clock.now_ms()
@@ -243,12 +313,12 @@
         self._tasks.cancel()
         self._fail_waiters(TargetFault.WRONG_TARGET, "the target is gone")
 
-    def _take_idle(self, context: SessionContext) -> PooledLink | None:
+    def _take_idle(self, context: SessionContext | None) -> PooledLink | None:
         self._idle = [link for link in self._idle if not link.link.closed]
         if not self._idle:
             return None
         for index in range(len(self._idle) - 1, -1, -1):
-            if self._idle[index].matches(context):
+            if context is not None and self._idle[index].matches(context):
                 return self._idle.pop(index)
         # The most recently used link is the least likely to have gone silent.
         return self._idle.pop()
@@ -260,13 +330,21 @@
         return link
 
     def _offer(self, link: PooledLink) -> None:
-        while self._waiters:
-            _, _, waiter = heapq.heappop(self._waiters)
-            if not waiter.done():
-                waiter.set_result(self._lend(link))
-                return
         link.idle_since_ms = self._clock.now_ms()
         self._idle.append(link)
+        self._serve_waiters()
+
+    def _serve_waiters(self) -> None:
+        """Lend idle links to those that wait, as far as the window goes."""
+        self._waiters = [one for one in self._waiters if not one[1].done()]
+        while self._waiters and self._window_open:
+            wishes = [wish for wish, _ in self._waiters]
+            chosen = self._order.choose(wishes, self._clock.now_ms(), self.use_ms)
+            link = self._take_idle(None)
+            if link is None:
+                return
+            _, waiter = self._waiters.pop(chosen)
+            waiter.set_result(self._lend(link))
 
     def _return_unclaimed(self, waiter: asyncio.Future[PooledLink]) -> None:
         # The link may have arrived in the same turn as the timeout.
@@ -274,23 +352,30 @@
             self.release(waiter.result())
         else:
             waiter.cancel()
-        self._waiters = [one for one in self._waiters if not one[2].done()]
-        heapq.heapify(self._waiters)
+        self._waiters = [one for one in self._waiters if not one[1].done()]
 
     def _grow(self) -> None:
-        wanted = self.waiting - self._opening
+        room = self._window.size(self.limit) - (self.in_use - self.resting)
+        wanted = min(self.waiting, room) - self._opening - len(self._idle)
         if wanted <= 0 or self.closed:
             return
         now_ms = self._clock.now_ms()
         if now_ms < self._blocked_until_ms:
             if self.open == 0:
-                self._tasks.spawn(self._grow_later(self._blocked_until_ms - now_ms))
+                self._grow_after(self._blocked_until_ms - now_ms)
             return
         for _ in range(min(wanted, self.limit - self.open)):
             self._start_opening()
 
+    def _grow_after(self, delay_ms: float) -> None:
+        """Set a timer to open links for those that wait, unless there is one."""
+        if not self._timer_set:
+            self._timer_set = True
+            self._tasks.spawn(self._grow_later(max(delay_ms, LEAST_DELAY_MS)))
+
     async def _grow_later(self, delay_ms: float) -> None:
         await self._clock.sleep_ms(delay_ms)
+        self._timer_set = False
         self._grow()
 
     def _start_opening(self) -> None:
@@ -324,7 +409,7 @@
             self.counters.too_many += 1
             self._blocked_until_ms = now_ms + TOO_MANY_BACKOFF_MS
             if self.open == 0 and self.waiting:
-                self._tasks.spawn(self._grow_later(TOO_MANY_BACKOFF_MS))
+                self._grow_after(TOO_MANY_BACKOFF_MS)
             return
         self.counters.refused += 1
         self.unreachable = True
@@ -335,6 +420,6 @@
 
     def _fail_waiters(self, fault: TargetFault, detail: str) -> None:
         waiters, self._waiters = self._waiters, []
-        for _, _, waiter in waiters:
+        for _, waiter in waiters:
             if not waiter.done():
                 waiter.set_exception(LinkRefusedError(fault, detail))
--- a/packages/fennelhilld/src/fennelhilld/links/tests/test_pool.py
+++ b/packages/fennelhilld/src/fennelhilld/links/tests/test_pool.py
@@ -16,6 +16,8 @@
     TargetPool,
 )
 from fennelhilld.links.state import SessionContext
+from fennelhilld.waiting.order import Wish
+from fennelhilld.waiting.policies import LoadPolicies, PolicyNames
 
 ENTRY = TargetEntry("t1", "g", "10.0.0.1:1", "a")
 
@@ -43,21 +45,28 @@
 
 
 class Case:
-    def __init__(self, share=2):
+    def __init__(self, share=2, window="open"):
         self.clock = VirtualClock()
         self.driver = Driver(self.clock)
         self.failures = []
         self.pool = TargetPool(
-            ENTRY, self.driver, self.clock, lambda: share, self.failures.append
+            ENTRY,
+            self.driver,
+            self.clock,
+            lambda: share,
+            self.failures.append,
+            LoadPolicies.from_config(PolicyNames(window=window)),
         )
 
     async def acquire(self, priority=1, limit_ms=100.0, context=None):
-        return await self.pool.acquire(context or SessionContext(), priority, limit_ms)
+        give_up_ms = self.clock.now_ms() + limit_ms
+        wish = Wish(priority, give_up_ms, give_up_ms)
+        return await self.pool.acquire(context or SessionContext(), wish)
 
 
-def run(check, share=2):
+def run(check, share=2, window="open"):
     async def main():
-        await check(Case(share))
+        await check(Case(share, window))
 
     run_virtual(main())
 
@@ -133,6 +142,25 @@
 
         run(check)
 
+    def test_sets_one_timer_however_many_wait_after_too_many_connections(self):
+        # Found by replaying a promotion gap: a timer for each request that waited,
+        # and each of them span through the last fraction of a millisecond.
+        async def check(case):
+            case.driver.fault = TargetFault.TOO_MANY_CONNECTIONS
+            waiting = [
+                asyncio.ensure_future(case.acquire(limit_ms=2_000.0)) for _ in range(9)
+            ]
+            await case.clock.sleep_ms(TOO_MANY_BACKOFF_MS / 2)
+            more = [
+                asyncio.ensure_future(case.acquire(limit_ms=2_000.0)) for _ in range(9)
+            ]
+            await asyncio.sleep(0)
+            assert len(case.pool._tasks) == 1
+            for one in waiting + more:
+                one.cancel()
+
+        run(check)
+
     def test_a_waiter_that_gave_up_takes_no_link(self):
         async def check(case):
             with pytest.raises(NoLinkError):
@@ -144,6 +172,80 @@
         run(check)
 
 
+class TestExpectedWait:
+    def test_is_nothing_while_links_may_be_opened(self):
+        async def check(case):
+            await case.acquire()
+            assert case.pool.expected_wait_ms(Wish(1, 1e6, 1e6)) == 0.0
+
+        run(check)
+
+    def test_turns_away_what_is_expected_to_wait_too_long(self):
+        async def check(case):
+            links = [await case.acquire() for _ in range(2)]
+            case.pool._window.use_ms = 400.0
+            started_ms = case.clock.now_ms()
+            with pytest.raises(NoLinkError) as raised:
+                await case.acquire(limit_ms=150.0)
+            assert case.clock.now_ms() == started_ms
+            assert raised.value.expected_ms == 200.0
+            assert len(links) == case.pool.in_use
+
+        run(check)
+
+    def test_follows_how_long_links_are_used(self):
+        async def check(case):
+            before_ms = case.pool.use_ms
+            for _ in range(30):
+                link = await case.acquire()
+                await case.clock.sleep_ms(80.0)
+                case.pool.release(link)
+            assert case.pool.use_ms > 4 * before_ms
+
+        run(check)
+
+
+class TestWindow:
+    def test_keeps_requests_of_a_congested_target_here(self):
+        async def check(case):
+            for _ in range(40):
+                link = await case.acquire(limit_ms=5_000.0)
+                case.pool._window.observe(10.0, case.pool.limit)
+                case.pool.release(link)
+            for _ in range(40):
+                case.pool._window.observe(200.0, case.pool.limit)
+            held = await case.acquire()
+            with pytest.raises(NoLinkError):
+                await case.acquire(limit_ms=250.0)
+            case.pool.release(held)
+            assert await case.acquire()
+
+        run(check, share=4, window="gradient")
+
+    def test_is_not_filled_by_a_transaction_that_rests(self):
+        async def check(case):
+            await case.acquire()
+            await case.acquire()
+            with pytest.raises(NoLinkError):
+                await case.acquire()
+            case.pool.rest()
+            assert await case.acquire()
+
+        run(check, share=4, window="gradient")
+
+    def test_what_waits_is_served_when_a_transaction_rests(self):
+        async def check(case):
+            await case.acquire()
+            await case.acquire()
+            waiting = asyncio.ensure_future(case.acquire(limit_ms=1_000.0))
+            await case.clock.sleep_ms(5.0)
+            assert not waiting.done()
+            case.pool.rest()
+            assert await waiting
+
+        run(check, share=4, window="gradient")
+
+
 class TestTrim:
     def test_gives_links_back_that_were_not_needed_lately(self):
         async def check(case):
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/placement/policies.py
@@ -0,0 +1,122 @@
+"""How dear a read is at each target that may serve it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+from fennelhill_core.registry import Registry
+
+if TYPE_CHECKING:
+    from fennelhilld.placement.state import TargetState
+
+# Bytes between zones are priced and a round trip takes about 3 ms at the users'.
+OTHER_ZONE_MS = 6.0
+# Replicas serve reads unless the leader is twice as fast: writes need its slots.
+LEADER_FACTOR = 2.0
+# A target that was just refused is asked last: dearer than any ordinary wait.
+AVOIDED_MS = 3_000.0
+
+
+class PlacingPolicy(Protocol):
+    """Compares the targets that may serve a read."""
+
+    def cost_ms(
+        self,
+        target: TargetState,
+        leads: bool,
+        usual_ms: float,
+        zone: str,
+        now_ms: float,
+    ) -> float:
+        """Return what a read costs there, as milliseconds; the least is chosen."""
+
+
+PLACING_POLICIES: Registry[PlacingPolicy] = Registry("placing policy")
+
+
+@PLACING_POLICIES.register("expected_time")
+class ExpectedTime:
+    """Where the answer is expected first.
+
+    Answers a slow or queueing target, whose share falls with its own answers, and a
+    zone with few targets, which should not pay for bytes from others without need.
+    """
+
+    __slots__ = ()
+
+    def cost_ms(
+        self,
+        target: TargetState,
+        leads: bool,
+        usual_ms: float,
+        zone: str,
+        now_ms: float,
+    ) -> float:
+        """Return what a read costs at a target.
+
+        Parameters
+        ----------
+        target : TargetState
+            The target.
+        leads : bool
+            Whether it is the group's leader.
+        usual_ms : float
+            Usual time of such a read, in milliseconds.
+        zone : str
+            Availability zone of this host.
+        now_ms : float
+            Time on this host's clock.
+
+        Returns
+        -------
+        float
+            Expected time, with what discourages this target added as time.
+        """
+        pool = target.pool
+        ahead = pool.waiting + (pool.in_use if pool.idle == 0 else 0)
+        at_once = max(1, min(target.entry.slots, pool.open))
+        cost_ms = usual_ms * target.slowness * (1 + ahead / at_once)
+        if leads:
+            cost_ms *= LEADER_FACTOR
+        if target.entry.zone != zone:
+            cost_ms += OTHER_ZONE_MS
+        if now_ms < target.avoid_until_ms:
+            cost_ms += AVOIDED_MS
+        return cost_ms
+
+
+@PLACING_POLICIES.register("least_connections")
+class LeastConnections:
+    """The fewest requests of this host: a baseline for ``make measure ROUND=load``."""
+
+    __slots__ = ()
+
+    def cost_ms(
+        self,
+        target: TargetState,
+        leads: bool,
+        usual_ms: float,
+        zone: str,
+        now_ms: float,
+    ) -> float:
+        """Return what a read costs at a target.
+
+        Parameters
+        ----------
+        target : TargetState
+            The target.
+        leads : bool
+            Whether it is the group's leader.
+        usual_ms : float
+            Usual time of such a read, in milliseconds.
+        zone : str
+            Availability zone of this host.
+        now_ms : float
+            Time on this host's clock.
+
+        Returns
+        -------
+        float
+            Requests that use or wait for a link there.
+        """
+        return target.pool.in_use + target.pool.waiting
--- a/packages/fennelhilld/src/fennelhilld/placement/state.py
+++ b/packages/fennelhilld/src/fennelhilld/placement/state.py
@@ -8,15 +8,12 @@
 from fennelhilld.freshness.floors import GroupFreshness, LagEstimate, ReadFloor
 from fennelhilld.leadership.state import GroupLeadership
 from fennelhilld.links.pool import TargetPool
+from fennelhilld.placement.policies import PlacingPolicy
 
 NEWEST_WEIGHT = 0.1  # of the newest answer in a running mean
 FIRST_RESPONSE_MS = 15.0  # of a database until a read of it was answered
 # Bounds on how much faster or slower than usual one answer may make a target look.
 FASTEST, SLOWEST = 0.3, 6.0
-# Bytes between zones are priced and a round trip takes about 3 ms at the users'.
-OTHER_ZONE_MS = 6.0
-# Replicas serve reads unless the leader is twice as fast: writes need its slots.
-LEADER_FACTOR = 2.0
 # A target that refused or broke a link is asked last for a moment.
 AVOID_MS = 300.0
 
@@ -110,10 +107,13 @@
 class GroupState:
     """A group: its targets, its leader, and how fresh its replicas can be proven."""
 
-    __slots__ = ("freshness", "leadership", "name", "targets")
+    __slots__ = ("freshness", "leadership", "name", "placing", "targets")
 
-    def __init__(self, name: str, notified: Callable[..., None]) -> None:
+    def __init__(
+        self, name: str, notified: Callable[..., None], placing: PlacingPolicy
+    ) -> None:
         self.name = name
+        self.placing = placing
         self.leadership = GroupLeadership(name, notified)
         self.freshness = GroupFreshness()
         self.targets: dict[str, TargetState] = {}
@@ -164,46 +164,7 @@
             leads = name == self.leadership.leader_id
             if not leads and not target.lag.holds(floor.age_ms, now_ms):
                 continue
-            cost_ms = expected_ms(target, leads, usual_ms, zone, now_ms)
+            cost_ms = self.placing.cost_ms(target, leads, usual_ms, zone, now_ms)
             if best is None or cost_ms < best_ms:
                 best, best_ms = target, cost_ms
         return best
-
-
-def expected_ms(
-    target: TargetState, leads: bool, usual_ms: float, zone: str, now_ms: float
-) -> float:
-    """Estimate the cost of a read at a target, as milliseconds.
-
-    Answers a slow or queueing target, whose share falls with its own answers, and a
-    zone with few targets, which should not pay for bytes from others without need.
-
-    Parameters
-    ----------
-    target : TargetState
-        The target.
-    leads : bool
-        Whether it is the group's leader.
-    usual_ms : float
-        Usual time of such a read, in milliseconds.
-    zone : str
-        Availability zone of this host.
-    now_ms : float
-        Time on this host's clock.
-
-    Returns
-    -------
-    float
-        Expected time, with what discourages this target added as time.
-    """
-    pool = target.pool
-    ahead = pool.waiting + (pool.in_use if pool.idle == 0 else 0)
-    at_once = max(1, min(target.entry.slots, pool.open))
-    cost_ms = usual_ms * target.slowness * (1 + ahead / at_once)
-    if leads:
-        cost_ms *= LEADER_FACTOR
-    if target.entry.zone != zone:
-        cost_ms += OTHER_ZONE_MS
-    if now_ms < target.avoid_until_ms:
-        cost_ms += 10 * AVOID_MS
-    return cost_ms
--- a/packages/fennelhilld/src/fennelhilld/placement/tests/test_state.py
+++ b/packages/fennelhilld/src/fennelhilld/placement/tests/test_state.py
@@ -5,6 +5,7 @@
 from fennelhill_core.tokens import Position
 from fennelhilld.directory.state import TargetEntry
 from fennelhilld.freshness.floors import ReadFloor
+from fennelhilld.placement.policies import ExpectedTime
 from fennelhilld.placement.state import GroupState, ResponseTimes, TargetState
 
 USUAL_MS = 20.0
@@ -22,7 +23,7 @@
 
 
 def group(**zones):
-    state = GroupState("g", lambda kind, **detail: None)
+    state = GroupState("g", lambda kind, **detail: None, ExpectedTime())
     for name, zone in zones.items():
         entry = TargetEntry(name, "g", "10.0.0.1:1", zone, slots=2)
         state.targets[name] = TargetState(entry, lambda _: Pool())
--- a/packages/fennelhilld/src/fennelhilld/statements/environment.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/environment.py
@@ -15,12 +15,17 @@
 from fennelhilld.freshness.floors import ReadFloor
 from fennelhilld.links.lease import Exchange, Lease
 from fennelhilld.links.messages import LinkRefusedError, TargetAnswer, TargetFault
-from fennelhilld.links.pool import NoLinkError
 from fennelhilld.links.state import SessionContext
 from fennelhilld.placement.state import GroupState, ResponseTimes, TargetState
 from fennelhilld.statements.counters import StatementCounters
 from fennelhilld.statements.messages import Reply, Statement, TransactionState
+from fennelhilld.waiting.order import Wish
+from fennelhilld.waiting.policies import LoadPolicies
 
+# A busy target works through its queue in some tens of milliseconds.
+BUSY_PAUSE_MS = 8.0
+# Pause between looks for a leader; a change wakes the waiting at once.
+LEADER_WAIT_MS = 100.0
 # Own limits end a little before the client's, so that the client gets the answer.
 ANSWER_MARGIN_MS = 20.0
 # Nothing can be done in less; timers are not finer either.
@@ -58,6 +63,8 @@
         Source of time.
     events : EventLog
         Takes the decisions.
+    policies : LoadPolicies
+        Decide under load.
     """
 
     def __init__(
@@ -67,12 +74,14 @@
         groups: dict[str, GroupState],
         clock: Clock,
         events: EventLog,
+        policies: LoadPolicies,
     ) -> None:
         self.zone = zone
         self.catalog = catalog
         self.groups = groups
         self.clock = clock
         self.events = events
+        self.policies = policies
         self.counters = StatementCounters()
         self.times = ResponseTimes()
         self.leaving = False
@@ -98,7 +107,9 @@
             def notified(kind: str, **detail: object) -> None:
                 self.events.record(kind, group=name, **detail)
 
-            state = self.groups[name] = GroupState(name, notified)
+            state = self.groups[name] = GroupState(
+                name, notified, self.policies.placing
+            )
         return state
 
     def out_of_reach(self, group: GroupState) -> bool:
@@ -181,12 +192,43 @@
             return codes.NO_PRIMARY
         return codes.OVERLOADED
 
+    def deadline_ms(self, database: Database) -> float:
+        """Return until when a statement that begins now must be answered.
+
+        Parameters
+        ----------
+        database : Database
+            Gives the limit.
+
+        Returns
+        -------
+        float
+            On this host's clock, a little before the client's limit.
+        """
+        return self.clock.now_ms() + database.statement_timeout_ms - ANSWER_MARGIN_MS
+
+    def wish(self, database: Database, started_ms: float, limit_ms: float) -> Wish:
+        """Describe a statement that needs a link.
+
+        Parameters
+        ----------
+        database : Database
+            Gives urgency and goal.
+        started_ms : float
+            When the statement came, on this host's clock.
+        limit_ms : float
+            Longest wait in milliseconds.
+
+        Returns
+        -------
+        Wish
+            For the pool.
+        """
+        due_ms = started_ms + database.goal_ms
+        return Wish(database.priority, due_ms, self.clock.now_ms() + limit_ms)
+
     async def borrow(
-        self,
-        target: TargetState,
-        context: SessionContext,
-        priority: int,
-        limit_ms: float,
+        self, target: TargetState, context: SessionContext, wish: Wish
     ) -> Lease | None:
         """Borrow a link to a target.
 
@@ -196,21 +238,21 @@
             The target.
         context : SessionContext
             The session.
-        priority : int
-            Lower is served first.
-        limit_ms : float
-            Longest wait in milliseconds.
+        wish : Wish
+            How urgent it is, and until when it waits.
 
         Returns
         -------
         Lease or None
-            Nothing where no link came free in time or the target refused.
+            Nothing where the target refused.
+
+        Raises
+        ------
+        NoLinkError
+            If no link came free in time, or none is expected to.
         """
         try:
-            link = await target.pool.acquire(context, priority, limit_ms)
-        except NoLinkError:
-            target.avoid(self.clock.now_ms())
-            return None
+            link = await target.pool.acquire(context, wish)
         except LinkRefusedError as error:
             self.target_failed(target, str(error))
             return None
@@ -381,6 +423,7 @@
         detail: str = "",
         state: TransactionState = TransactionState.IDLE,
         group: str = "",
+        retry_ms: float | None = None,
         **inputs: object,
     ) -> Reply:
         """Build the reply to a statement that is given up, and log why.
@@ -397,6 +440,9 @@
             State of the session afterwards.
         group : str
             Database group, where one was meant.
+        retry_ms : float or None
+            When asking again makes sense; the usual time of the code where nothing
+            better is known.
         **inputs : object
             What decided.
 
@@ -405,9 +451,9 @@
         Reply
             The failure.
         """
-        hint_ms = RETRY_HINTS_MS.get(code.number)
+        hint_ms = retry_ms or RETRY_HINTS_MS.get(code.number)
         if hint_ms is not None:
-            detail = f"{detail}; try again in {hint_ms} ms"
+            detail = f"{detail}; try again in {hint_ms:.0f} ms"
         self.counters.failed(code.number)
         self.events.record(
             "request.refused",
--- a/packages/fennelhilld/src/fennelhilld/statements/session.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/session.py
@@ -7,13 +7,14 @@
 from fennelhilld.catalog.state import Database
 from fennelhilld.links.state import PreparedShape, SessionContext
 from fennelhilld.statements.environment import Environment
-from fennelhilld.statements.execution import SessionPositions, StatementRunner
+from fennelhilld.statements.execution import StatementRunner
 from fennelhilld.statements.messages import (
     Reply,
     Statement,
     StatementKind,
     TransactionState,
 )
+from fennelhilld.statements.positions import SessionPositions
 from fennelhilld.statements.transaction import Transaction
 
 
--- a/packages/fennelhilld/src/fennelhilld/statements/transaction.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/transaction.py
@@ -15,18 +15,18 @@
     TargetAnswer,
     TargetFault,
 )
+from fennelhilld.links.pool import NoLinkError
 from fennelhilld.links.state import PreparedShape
 from fennelhilld.placement.state import TargetState
 from fennelhilld.statements.environment import (
-    ANSWER_MARGIN_MS,
+    BUSY_PAUSE_MS,
+    LEADER_WAIT_MS,
     LEAST_LEFT_MS,
     READ_LINK_WAIT_MS,
     fault_reason,
 )
 from fennelhilld.statements.execution import (
-    BUSY_PAUSE_MS,
     FAULT_CODES,
-    LEADER_WAIT_MS,
     LEAST_WRITE_MS,
     StatementRunner,
 )
@@ -39,8 +39,6 @@
 
 # Rolling back takes one exchange; a target that needs longer loses the link.
 ROLLBACK_LIMIT_MS = 500.0
-# Statements of an open transaction hold a link and a place, so they go first.
-FINISHING_PRIORITY = -1
 
 
 class Transaction:
@@ -68,7 +66,6 @@
         "database",
         "failed",
         "fenced",
-        "read_only",
         "runner",
         "wrote",
     )
@@ -78,7 +75,6 @@
     ) -> None:
         self.runner = runner
         self.database = database
-        self.read_only = read_only
         # A replaced primary still answers read-only transactions, so reads that
         # must be current use a read-write one, which it refuses.
         self.fenced = not read_only or database.reads is ReadKind.CURRENT
@@ -95,11 +91,6 @@
         """State as the client sees it."""
         return TransactionState.FAILED if self.failed else TransactionState.OPEN
 
-    @property
-    def pinned(self) -> bool:
-        """Whether it holds a link."""
-        return self._lease is not None
-
     async def run(self, statement: Statement, shape: PreparedShape | None) -> Reply:
         """Run a read or write.
 
@@ -121,6 +112,8 @@
             name=shape.link_name if shape else "",
         )
         reply = await self._run(command, statement, shape)
+        if self._lease is not None:
+            self._lease.rest()
         if reply.code is None and (statement.writes or (shape and shape.writes)):
             self.wrote = True
         return reply
@@ -182,9 +175,7 @@
         self, command: Command, statement: Statement, shape: PreparedShape | None
     ) -> Reply:
         env = self.runner.env
-        deadline_ms = (
-            env.clock.now_ms() + self.database.statement_timeout_ms - ANSWER_MARGIN_MS
-        )
+        deadline_ms = env.deadline_ms(self.database)
         last = "no target was free"
         # The outcome of a commit whose answer comes too late is unknown, and until it
         # is sent an abort is certain.
@@ -196,7 +187,12 @@
                     group = env.group(self.database.group)
                     code, detail = env.out_of_reach_reason(group)
                     return await self._refuse(statement, code, detail)
-                if not await self._begin(statement, deadline_ms):
+                try:
+                    begun = await self._begin(statement, deadline_ms)
+                except NoLinkError as error:
+                    last = str(error)
+                    break
+                if not begun:
                     continue
             left_ms = deadline_ms - env.clock.now_ms()
             commands = self._lease.link.replay(self.runner.context, shape)
@@ -248,16 +244,24 @@
         runner, env = self.runner, self.runner.env
         group = env.group(self.database.group)
         left_ms = deadline_ms - env.clock.now_ms()
+        started_ms = env.clock.now_ms()
         if self.fenced:
-            lease, target = await runner.borrow_leader(group, self.database, left_ms)
+            wish = env.wish(self.database, started_ms, left_ms)
+            lease, target = await runner.borrow_leader(group, wish)
         else:
             target = runner.choose_reader(group, self.database, set())
             if target is None:
                 await group.leadership.wait_change(min(left_ms, LEADER_WAIT_MS))
                 return False
             limit_ms = min(left_ms, READ_LINK_WAIT_MS)
-            priority = self.database.priority
-            lease = await env.borrow(target, runner.context, priority, limit_ms)
+            wish = env.wish(self.database, started_ms, limit_ms)
+            try:
+                lease = await env.borrow(target, runner.context, wish)
+            except NoLinkError:
+                # The next look chooses another target, if there is one.
+                target.avoid(env.clock.now_ms())
+                await env.clock.sleep_ms(BUSY_PAUSE_MS)
+                return False
         if lease is None or target is None:
             return False
         # The wait for the link has taken time, so the floor is worked out now.
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/waiting/__init__.py
@@ -0,0 +1,1 @@
+"""Which request goes next, and which is turned away."""
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/waiting/policies.py
@@ -0,0 +1,84 @@
+"""The policies that decide under load, by name."""
+
+from __future__ import annotations
+
+import msgspec
+
+from fennelhilld.placement.policies import PLACING_POLICIES, PlacingPolicy
+from fennelhilld.waiting.order import WAITING_POLICIES, WaitingPolicy
+from fennelhilld.waiting.refusal import REFUSAL_POLICIES, RefusalPolicy
+from fennelhilld.waiting.window import WINDOW_POLICIES, WindowPolicy
+
+
+class PolicyNames(msgspec.Struct, frozen=True):
+    """Which policies are in use.
+
+    Parameters
+    ----------
+    waiting : str
+        Who gets the next link.
+    refusal : str
+        Who is turned away.
+    placing : str
+        Where a read goes.
+    window : str
+        How many requests a target gets at a time.
+    """
+
+    waiting: str = "aim_first"
+    refusal: str = "expected_wait"
+    placing: str = "expected_time"
+    window: str = "gradient"
+
+
+class LoadPolicies:
+    """The chosen policies; each pool has its own order and window.
+
+    Parameters
+    ----------
+    names : PolicyNames
+        Their names.
+    """
+
+    __slots__ = ("_names", "placing", "refusal")
+
+    def __init__(self, names: PolicyNames) -> None:
+        self._names = names
+        self.refusal: RefusalPolicy = REFUSAL_POLICIES.get(names.refusal)()
+        self.placing: PlacingPolicy = PLACING_POLICIES.get(names.placing)()
+
+    @classmethod
+    def from_config(cls, names: PolicyNames | None = None) -> LoadPolicies:
+        """Build the policies that settings name.
+
+        Parameters
+        ----------
+        names : PolicyNames or None
+            Their names; the defaults where nothing is given.
+
+        Returns
+        -------
+        LoadPolicies
+            The policies.
+        """
+        return cls(names or PolicyNames())
+
+    def waiting(self) -> WaitingPolicy:
+        """Return the order of waiters, new for each pool.
+
+        Returns
+        -------
+        WaitingPolicy
+            The policy.
+        """
+        return WAITING_POLICIES.get(self._names.waiting)()
+
+    def window(self) -> WindowPolicy:
+        """Return the window of a target, new for each pool.
+
+        Returns
+        -------
+        WindowPolicy
+            The policy.
+        """
+        return WINDOW_POLICIES.get(self._names.window)()
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/waiting/window.py
@@ -0,0 +1,123 @@
+"""How many requests of this host a target works on or queues at the same time."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from fennelhill_core.registry import Registry
+
+NEWEST_WEIGHT = 0.1  # of the newest use of a link in the running mean
+FIRST_USE_MS = 15.0  # before a link was given back: usual work of the users
+# The least mean of the past is forgotten by half in some 350 uses, so that a target
+# which has become slower for good is not taken for congested.
+BASE_RISE = 1.002
+# A mean of twice the least one is a queue in the target.
+TOLERATED = 2.0
+# What is added for each use, so that a window that was narrowed opens again; with
+# this and the factors the recorded flood and promotion gap were served best.
+HEADROOM = 0.25
+FIRST_SIZE = 2.0  # before anything is known, as for a target with two slots
+STEP = 0.3  # how fast the window follows
+NARROWEST = 0.3  # least factor of one step
+
+
+class WindowPolicy(Protocol):
+    """Watches how long links are used and says how many may be at a time."""
+
+    use_ms: float
+
+    def observe(self, used_ms: float, most: int) -> None:
+        """Take the use of a link that was given back."""
+
+    def size(self, most: int) -> int:
+        """Return how many links may be in use now, up to a limit."""
+
+
+WINDOW_POLICIES: Registry[WindowPolicy] = Registry("window policy")
+
+
+@WINDOW_POLICIES.register("open")
+class OpenWindow:
+    """As many as there are connections: a baseline for ``make measure ROUND=load``."""
+
+    __slots__ = ("use_ms",)
+
+    def __init__(self) -> None:
+        self.use_ms = FIRST_USE_MS
+
+    def observe(self, used_ms: float, most: int) -> None:
+        """Take the use of a link that was given back.
+
+        Parameters
+        ----------
+        used_ms : float
+            From lending to giving back, in milliseconds.
+        most : int
+            Links that this host may open.
+        """
+        self.use_ms += NEWEST_WEIGHT * (used_ms - self.use_ms)
+
+    def size(self, most: int) -> int:
+        """Return how many links may be in use now.
+
+        Parameters
+        ----------
+        most : int
+            Links that this host may open.
+
+        Returns
+        -------
+        int
+            All of them.
+        """
+        return most
+
+
+@WINDOW_POLICIES.register("gradient")
+class GradientWindow(OpenWindow):
+    """Fewer, the longer the target takes against its own best.
+
+    Answers a load beyond the target's slots.  What waits in a target's queue is
+    served in order of arrival, late or not; what waits here is ordered, and turned
+    away in time.  The window follows the ratio of the least to the present mean use
+    of a link, as delay-based congestion control does.
+    """
+
+    __slots__ = ("_base_ms", "_window")
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._base_ms = float("inf")
+        self._window = FIRST_SIZE
+
+    def observe(self, used_ms: float, most: int) -> None:
+        """Take the use of a link that was given back.
+
+        Parameters
+        ----------
+        used_ms : float
+            From lending to giving back, in milliseconds.
+        most : int
+            Links that this host may open.
+        """
+        super().observe(used_ms, most)
+        self._base_ms = min(self._base_ms * BASE_RISE, self.use_ms)
+        factor = min(1.0, max(NARROWEST, TOLERATED * self._base_ms / self.use_ms))
+        window = min(self._window, float(most))
+        window += STEP * (window * factor + HEADROOM - window)
+        self._window = min(float(most), max(1.0, window))
+
+    def size(self, most: int) -> int:
+        """Return how many links may be in use now.
+
+        Parameters
+        ----------
+        most : int
+            Links that this host may open.
+
+        Returns
+        -------
+        int
+            At least 1.
+        """
+        return max(1, round(min(self._window, float(most))))
