feat: hosts of a large fleet share a target's connections and ask a sample

Ruled out: a second host on the way to the target (its link, processor and failure modes for each statement). By Little's law some 3 connections a target are in use at a time, so it suffices that hosts give them back.

Change: keeps_connection ranks the hosts for each target by a hash; the first 0.6 of its connections are kept, other hosts close theirs after each use; reads prefer targets with an open link. Roster.sample asks at most twelve hosts, as many of each zone; Survey says how many were asked.

Small fleets keep all connections as before.

--- a/packages/fennelhill-bench/src/fennelhill_bench/sessionworld/world.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/sessionworld/world.py
@@ -15,8 +15,8 @@
 from fennelhilld.promotion.messages import (
     Claim,
     ClaimRow,
-    LeaderView,
     PromotionResult,
+    Survey,
 )
 from fennelhilld.statements.messages import (
     Reply,
@@ -108,7 +108,7 @@
         """Names of the other hosts."""
         return list(self._gateway.roster.addresses)
 
-    async def leader_views(self, group: str, target_id: str) -> list[LeaderView]:
+    async def survey(self, group: str, target_id: str) -> Survey:
         """Ask all hosts about a target."""
         world = self._world
         cut = self._gateway.host in world.cut_hosts
@@ -119,12 +119,13 @@
         ]
         if len(others) < len(world.gateways) - 1:
             await world.clock.sleep_ms(ASK_LIMIT_MS)
-        return await asyncio.gather(
+        views = await asyncio.gather(
             *(
                 one.replacement.view_of(one.env.group(group), target_id)
                 for one in others
             )
         )
+        return Survey(len(self.names()), views)
 
 
 class SessionWorld:
--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -11,6 +11,7 @@
 from fennelhilld.links.messages import LinkDriver
 from fennelhilld.links.pool import TargetPool
 from fennelhilld.neighbours.roster import Roster
+from fennelhilld.placement.holding import KEPT_SHARE, keeps_connection
 from fennelhilld.placement.state import GroupState, TargetState
 from fennelhilld.promotion.messages import ClaimPhase, ClaimRow
 from fennelhilld.promotion.replacement import HOLD_MS, LeaderReplacement
@@ -89,6 +90,7 @@
         self._next_assess_ms: dict[str, float] = {}
         self._looking_around = False
         self.overdraw = OVERDRAW
+        self._keeping: dict[tuple[str, int, int], bool] = {}
         self._started_ms = float("-inf")
         self._tasks = Tasks()
         self.env.cut_off = lambda: self.replacement.reach.cut_off
@@ -213,7 +215,7 @@
         if after_outage:
             self.directory.store_returned(now_ms)
 
-    def put_member(self, name: str, address: str) -> None:
+    def put_member(self, name: str, address: str, zone: str = "") -> None:
         """Note another host of the fleet.
 
         Parameters
@@ -222,9 +224,11 @@
             Its name.
         address : str
             ``ip:port`` for other hosts.
+        zone : str
+            Its availability zone.
         """
         if name != self.host:
-            self.roster.put(name, address)
+            self.roster.put(name, address, zone)
 
     def remove_member(self, name: str) -> None:
         """Note that a host has left.
@@ -279,10 +283,37 @@
         int
             At least 1.
         """
+        limit = self._max_connections(group_name)
+        return max(1, limit // (len(self.roster) + 1))
+
+    def keeps_link(self, entry: TargetEntry) -> bool:
+        """Tell whether this host keeps a link to a target without present need.
+
+        Parameters
+        ----------
+        entry : TargetEntry
+            The target.
+
+        Returns
+        -------
+        bool
+            False for some hosts of a fleet that is too large for the target.
+        """
+        limit = self._max_connections(entry.group)
+        if len(self.roster) < KEPT_SHARE * limit:
+            return True
+        key = (entry.id, limit, self.roster.changes)
+        if key not in self._keeping:
+            if len(self._keeping) > 10 * len(self.directory.all()):
+                self._keeping.clear()
+            others = self.roster.addresses
+            self._keeping[key] = keeps_connection(self.host, others, entry.id, limit)
+        return self._keeping[key]
+
+    def _max_connections(self, group_name: str) -> int:
         catalog = self.catalog.current
         group = catalog.groups.get(group_name) if catalog else None
-        limit = group.max_connections if group else DEFAULT_CONNECTIONS
-        return max(1, limit // (len(self.roster) + 1))
+        return group.max_connections if group else DEFAULT_CONNECTIONS
 
     def link_limit(self, group_name: str) -> int:
         """Return how many links to a target this host may open now.
@@ -308,6 +339,7 @@
             self._driver,
             self._clock,
             lambda: self.link_limit(entry.group),
+            lambda: self.keeps_link(target.entry),
             lambda reason: self.env.target_failed(target, reason),
             self.env.policies,
         )
--- a/packages/fennelhilld/src/fennelhilld/links/pool.py
+++ b/packages/fennelhilld/src/fennelhilld/links/pool.py
@@ -76,6 +76,8 @@
         Source of time.
     link_limit : callable
         Returns how many links this host may open now.
+    keeps : callable
+        Tells whether this host keeps a link that it does not need now.
     failed : callable
         Called with a reason when the target can't be reached.
     policies : LoadPolicies
@@ -88,6 +90,7 @@
         driver: LinkDriver,
         clock: Clock,
         link_limit: Callable[[], int],
+        keeps: Callable[[], bool],
         failed: Callable[[str], None],
         policies: LoadPolicies,
     ) -> None:
@@ -108,6 +111,7 @@
         self._driver = driver
         self._clock = clock
         self._link_limit = link_limit
+        self._keeps = keeps
         self._peak_use = 0
         self._peaks: deque[int] = deque(maxlen=NEED_LOOKS)
         self._failed = failed
@@ -270,7 +274,7 @@
 
     def warm(self) -> None:
         """Open a link if there is none, so that the next request finds one."""
-        if self.open == 0 and not self.closed:
+        if self.open == 0 and not self.closed and self._keeps():
             self._start_opening()
 
     def lives(self, since_ms: float) -> bool:
@@ -333,6 +337,10 @@
         link.idle_since_ms = self._clock.now_ms()
         self._idle.append(link)
         self._serve_waiters()
+        if link in self._idle and not self._keeps():
+            # Another host needs the place.
+            self._idle.remove(link)
+            link.link.close()
 
     def _serve_waiters(self) -> None:
         """Lend idle links to those that wait, as far as the window goes."""
--- a/packages/fennelhilld/src/fennelhilld/links/tests/test_pool.py
+++ b/packages/fennelhilld/src/fennelhilld/links/tests/test_pool.py
@@ -49,11 +49,13 @@
         self.clock = VirtualClock()
         self.driver = Driver(self.clock)
         self.failures = []
+        self.keeps = True
         self.pool = TargetPool(
             ENTRY,
             self.driver,
             self.clock,
             lambda: share,
+            lambda: self.keeps,
             self.failures.append,
             LoadPolicies.from_config(PolicyNames(window=window)),
         )
@@ -262,6 +264,32 @@
         run(check, share=3)
 
 
+class TestKeeping:
+    def test_gives_a_link_back_at_once_where_others_need_the_place(self):
+        async def check(case):
+            case.keeps = False
+            link = await case.acquire()
+            case.pool.release(link)
+            assert link.link.closed
+            assert case.pool.open == 0
+            case.pool.warm()
+            assert case.pool.open == 0
+
+        run(check)
+
+    def test_lends_it_to_those_that_wait_first(self):
+        async def check(case):
+            case.keeps = False
+            link = await case.acquire()
+            waiting = asyncio.ensure_future(case.acquire(limit_ms=1_000.0))
+            await asyncio.sleep(0)
+            case.pool.release(link)
+            assert await waiting is link
+            assert not link.link.closed
+
+        run(check, share=1)
+
+
 class TestRelease:
     def test_a_broken_link_is_closed(self):
         async def check(case):
--- a/packages/fennelhilld/src/fennelhilld/neighbours/http.py
+++ b/packages/fennelhilld/src/fennelhilld/neighbours/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 
 import msgspec
 from fennelhill_core.clock import MS_PER_S
@@ -13,7 +14,7 @@
 from tornado.web import Application, RequestHandler
 
 from fennelhilld.gateway import SessionGateway
-from fennelhilld.promotion.messages import LeaderView
+from fennelhilld.promotion.messages import LeaderView, Survey
 from fennelhilld.timeline.statements import render_metrics
 
 # The asked host looks at the target itself, which takes up to 300 ms.
@@ -75,11 +76,12 @@
         Knows their addresses.
     """
 
-    __slots__ = ("_client", "_gateway")
+    __slots__ = ("_client", "_gateway", "_random")
 
     def __init__(self, gateway: SessionGateway) -> None:
         self._gateway = gateway
         self._client = http_client()
+        self._random = random.SystemRandom()
 
     def names(self) -> list[str]:
         """Return the names of the other hosts.
@@ -91,8 +93,8 @@
         """
         return list(self._gateway.roster.addresses)
 
-    async def leader_views(self, group: str, target_id: str) -> list[LeaderView]:
-        """Ask all hosts how they see a leader.
+    async def survey(self, group: str, target_id: str) -> Survey:
+        """Ask hosts of all zones how they see a leader.
 
         Parameters
         ----------
@@ -103,17 +105,17 @@
 
         Returns
         -------
-        list of LeaderView
-            Of the hosts that answered in time.
+        Survey
+            With the views of those that answered in time.
         """
         roster = self._gateway.roster
-        addresses = dict(roster.addresses)
+        addresses = roster.sample(self._random)
         views = await asyncio.gather(
             *(self._ask(address, group, target_id) for address in addresses.values())
         )
         for name, view in zip(addresses, views, strict=True):
             roster.asked(name, view is not None)
-        return [view for view in views if view is not None]
+        return Survey(len(addresses), [view for view in views if view is not None])
 
     async def _ask(self, address: str, group: str, target_id: str) -> LeaderView | None:
         limit_s = ASK_LIMIT_MS / MS_PER_S
--- a/packages/fennelhilld/src/fennelhilld/neighbours/roster.py
+++ b/packages/fennelhilld/src/fennelhilld/neighbours/roster.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import random
+
 from fennelhill_core.clock import Clock
 
 # Planned work and the users' longest troubles keep a host silent for some 15 s; a
 # host that was only cut off registers again once it sees that its row is gone.
 GONE_AFTER_MS = 60_000.0
+# Hosts that are asked about a leader.  As many of each zone tell a cut from a crash as
+# well as all hosts do, and all hosts ask when a leader fails.
+MOST_ASKED = 12
 
 
 class Roster:
@@ -22,17 +27,20 @@
         Source of time.
     """
 
-    __slots__ = ("_clock", "_silent_since_ms", "addresses")
+    __slots__ = ("_clock", "_silent_since_ms", "_zones", "addresses", "changes")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self.addresses: dict[str, str] = {}
+        self._zones: dict[str, str] = {}
+        # Counts registrations and removals.
+        self.changes = 0
         self._silent_since_ms: dict[str, float] = {}
 
     def __len__(self) -> int:
         return len(self.addresses)
 
-    def put(self, name: str, address: str) -> None:
+    def put(self, name: str, address: str, zone: str = "") -> None:
         """Note a host that has registered.
 
         Parameters
@@ -41,8 +49,12 @@
             Its name.
         address : str
             ``ip:port`` for questions of other hosts.
+        zone : str
+            Its availability zone.
         """
+        self.changes += name not in self.addresses
         self.addresses[name] = address
+        self._zones[name] = zone
         self._silent_since_ms.pop(name, None)
 
     def remove(self, name: str) -> None:
@@ -53,7 +65,9 @@
         name : str
             Its name.
         """
+        self.changes += name in self.addresses
         self.addresses.pop(name, None)
+        self._zones.pop(name, None)
         self._silent_since_ms.pop(name, None)
 
     def keep_only(self, names: set[str]) -> None:
@@ -67,6 +81,31 @@
         for name in set(self.addresses) - names:
             self.remove(name)
 
+    def sample(self, random_state: random.Random) -> dict[str, str]:
+        """Choose the hosts for a question, the same number in each zone.
+
+        Parameters
+        ----------
+        random_state : random.Random
+            Source of randomness.
+
+        Returns
+        -------
+        dict
+            Address by name; all hosts of a small fleet.
+        """
+        if len(self.addresses) <= MOST_ASKED:
+            return dict(self.addresses)
+        zones: dict[str, list[str]] = {}
+        for name in random_state.sample(sorted(self.addresses), len(self.addresses)):
+            zones.setdefault(self._zones[name], []).append(name)
+        chosen: list[str] = []
+        while len(chosen) < MOST_ASKED:
+            for names in zones.values():
+                chosen += names[:1]
+                del names[:1]
+        return {name: self.addresses[name] for name in chosen[:MOST_ASKED]}
+
     def asked(self, name: str, answered: bool) -> None:
         """Note whether a host answered a question.
 
--- a/packages/fennelhilld/src/fennelhilld/neighbours/tests/test_roster.py
+++ b/packages/fennelhilld/src/fennelhilld/neighbours/tests/test_roster.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from fennelhilld.neighbours.roster import GONE_AFTER_MS, Roster
+import random
+from collections import Counter
+
+from fennelhilld.neighbours.roster import GONE_AFTER_MS, MOST_ASKED, Roster
 
 
 class ClockStub:
@@ -51,6 +54,24 @@
         roster.put("a", "a:2")
         assert roster.gone() == []
 
+    def test_asks_all_hosts_of_a_small_fleet(self):
+        roster, _ = self.roster("a", "b", "c")
+        assert roster.sample(random.Random(1)) == roster.addresses
+
+    def test_asks_as_many_hosts_of_each_zone_of_a_large_fleet(self):
+        roster, _ = self.roster()
+        for number in range(60):
+            roster.put(f"h{number}", f"h{number}:1", f"zone-{min(2, number // 10)}")
+        sample = roster.sample(random.Random(1))
+        zones = Counter(min(2, int(name[1:]) // 10) for name in sample)
+        assert zones == {0: MOST_ASKED / 3, 1: MOST_ASKED / 3, 2: MOST_ASKED / 3}
+
+    def test_asks_others_where_a_zone_has_few_hosts(self):
+        roster, _ = self.roster()
+        for number in range(30):
+            roster.put(f"h{number}", f"h{number}:1", "small" if number < 2 else "big")
+        assert len(roster.sample(random.Random(1))) == MOST_ASKED
+
     def test_silence_of_an_unlisted_host_is_not_kept(self):
         roster, clock = self.roster("a")
         roster.remove("a")
--- a/packages/fennelhilld/src/fennelhilld/placement/policies.py
+++ b/packages/fennelhilld/src/fennelhilld/placement/policies.py
@@ -13,6 +13,8 @@
 OTHER_ZONE_MS = 6.0
 # Replicas serve reads unless the leader is twice as fast: writes need its slots.
 LEADER_FACTOR = 2.0
+# A new connection takes 12 to 27 ms of a slot at the users', and a round trip more.
+SET_UP_MS = 20.0
 # A target that was just refused is asked last: dearer than any ordinary wait.
 AVOIDED_MS = 3_000.0
 
@@ -80,6 +82,8 @@
             cost_ms *= LEADER_FACTOR
         if target.entry.zone != zone:
             cost_ms += OTHER_ZONE_MS
+        if pool.open == 0:
+            cost_ms += SET_UP_MS
         if now_ms < target.avoid_until_ms:
             cost_ms += AVOIDED_MS
         return cost_ms
--- a/packages/fennelhilld/src/fennelhilld/promotion/choice.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/choice.py
@@ -6,7 +6,7 @@
 import xxhash
 
 from fennelhilld.links.messages import TargetStatus
-from fennelhilld.promotion.messages import LeaderView
+from fennelhilld.promotion.messages import Survey
 
 # One host acts at once and the others wait their turn, a little over the time of
 # a claim in the store (one answer of 6 ms) and of its notice through the feed.
@@ -54,17 +54,15 @@
     )
 
 
-def leader_is_lost(views: list[LeaderView], target_id: str, peers: int) -> bool:
+def leader_is_lost(survey: Survey, target_id: str) -> bool:
     """Decide whether a leader that this host can't reach is lost for the fleet.
 
     Parameters
     ----------
-    views : list of LeaderView
-        What the hosts that answered say.
+    survey : Survey
+        What the hosts that were asked say.
     target_id : str
         The leader in question.
-    peers : int
-        Hosts that were asked.
 
     Returns
     -------
@@ -72,7 +70,8 @@
         False where this host alone may be cut off: nobody answered it, or most
         of those that did still see the leader.
     """
-    if peers and not views:
+    views = survey.views
+    if survey.asked and not views:
         return False
     seeing = sum(view.sees and view.leader == target_id for view in views)
     return 2 * seeing < len(views) + 1
--- a/packages/fennelhilld/src/fennelhilld/promotion/messages.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/messages.py
@@ -108,11 +108,26 @@
     host: str = ""
 
 
+class Survey(msgspec.Struct):
+    """What came of asking other hosts.
+
+    Parameters
+    ----------
+    asked : int
+        Hosts that were asked.
+    views : list of LeaderView
+        Of those that answered.
+    """
+
+    asked: int = 0
+    views: list[LeaderView] = []
+
+
 class Peers(Protocol):
     """The other hosts."""
 
-    async def leader_views(self, group: str, target_id: str) -> list[LeaderView]:
-        """Ask all hosts about a target; those that do not answer are left out."""
+    async def survey(self, group: str, target_id: str) -> Survey:
+        """Ask hosts of all zones about a target."""
 
     def names(self) -> list[str]:
         """Names of the other hosts."""
--- a/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
@@ -31,6 +31,7 @@
     Peers,
     PromotionOrders,
     PromotionResult,
+    Survey,
 )
 from fennelhilld.promotion.probing import Look, TargetProbes
 from fennelhilld.promotion.reach import FleetReach
@@ -109,26 +110,26 @@
             statuses = await self._statuses(group, leader)
             if self._adopt(group, statuses, leader, started_ms):
                 return
-            views = await self._views(group, leader)
-            self._note_reach(started_ms, views)
-            await self._replace(group, leader, statuses, views)
+            survey = await self._survey(group, leader)
+            self._note_reach(started_ms, survey)
+            await self._replace(group, leader, statuses, survey)
             return
         asked = asyncio.ensure_future(self.probes.look(leader))
         await asyncio.wait({asked}, timeout=LEADER_HEAD_START_MS / MS_PER_S)
         if asked.done() and self._confirmed(group, leader, asked.result(), started_ms):
             return
-        statuses, views, look = await asyncio.gather(
-            self._statuses(group, leader), self._views(group, leader), asked
+        statuses, survey, look = await asyncio.gather(
+            self._statuses(group, leader), self._survey(group, leader), asked
         )
         if self._confirmed(group, leader, look, started_ms):
             return
-        self._note_reach(started_ms, views)
+        self._note_reach(started_ms, survey)
         if not self._adopt(group, statuses, leader, started_ms):
-            await self._replace(group, leader, statuses, views)
+            await self._replace(group, leader, statuses, survey)
 
-    def _note_reach(self, asked_ms: float, views: list[LeaderView]) -> None:
+    def _note_reach(self, asked_ms: float, survey: Survey) -> None:
         if self.peers is not None:
-            self.reach.update(asked_ms, len(views), len(self.peers.names()))
+            self.reach.update(asked_ms, len(survey.views), survey.asked)
 
     def _confirmed(
         self, group: GroupState, leader: TargetState, look: Look, asked_ms: float
@@ -150,16 +151,13 @@
         """Ask whether a fleet that was out of reach is back."""
         if self.peers is not None:
             asked_ms = self._clock.now_ms()
-            views = await self.peers.leader_views("", "")
-            self.reach.update(asked_ms, len(views), len(self.peers.names()))
+            self._note_reach(asked_ms, await self.peers.survey("", ""))
 
-    async def _views(
-        self, group: GroupState, leader: TargetState | None
-    ) -> list[LeaderView]:
+    async def _survey(self, group: GroupState, leader: TargetState | None) -> Survey:
         if self.peers is None:
-            return []
+            return Survey()
         target_id = leader.entry.id if leader else ""
-        return await self.peers.leader_views(group.name, target_id)
+        return await self.peers.survey(group.name, target_id)
 
     async def status(self, target: TargetState) -> TargetStatus | None:
         """Ask a target for its status.
@@ -229,7 +227,7 @@
         group: GroupState,
         leader: TargetState | None,
         statuses: list[Candidate],
-        views: list[LeaderView],
+        survey: Survey,
     ) -> None:
         name = group.name
         planned = leader is not None and leader.entry.leaving
@@ -245,9 +243,9 @@
             return
         if self.claims.held_by_other(name, self.host, self._clock.now_ms()):
             return
-        if not planned and not self._lost_for_the_fleet(group, leader, views):
+        if not planned and not self._lost_for_the_fleet(group, leader, survey):
             return
-        names = [view.host for view in views]
+        names = [view.host for view in survey.views]
         if planned or leader is None:
             names = self.peers.names() if self.peers else []
         await self._clock.sleep_ms(turn_delay_ms(self.host, names, name))
@@ -264,7 +262,7 @@
         self,
         group: GroupState,
         leader: TargetState | None,
-        views: list[LeaderView],
+        survey: Survey,
     ) -> bool:
         if self.peers is None:
             return True
@@ -272,12 +270,12 @@
             # A leader that has refused was replaced by somebody, perhaps out of reach.
             return not self.reach.cut_off
         target_id = leader.entry.id
-        newer = [view for view in views if view.term > group.leadership.term]
+        newer = [view for view in survey.views if view.term > group.leadership.term]
         if newer:
             newest = max(newer, key=lambda view: view.term)
             group.leadership.reported(newest.leader, self._clock.now_ms())
             return False
-        lost = leader_is_lost(views, target_id, len(self.peers.names()))
+        lost = leader_is_lost(survey, target_id)
         if self.reach.cut_off:
             # The larger side decides.  The platform's list is no proof against it:
             # the platform may be on this side and the leader on the other.
@@ -287,9 +285,9 @@
             "promotion.weighed",
             group,
             target=target_id,
-            asked=len(self.peers.names()),
-            answered=len(views),
-            seeing=sum(view.sees for view in views),
+            asked=survey.asked,
+            answered=len(survey.views),
+            seeing=sum(view.sees for view in survey.views),
             lost=lost,
         )
         return lost
--- a/packages/fennelhilld/src/fennelhilld/promotion/tests/test_choice.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/tests/test_choice.py
@@ -12,7 +12,13 @@
     turn_delay_ms,
 )
 from fennelhilld.promotion.claims import CLAIM_TAKEOVER_MS, ClaimBook
-from fennelhilld.promotion.messages import Claim, ClaimPhase, ClaimRow, LeaderView
+from fennelhilld.promotion.messages import (
+    Claim,
+    ClaimPhase,
+    ClaimRow,
+    LeaderView,
+    Survey,
+)
 
 
 def candidate(name, index, term=1, cold=False):
@@ -20,8 +26,8 @@
     return Candidate(name, status, cold)
 
 
-def views(*seeing):
-    return [LeaderView("p", 1, sees) for sees in seeing]
+def survey(asked, *seeing):
+    return Survey(asked, [LeaderView("p", 1, sees) for sees in seeing])
 
 
 class TestMostAdvanced:
@@ -42,19 +48,19 @@
 
 class TestLeaderIsLost:
     def test_if_nobody_sees_it(self):
-        assert leader_is_lost(views(False, False), "p", 2)
+        assert leader_is_lost(survey(2, False, False), "p")
 
     def test_not_if_this_host_is_alone(self):
-        assert not leader_is_lost([], "p", 5)
+        assert not leader_is_lost(survey(5), "p")
 
     def test_not_if_most_see_it(self):
-        assert not leader_is_lost(views(True, True, False), "p", 5)
+        assert not leader_is_lost(survey(5, True, True, False), "p")
 
     def test_if_most_do_not_see_it(self):
-        assert leader_is_lost(views(True, False, False), "p", 5)
+        assert leader_is_lost(survey(5, True, False, False), "p")
 
     def test_in_a_fleet_of_one(self):
-        assert leader_is_lost([], "p", 0)
+        assert leader_is_lost(survey(0), "p")
 
 
 class TestTurns:
