fix: the window goes by answers, not by how long links are lent

Besides, with all open links resting and the target's places taken no timer looked for a place again.

Ruled out: leaving transactions out altogether; their statements are most of the work of some kinds.

Change: Lease tells the pool the time of exchanges with an answered statement. The timer is set when nothing comes back, not when nothing is open.

--- a/packages/fennelhilld/src/fennelhilld/links/lease.py
+++ b/packages/fennelhilld/src/fennelhilld/links/lease.py
@@ -139,7 +139,11 @@
         finally:
             watch.cancel()
         self._pool.answered_ms = self._clock.now_ms()
-        return Exchange(sent_ms, self._pool.answered_ms - started_ms, answers)
+        took_ms = self._pool.answered_ms - started_ms
+        if any(answer.signature for answer in answers):
+            # Neither the rests of a transaction nor refusals tell of a queue.
+            self._pool.worked(took_ms)
+        return Exchange(sent_ms, took_ms, answers)
 
     def _went_overdue(self, sent_ms: float) -> None:
         # A lost answer must not hold up those that wait for the target.
--- a/packages/fennelhilld/src/fennelhilld/links/pool.py
+++ b/packages/fennelhilld/src/fennelhilld/links/pool.py
@@ -140,7 +140,7 @@
 
     @property
     def use_ms(self) -> float:
-        """Mean time for which a request uses a link."""
+        """Mean time that the target takes for a statement."""
         return self._window.use_ms
 
     @property
@@ -153,6 +153,11 @@
         """Whether the target may get another request of this host now."""
         return self.in_use - self.resting < self.window
 
+    @property
+    def _nothing_comes_back(self) -> bool:
+        """Whether no link is in use whose return would serve those that wait."""
+        return self.open == self.resting
+
     @property
     def limit(self) -> int:
         """Links that this host may open."""
@@ -216,9 +221,6 @@
             Whether it must not be used again.
         """
         self.in_use -= 1
-        if not broken:
-            used_ms = self._clock.now_ms() - link.busy_since_ms
-            self._window.observe(used_ms, self.limit)
         if broken or link.link.closed or self.closed:
             link.link.close()
             if broken:
@@ -251,6 +253,16 @@
         ahead = self._order.ahead(wishes, wish, now_ms, self.use_ms)
         return expected_wait_ms(ahead, at_once, self.use_ms)
 
+    def worked(self, took_ms: float) -> None:
+        """Note how long the target took for a statement.
+
+        Parameters
+        ----------
+        took_ms : float
+            From sending to the answer, in milliseconds.
+        """
+        self._window.observe(took_ms, self.limit)
+
     def rest(self) -> None:
         """Note that a transaction keeps a link without using it now."""
         self.resting += 1
@@ -374,7 +386,7 @@
             return
         now_ms = self._clock.now_ms()
         if now_ms < self._blocked_until_ms:
-            if self.open == 0:
+            if self._nothing_comes_back:
                 self._grow_after(self._blocked_until_ms - now_ms)
             return
         for _ in range(min(wanted, self.limit - self.open)):
@@ -421,7 +433,7 @@
         if error.fault in (TargetFault.TOO_MANY_CONNECTIONS, TargetFault.BUSY):
             self.counters.too_many += 1
             self._blocked_until_ms = now_ms + TOO_MANY_BACKOFF_MS
-            if self.open == 0 and self.waiting:
+            if self._nothing_comes_back and self.waiting:
                 self._grow_after(TOO_MANY_BACKOFF_MS)
             return
         self.counters.refused += 1
--- a/packages/fennelhilld/src/fennelhilld/links/tests/test_lease.py
+++ b/packages/fennelhilld/src/fennelhilld/links/tests/test_lease.py
@@ -45,6 +45,7 @@
         self.broken = None
         self.releases = []
         self.resting = 0
+        self.worked_ms = []
 
     def rest(self):
         self.resting += 1
@@ -52,6 +53,9 @@
     def resume(self):
         self.resting -= 1
 
+    def worked(self, took_ms):
+        self.worked_ms.append(took_ms)
+
     def release(self, link, broken=False):
         self.broken = broken
         self.releases.append(broken)
@@ -131,6 +135,15 @@
 
         run(check)
 
+    def test_tells_the_window_only_of_statements_that_were_answered(self):
+        async def check(case):
+            await case.lease.exchange([Command(CommandKind.BEGIN)], 100.0)
+            assert case.pool.worked_ms == []
+            await case.lease.exchange([READ], 100.0)
+            assert len(case.pool.worked_ms) == 1
+
+        run(check, DONE, SERVED)
+
     def test_makes_room_for_others_while_its_answer_is_overdue(self):
         async def check(case):
             task = asyncio.ensure_future(case.lease.exchange([READ], 2_000.0))
--- a/packages/fennelhilld/src/fennelhilld/timeline/statements.py
+++ b/packages/fennelhilld/src/fennelhilld/timeline/statements.py
@@ -46,7 +46,7 @@
         latency.set({"le": bound_ms}, count)
     links = gauge("fennelhill_links", "Links to targets by state.")
     windows = gauge("fennelhill_window", "Requests that a target may get at a time.")
-    use_ms = gauge("fennelhill_link_use_ms", "Mean time that a request uses a link.")
+    use_ms = gauge("fennelhill_target_ms", "Mean time of a target for a statement.")
     opened = gauge("fennelhill_links_total", "Links to targets by what became of them.")
     for group in gateway.groups.values():
         for target in group.targets.values():
--- a/packages/fennelhilld/src/fennelhilld/waiting/window.py
+++ b/packages/fennelhilld/src/fennelhilld/waiting/window.py
@@ -6,14 +6,14 @@
 
 from fennelhill_core.registry import Registry
 
-NEWEST_WEIGHT = 0.1  # of the newest use of a link in the running mean
-FIRST_USE_MS = 15.0  # before a link was given back: usual work of the users
-# The least mean of the past is forgotten by half in some 350 uses, so that a target
+NEWEST_WEIGHT = 0.1  # of the newest answer in the running mean
+FIRST_USE_MS = 15.0  # before the first answer: usual work of the users
+# The least mean of the past is forgotten by half in some 350 answers, so that a target
 # which has become slower for good is not taken for congested.
 BASE_RISE = 1.002
 # A mean of twice the least one is a queue in the target.
 TOLERATED = 2.0
-# What is added for each use, so that a window that was narrowed opens again; with
+# What is added for each answer, so that a window that was narrowed opens again; with
 # this and the factors the recorded flood and promotion gap were served best.
 HEADROOM = 0.25
 FIRST_SIZE = 2.0  # before anything is known, as for a target with two slots
@@ -22,12 +22,12 @@
 
 
 class WindowPolicy(Protocol):
-    """Watches how long links are used and says how many may be at a time."""
+    """Watches how long a target takes and says how many requests it gets."""
 
     use_ms: float
 
     def observe(self, used_ms: float, most: int) -> None:
-        """Take the use of a link that was given back."""
+        """Take the time of an answer."""
 
     def size(self, most: int) -> int:
         """Return how many links may be in use now, up to a limit."""
@@ -46,12 +46,12 @@
         self.use_ms = FIRST_USE_MS
 
     def observe(self, used_ms: float, most: int) -> None:
-        """Take the use of a link that was given back.
+        """Take the time of an answer.
 
         Parameters
         ----------
         used_ms : float
-            From lending to giving back, in milliseconds.
+            From sending to the answer, in milliseconds.
         most : int
             Links that this host may open.
         """
@@ -79,8 +79,8 @@
 
     Answers a load beyond the target's slots.  What waits in a target's queue is
     served in order of arrival, late or not; what waits here is ordered, and turned
-    away in time.  The window follows the ratio of the least to the present mean use
-    of a link, as delay-based congestion control does.
+    away in time.  The window follows the ratio of the least to the present mean
+    time of an answer, as delay-based congestion control does.
     """
 
     __slots__ = ("_base_ms", "_window")
@@ -91,12 +91,12 @@
         self._window = FIRST_SIZE
 
     def observe(self, used_ms: float, most: int) -> None:
-        """Take the use of a link that was given back.
+        """Take the time of an answer.
 
         Parameters
         ----------
         used_ms : float
-            From lending to giving back, in milliseconds.
+            From sending to the answer, in milliseconds.
         most : int
             Links that this host may open.
         """
