fix: after a start, reads use the leader's open links until others are open

Cause: since reads at the leader counted a set-up too, hosts that had just started opened links to replicas for their first reads, while the targets still held the places of dead hosts.

Change: the set-up counts at the leader only where hosts share a target's connections (TargetPool.scarce); elsewhere at replicas without an open link.

--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -286,6 +286,21 @@
         limit = self._max_connections(group_name)
         return max(1, limit // (len(self.roster) + 1))
 
+    def connections_scarce(self, group_name: str) -> bool:
+        """Tell whether there are too many hosts for each to keep a connection.
+
+        Parameters
+        ----------
+        group_name : str
+            Group of the target.
+
+        Returns
+        -------
+        bool
+            True in a fleet that is too large for the targets of the group.
+        """
+        return len(self.roster) >= KEPT_SHARE * self._max_connections(group_name)
+
     def keeps_link(self, entry: TargetEntry) -> bool:
         """Tell whether this host keeps a link to a target without present need.
 
@@ -299,9 +314,9 @@
         bool
             False for some hosts of a fleet that is too large for the target.
         """
-        limit = self._max_connections(entry.group)
-        if len(self.roster) < KEPT_SHARE * limit:
+        if not self.connections_scarce(entry.group):
             return True
+        limit = self._max_connections(entry.group)
         key = (entry.id, limit, self.roster.changes)
         if key not in self._keeping:
             if len(self._keeping) > 10 * len(self.directory.all()):
@@ -340,6 +355,7 @@
             self._clock,
             lambda: self.link_limit(entry.group),
             lambda: self.keeps_link(target.entry),
+            lambda: self.connections_scarce(entry.group),
             lambda reason: self.env.target_failed(target, reason),
             self.env.policies,
         )
--- a/packages/fennelhilld/src/fennelhilld/links/tests/test_pool.py
+++ b/packages/fennelhilld/src/fennelhilld/links/tests/test_pool.py
@@ -56,6 +56,7 @@
             self.clock,
             lambda: share,
             lambda: self.keeps,
+            lambda: False,
             self.failures.append,
             LoadPolicies.from_config(PolicyNames(window=window)),
         )
--- a/packages/fennelhilld/src/fennelhilld/placement/policies.py
+++ b/packages/fennelhilld/src/fennelhilld/placement/policies.py
@@ -82,8 +82,10 @@
             cost_ms *= LEADER_FACTOR
         if target.entry.zone != zone:
             cost_ms += OTHER_ZONE_MS
-        if pool.open == 0 or leads:
-            # A new connection to a replica is better than a slot of the leader.
+        if (leads and pool.scarce) or (not leads and pool.open == 0):
+            # Where hosts share connections, a new one to a replica is better than one
+            # of the leader's; elsewhere the leader's open links serve a host that has
+            # just started, until it has opened others.
             cost_ms += SET_UP_MS
         if now_ms < target.avoid_until_ms:
             cost_ms += AVOIDED_MS
--- a/packages/fennelhilld/src/fennelhilld/placement/tests/test_state.py
+++ b/packages/fennelhilld/src/fennelhilld/placement/tests/test_state.py
@@ -20,6 +20,7 @@
         self.open = 1
         self.opened_at_ms = 0.0
         self.unreachable = False
+        self.scarce = False
 
 
 def group(**zones):
@@ -51,6 +52,18 @@
         state.targets["near"].lag.refused(2_000.0, 2_000.0, 0.0)
         assert choose(state) == "far"
 
+    def test_uses_an_open_link_to_the_leader_while_none_to_a_replica_is_open(self):
+        # After the start of a whole fleet: a set-up for each read held it up.
+        state = group(p="a", far="b")
+        state.targets["far"].pool.open = 0
+        assert choose(state) == "p"
+
+    def test_spares_the_leader_where_hosts_share_its_connections(self):
+        state = group(p="a", far="b")
+        state.targets["p"].pool.scarce = True
+        state.targets["far"].pool.open = 0
+        assert choose(state) == "far"
+
     def test_leaves_a_slow_replica(self):
         state = group(p="c", near="a", far="b")
         for _ in range(30):
