--- a/packages/fennelhill-bench/src/fennelhill_bench/platform_stand_ins/lineserver.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/platform_stand_ins/lineserver.py
@@ -47,6 +47,9 @@
     "COMMIT": StatementKind.COMMIT,
 }
 
+# Commands that are answered with the status of the target.
+STATUS_KINDS = frozenset({CommandKind.STATUS, CommandKind.DEMOTE})
+
 
 class LineTarget:
     """Serves one target model on a socket."""
@@ -111,7 +114,7 @@
         self, writer: asyncio.StreamWriter, command: Command, answer: TargetAnswer
     ) -> None:
         lines = [f"DATAROW {row}" for row in answer.rows]
-        if command.kind is CommandKind.STATUS and answer.fault is None:
+        if command.kind in STATUS_KINDS and answer.fault is None:
             model = self.model
             role = "primary" if model.leads else "replica"
             received = _format_position(model.received_position)
@@ -151,6 +154,8 @@
 def _parse_daemon_command(text: str, after: Position | None) -> Command:
     if text in COMMAND_KINDS:
         return Command(COMMAND_KINDS[text], after=after)
+    if text.startswith("DEMOTE "):
+        return Command(CommandKind.DEMOTE, term=int(text.removeprefix("DEMOTE ")))
     word, name, rest = text.split(" ", 2)
     if word == "SET":
         return Command(CommandKind.SET_VALUE, name=name, value=rest)
--- a/packages/fennelhill-bench/src/fennelhill_bench/platform_stand_ins/store.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/platform_stand_ins/store.py
@@ -56,6 +56,8 @@
         self.fault = ""
         self.fault_addresses: set[str] | None = None
         self.calls = 0
+        # Whether an order with an outdated fencing token is refused.
+        self.checks_tokens = True
         self.promotions: list[tuple[str, str, str, int]] = []
         self.highest_token: dict[str, int] = {}
         # Called with the group and the target id of each accepted promotion.
@@ -180,11 +182,14 @@
         holder = headers["Fennelhill-Duty-Holder"]
         token = int(headers["Fennelhill-Fencing-Token"])
         group = call["service"]
-        if token < self.store.highest_token.get(group, 0):
+        outdated = token < self.store.highest_token.get(group, 0)
+        if outdated and self.store.checks_tokens:
             self.set_status(409)
             self.finish()
             return
-        self.store.highest_token[group] = token
+        self.store.highest_token[group] = max(
+            token, self.store.highest_token.get(group, 0)
+        )
         self.store.promotions.append((group, call["id"], holder, token))
         if self.store.promote is not None:
             self.store.promote(group, call["id"])
--- a/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/checks.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/checks.py
@@ -85,6 +85,8 @@
         self.acknowledged: dict[str, list[tuple[float, Position]]] = {}
         self.refused_writes: set[str] = set()
         self.requested_commits: set[str] = set()
+        # Writes that a leader committed after it was replaced.
+        self.deposed_writes: set[str] = set()
         self.reads = 0
 
     def expect(self, statement: Statement, expected: ExpectedRun) -> None:
@@ -113,6 +115,10 @@
         if request not in self.requested_commits:
             self.violations.append(f"commit without a request: {request} of {written}")
 
+    def record_deposed_commit(self, requests: tuple[str, ...]) -> None:
+        """Record writes that a leader committed after it was replaced."""
+        self.deposed_writes.update(requests)
+
     def record_promotion(self, group: str, target: TargetModel) -> None:
         """Drop acknowledged commits that a promotion has rolled back."""
         kept = {entry.position for entry in target.log}
@@ -128,6 +134,8 @@
             if writes and reply.code.outcome is Outcome.NOT_RUN:
                 self.refused_writes.add(statement.request_id)
             return
+        if statement.request_id in self.deposed_writes:
+            self.violations.append(f"acknowledged by a replaced leader: {statement}")
         if not reply.signature.endswith(f":{statement.request_id}"):
             self.violations.append(f"mixed-up reply: {statement} got {reply}")
         if reply.rows != [f"row {statement.request_id}"]:
--- a/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/simulation.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/simulation.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import inspect
 import random
+from collections.abc import Callable
 
 import msgspec
+from fennelhill_core.clock import MS_PER_S
 from fennelhill_core.codes import Outcome
 from fennelhill_core.events import EventLog
 from fennelhill_core.platform import StoreFault, StoreUnavailableError
@@ -13,6 +16,7 @@
 from fennelhilld.catalog.state import Catalog, Database, Group, ReadKind
 from fennelhilld.directory.state import TargetEntry
 from fennelhilld.gateway import SessionGateway
+from fennelhilld.leader_lease.messages import HostAnswer, HostQuery
 from fennelhilld.promotion.messages import (
     Claim,
     ClaimRow,
@@ -36,6 +40,7 @@
 from fennelhill_bench.virtual_time import VirtualClock
 
 STORE_CALL_MS = 4.0
+DATAGRAM_MS = 0.5  # one way
 STORE_TIMEOUT_MS = 500.0  # until a lost answer is reported
 ORDER_CALL_MS = 3.0
 SURVEY_TIMEOUT_MS = 450.0  # wait for hosts that do not answer
@@ -72,12 +77,12 @@
 
     async def read_claim(self, group: str) -> ClaimRow:
         """Read a claim."""
-        await self._call()
+        await self.call()
         return self.rows.get(group, ClaimRow())
 
     async def swap_claim(self, group: str, expected: int, claim: Claim) -> int | None:
         """Write a claim if its version is the expected one; return the new version."""
-        await self._call()
+        await self.call()
         if self.rows.get(group, ClaimRow()).version != expected:
             return None
         self.version += 1
@@ -89,7 +94,8 @@
             raise StoreUnavailableError(StoreFault.NO_ANSWER)
         return self.version
 
-    async def _call(self) -> None:
+    async def call(self) -> None:
+        """Take the time of a call; raises `StoreUnavailableError` if it fails."""
         await self._simulation.clock.sleep_ms(self.call_ms)
         if self.down:
             raise StoreUnavailableError(StoreFault.DOWN)
@@ -97,7 +103,68 @@
     async def _notify(self, group: str, row: ClaimRow) -> None:
         await self._simulation.clock.sleep_ms(FEED_DELAY_MS)
         for gateway in self._simulation.gateways:
-            gateway.update_claim(group, row)
+            if gateway.host not in self._simulation.hosts_without_store:
+                gateway.update_claim(group, row)
+
+
+class HostStore:
+    """The store, as one host reaches it."""
+
+    def __init__(self, simulation: SessionSimulation, gateway: SessionGateway) -> None:
+        self._simulation = simulation
+        self._gateway = gateway
+
+    async def refresh(self) -> None:
+        """Apply all claims."""
+        store = self._simulation.store
+        await self._check()
+        version, rows = store.version, dict(store.rows)
+        await store.call()
+        for group, row in rows.items():
+            self._gateway.update_claim(group, row)
+        self._gateway.replacement.claims.raise_complete_version(version)
+
+    async def read_claim(self, group: str) -> ClaimRow:
+        """Read a claim."""
+        await self._check()
+        return await self._simulation.store.read_claim(group)
+
+    async def swap_claim(self, group: str, expected: int, claim: Claim) -> int | None:
+        """Write a claim if its version is the expected one; return the new version."""
+        await self._check()
+        return await self._simulation.store.swap_claim(group, expected, claim)
+
+    async def _check(self) -> None:
+        if self._gateway.host in self._simulation.hosts_without_store:
+            raise StoreUnavailableError(StoreFault.DOWN)
+
+
+class DatagramsModel:
+    """Datagrams between hosts, as one host sends them."""
+
+    def __init__(self, simulation: SessionSimulation, gateway: SessionGateway) -> None:
+        self._simulation = simulation
+        self._gateway = gateway
+
+    async def ask(
+        self, address: str, query: HostQuery, limit_ms: float
+    ) -> HostAnswer | None:
+        """Send a query; the address of a host is its name."""
+        simulation = self._simulation
+        try:
+            async with asyncio.timeout(limit_ms / MS_PER_S):
+                await simulation.clock.sleep_ms(DATAGRAM_MS)
+                if not simulation.connected(self._gateway.host, address):
+                    await simulation.clock.sleep_ms(limit_ms)
+                    return None
+                other = simulation.gateway(address)
+                answer = other.host_queries.handle(query)
+                if inspect.isawaitable(answer):
+                    answer = await answer
+                await simulation.clock.sleep_ms(DATAGRAM_MS)
+                return answer
+        except TimeoutError:
+            return None
 
 
 class OrdersModel:
@@ -108,10 +175,17 @@
         self.calls: list[tuple[str, str, str, int]] = []
 
     async def promote(
-        self, group: str, target_id: str, holder: str, fencing_token: int
+        self,
+        group: str,
+        target_id: str,
+        holder: str,
+        fencing_token: int,
+        may_send: Callable[[], bool],
     ) -> PromotionResult:
         """Accept or refuse an order to promote a target."""
         model = self._simulation.groups[group]
+        if not may_send():
+            return PromotionResult.NOT_SENT
         await self._simulation.clock.sleep_ms(ORDER_CALL_MS)
         self.calls.append((group, target_id, holder, fencing_token))
         if fencing_token < model.highest_token or not model.targets[target_id].up:
@@ -136,12 +210,11 @@
     async def survey(self, group: str, target_id: str) -> Survey:
         """Ask all reachable hosts for their view of a target."""
         simulation = self._simulation
-        isolated = self._gateway.host in simulation.isolated_hosts
         others = [
             gateway
             for gateway in simulation.gateways
             if gateway is not self._gateway
-            and (gateway.host in simulation.isolated_hosts) == isolated
+            and simulation.connected(self._gateway.host, gateway.host)
         ]
         if len(others) < len(simulation.gateways) - 1:
             await simulation.clock.sleep_ms(SURVEY_TIMEOUT_MS)
@@ -222,6 +295,7 @@
             )
         ]
         self.isolated_hosts: set[str] = set()
+        self.hosts_without_store: set[str] = set()
         self.drivers_by_host: dict[str, DriverModel] = {}
         self.store = StoreModel(self)
         self.orders = OrdersModel(self)
@@ -230,13 +304,21 @@
         ]
         for gateway in self.gateways:
             for other in self.gateways:
-                gateway.put_member(other.host, other.host)
+                gateway.put_member(other.host, other.host, other.zone)
 
     @property
     def drivers(self) -> list[DriverModel]:
         """The hosts' drivers, in order."""
         return [self.drivers_by_host[gateway.host] for gateway in self.gateways]
 
+    def gateway(self, host: str) -> SessionGateway:
+        """Return a host by name."""
+        return next(gateway for gateway in self.gateways if gateway.host == host)
+
+    def connected(self, host: str, other_host: str) -> bool:
+        """Return whether two hosts reach each other."""
+        return (host in self.isolated_hosts) == (other_host in self.isolated_hosts)
+
     def spawn(self, work: object) -> asyncio.Task:
         """Start a background task and keep a reference to it."""
         task = asyncio.ensure_future(work)
@@ -253,9 +335,34 @@
         await model.promote(target_id)
         await self.clock.sleep_ms(FEED_DELAY_MS)
         for gateway in self.gateways:
+            if gateway.host in self.hosts_without_store:
+                continue
             for target in model.targets.values():
                 gateway.put_target(self.target_entry(model, target.id))
 
+    def partition(self, hosts: set[str], targets: set[str]) -> None:
+        """Cut hosts and targets off from all others, and from the store.
+
+        Open connections across the partition go silent.
+        """
+        self.isolated_hosts = set(hosts)
+        self.hosts_without_store = set(hosts)
+        for model in self.groups.values():
+            for target in model.targets.values():
+                target.isolated = target.id in targets
+        for host, driver in self.drivers_by_host.items():
+            driver.unreachable_targets = {
+                target.id
+                for model in self.groups.values()
+                for target in model.targets.values()
+                if (host in hosts) != (target.id in targets)
+            }
+            driver.silence_links()
+
+    def heal(self) -> None:
+        """End a partition."""
+        self.partition(set(), set())
+
     def target_entry(
         self, model: GroupModel, target_id: str, leaving: bool = False
     ) -> TargetEntry:
@@ -332,7 +439,9 @@
         for model in self.groups.values():
             for target_id in model.targets:
                 gateway.put_target(self.target_entry(model, target_id))
-        gateway.replacement.store = self.store
+        gateway.replacement.store = gateway.renewal.store = HostStore(self, gateway)
+        gateway.renewal.peers = gateway.collector.peers = DatagramsModel(self, gateway)
+        gateway.renewal.registered = True
         gateway.replacement.orders = self.orders
         gateway.replacement.peers = PeersModel(self, gateway)
         gateway.start()
--- a/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/targets.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/targets.py
@@ -32,6 +32,9 @@
 MIN_LAG_FACTOR = 0.5
 MAX_LAG_FACTOR = 1.5
 
+# Time after which a replaced leader that reaches the new one becomes a replica.
+NOTICE_MS = 1_000.0
+
 
 class LogEntry(msgspec.Struct, frozen=True):
     """A commit in a log.
@@ -71,6 +74,9 @@
         Time to carry out a promotion.
     slowdown : float
         Factor on the time in a slot.
+    old_leader_goes_on : bool
+        Whether a replaced leader goes on accepting writes until it is demoted, or has
+        been able to reach the new leader for `NOTICE_MS`.
     """
 
     slots: int = 2
@@ -82,6 +88,7 @@
     lag_ms: float = 40.0
     promote_ms: float = 500.0
     slowdown: float = 1.0
+    old_leader_goes_on: bool = False
 
 
 class TargetModel:
@@ -97,6 +104,8 @@
         self.applied = 0  # number of log entries that are visible to reads
         self.up = True
         self.silent = False
+        # Whether it reaches no other target.
+        self.isolated = False
         self.answer_loss_probability = 0.0
         self.links: set[LinkModel] = set()
         self.running = 0
@@ -214,9 +223,13 @@
     def commit(self, target: TargetModel, requests: tuple[str, ...]) -> Position:
         """Append a commit to the log and start its replication."""
         position = Position(target.term, len(target.log) + 1)
+        if target is not self.leader:
+            self.observer.record_deposed_commit(requests)
         target.log.append(LogEntry(position, requests))
         target.applied = len(target.log)
         for other in self.targets.values():
+            if target.isolated or target is not self.leader:
+                break
             if other is not target and other.id not in self.replication_stopped:
                 self.spawn(self._replicate(target, other, len(target.log)))
         return position
@@ -231,19 +244,38 @@
         await self.clock.sleep_ms(target.traits.promote_ms)
         if target is self.leader or not target.up:
             return
-        self.leader.leads = False
-        self.leader = target
+        old_leader, self.leader = self.leader, target
+        if old_leader.traits.old_leader_goes_on and old_leader.up:
+            self.spawn(self._notice_new_leader(old_leader))
+        else:
+            old_leader.leads = False
         target.term = max(model.term for model in self.targets.values()) + 1
         target.leads = True
         target.applied = len(target.log)
         self.observer.record_promotion(self.name, target)
         for other in self.targets.values():
-            if other is not target:
+            if other is not target and not other.leads:
                 if other.up:
                     other.follow(target)
                 for link in list(other.links):
                     link.leadership_lost = True
 
+    def demote(self, target: TargetModel, term: int) -> None:
+        """Make a target that leads in an earlier term a replica."""
+        if not target.leads or target.term >= term:
+            return
+        target.leads = False
+        for link in list(target.links):
+            link.leadership_lost = True
+        if self.leader is not target and not target.isolated:
+            target.follow(self.leader)
+
+    async def _notice_new_leader(self, old_leader: TargetModel) -> None:
+        await self.clock.sleep_ms(NOTICE_MS)
+        while old_leader.isolated:
+            await self.clock.sleep_ms(NOTICE_MS)
+        self.demote(old_leader, self.leader.term)
+
     async def _replicate(
         self, source: TargetModel, replica: TargetModel, length: int
     ) -> None:
@@ -262,6 +294,16 @@
         target.applied = max(target.applied, min(length, len(target.log)))
 
 
+_IN_SLOT = frozenset(
+    {
+        CommandKind.STATEMENT,
+        CommandKind.COMMIT,
+        CommandKind.STATUS,
+        CommandKind.DEMOTE,
+    }
+)
+
+
 class LinkModel:
     """One connection; commands run, and answers return, in the order sent."""
 
@@ -327,7 +369,7 @@
 
     async def _run(self, command: Command) -> TargetAnswer:
         kind = command.kind
-        if kind in (CommandKind.STATEMENT, CommandKind.COMMIT, CommandKind.STATUS):
+        if kind in _IN_SLOT:
             target = self.target
             if target.waiting >= target.traits.queue:
                 return self._answer(TargetFault.BUSY)
@@ -399,6 +441,10 @@
     def _run_status(self, command: Command) -> TargetAnswer:
         return self._answer()
 
+    def _run_demote(self, command: Command) -> TargetAnswer:
+        self.target.group.demote(self.target, command.term)
+        return self._answer()
+
     def _run_commit(self, command: Command) -> TargetAnswer:
         target = self.target
         not_leading = self.transaction_kind == "read_write" and (
@@ -462,6 +508,14 @@
         self.groups = groups
         self.unreachable_targets: set[str] = set()
 
+    def silence_links(self) -> None:
+        """Make the open links to unreachable targets deliver no more answers."""
+        for group in self.groups.values():
+            for target in group.targets.values():
+                if target.id in self.unreachable_targets:
+                    for link in target.links:
+                        link.silent = link.silent or link.driver is self
+
     async def open(
         self, group: str, target_id: str, address: str, limit_ms: float
     ) -> LinkModel:
@@ -482,7 +536,16 @@
 
     async def status(self, link: LinkModel) -> TargetStatus | None:
         """Return the status of a target, or None if it is busy."""
-        await link.send([Command(CommandKind.STATUS)])
+        return await self._request_status(link, Command(CommandKind.STATUS))
+
+    async def demote(self, link: LinkModel, term: int) -> TargetStatus | None:
+        """Demote a target; return its status, or None if it is busy."""
+        return await self._request_status(link, Command(CommandKind.DEMOTE, term=term))
+
+    async def _request_status(
+        self, link: LinkModel, command: Command
+    ) -> TargetStatus | None:
+        await link.send([command])
         answer = await link.receive()
         if answer.fault is TargetFault.BUSY:
             return None
--- a/packages/fennelhill-core/src/fennelhill_core/codes.py
+++ b/packages/fennelhill-core/src/fennelhill_core/codes.py
@@ -250,6 +250,13 @@
     "The transaction was rolled back before its commit was sent; run it again.",
     "Its target or link was lost, it was idle too long, or this host shuts down.",
 )
+LEADER_UNPROVEN = _register(
+    1030,
+    "leader_unproven",
+    503,
+    "This entry host can't prove that the primary still leads; connect again.",
+    "It reaches neither the store nor most other hosts; see lease.not_renewed.",
+)
 CONNECTION_LOST = _register(
     2001,
     "connection_lost",
@@ -285,6 +292,13 @@
     "Something broke inside the entry host; ask for the outcome of the key.",
     "A defect: the log of the entry host has the details.",
 )
+ANSWER_UNPROVEN = _register(
+    2006,
+    "answer_unproven",
+    504,
+    "The primary answered, but may have been replaced before; look for the effect.",
+    "The entry host lost its lease, or the primary was replaced, before the answer.",
+)
 SQL_ERROR = _register(
     3001,
     "sql_error",
--- a/packages/fennelhilld/src/fennelhilld/directory/follower.py
+++ b/packages/fennelhilld/src/fennelhilld/directory/follower.py
@@ -8,7 +8,7 @@
 
 from fennelhill_core.clock import Clock
 from fennelhill_core.events import EventLog
-from fennelhill_core.platform import StoreUnavailableError
+from fennelhill_core.platform import StoreFault, StoreUnavailableError
 
 # Calls to a store that is down are charged for too, so the delay grows.  After the
 # store's return a host counts as disconnected for four seconds and must have
@@ -101,6 +101,28 @@
                 self._outage_since_ms = None
                 self._retry_delay_ms = RETRY_MIN_MS
 
+    async def refresh(self) -> None:
+        """Apply all changes that have been made until now.
+
+        The long poll in progress goes on, and may deliver the same changes again.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the store did not serve the request, or no snapshot was read yet.
+        """
+        if self._last_version is None:
+            raise StoreUnavailableError(StoreFault.DOWN)
+        try:
+            rows, _ = await self._source.changes(
+                self._table, self._last_version, at_once=True
+            )
+            is_snapshot = False
+        except HistoryGoneError:
+            rows, _ = await self._source.read_table(self._table)
+            is_snapshot = True
+        self._apply_rows(rows, is_snapshot, self._outage_since_ms is not None)
+
     async def _read(self) -> list[Any]:
         if self._last_version is None:
             rows, self._last_version = await self._source.read_table(self._table)
--- a/packages/fennelhilld/src/fennelhilld/fleet/roster.py
+++ b/packages/fennelhilld/src/fennelhilld/fleet/roster.py
@@ -29,15 +29,27 @@
         Source of time.
     """
 
-    __slots__ = ("_clock", "_silent_since_ms", "_zones", "addresses", "change_count")
+    __slots__ = (
+        "_clock",
+        "_removed",
+        "_silent_since_ms",
+        "addresses",
+        "change_count",
+        "version",
+        "zones",
+    )
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self.addresses: dict[str, str] = {}
-        self._zones: dict[str, str] = {}
+        self.zones: dict[str, str] = {}
         # Number of hosts added and removed so far.
         self.change_count = 0
+        # The store's version of the newest change to the list that is known.
+        self.version = 0
         self._silent_since_ms: dict[str, float] = {}
+        # Address and time of removal of hosts that are no longer listed.
+        self._removed: dict[str, tuple[str, float]] = {}
 
     def __len__(self) -> int:
         return len(self.addresses)
@@ -56,7 +68,7 @@
         """
         self.change_count += name not in self.addresses
         self.addresses[name] = address
-        self._zones[name] = zone
+        self.zones[name] = zone
         self._silent_since_ms.pop(name, None)
 
     def remove(self, name: str) -> None:
@@ -68,10 +80,34 @@
             Its name.
         """
         self.change_count += name in self.addresses
+        if name in self.addresses:
+            self._removed[name] = (self.addresses[name], self._clock.now_ms())
         self.addresses.pop(name, None)
-        self._zones.pop(name, None)
+        self.zones.pop(name, None)
         self._silent_since_ms.pop(name, None)
 
+    def recently_listed(self, period_ms: float) -> dict[str, str]:
+        """Return the listed hosts, and those that were removed in a period until now.
+
+        Parameters
+        ----------
+        period_ms : float
+            Length of the period in milliseconds.
+
+        Returns
+        -------
+        dict
+            Address by name.
+        """
+        since_ms = self._clock.now_ms() - period_ms
+        self._removed = {
+            name: removal
+            for name, removal in self._removed.items()
+            if removal[1] >= since_ms
+        }
+        removed = {name: address for name, (address, _) in self._removed.items()}
+        return removed | self.addresses
+
     def keep_only(self, names: set[str]) -> None:
         """Remove all hosts that a snapshot of the list lacks.
 
@@ -101,7 +137,7 @@
             return dict(self.addresses)
         zones: dict[str, list[str]] = {}
         for name in random_state.sample(sorted(self.addresses), len(self.addresses)):
-            zones.setdefault(self._zones[name], []).append(name)
+            zones.setdefault(self.zones[name], []).append(name)
         chosen: list[str] = []
         while len(chosen) < MAX_QUERIED_HOSTS:
             for names in zones.values():
--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -10,6 +10,11 @@
 from fennelhilld.catalog.state import Catalog, CatalogHolder
 from fennelhilld.directory.state import TargetDirectory, TargetEntry
 from fennelhilld.fleet.roster import Roster
+from fennelhilld.leader_lease.fencing import LeaseCollector
+from fennelhilld.leader_lease.renewal import LeaseRenewal
+from fennelhilld.leader_lease.service import HostQueryService
+from fennelhilld.leader_lease.state import LeaderAccess, LeaderLease
+from fennelhilld.leadership.state import Fence, GroupLeadership
 from fennelhilld.links.messages import LinkDriver
 from fennelhilld.links.pool import TargetPool
 from fennelhilld.placement.kept_connections import (
@@ -17,8 +22,8 @@
     keeps_connection,
 )
 from fennelhilld.placement.state import GroupState, TargetState
-from fennelhilld.promotion.messages import ClaimPhase, ClaimRow
-from fennelhilld.promotion.replacement import MAX_WRITE_HOLD_MS, LeaderReplacement
+from fennelhilld.promotion.messages import Claim, ClaimPhase, ClaimRow
+from fennelhilld.promotion.replacement import LeaderReplacement
 from fennelhilld.statements.environment import Environment
 from fennelhilld.statements.session import Session
 
@@ -78,6 +83,21 @@
         self.directory = TargetDirectory()
         self.groups: dict[str, GroupState] = {}
         self.roster = Roster(clock)
+        self.collector = LeaseCollector(self.roster, clock, events)
+        self.replacement = LeaderReplacement(
+            host, self.directory, self.collector, driver, clock, events
+        )
+        lease = LeaderLease(clock)
+        self.renewal = LeaseRenewal(
+            host,
+            zone,
+            lease,
+            self.roster,
+            self.replacement.claims,
+            self.update_claim,
+            clock,
+            events,
+        )
         self.env = Environment(
             zone,
             self.catalog,
@@ -85,10 +105,14 @@
             clock,
             events,
             policies or LoadPolicies.from_config(),
+            LeaderAccess(lease, clock),
+            self.renewal,
         )
-        self.replacement = LeaderReplacement(
-            host, self.directory, driver, clock, events
+        self.host_queries = HostQueryService(
+            self.renewal, self.replacement, self.env.group, self.update_claim, clock
         )
+        self.replacement.apply_claim = self.update_claim
+        self.replacement.give_lease_up = self.host_queries.give_lease_up
         self._driver = driver
         self._clock = clock
         self._events = events
@@ -117,11 +141,13 @@
     def start(self) -> None:
         """Start the periodic checks."""
         self._started_ms = self._clock.now_ms()
+        self.renewal.start()
         self._tasks.spawn(self._tick_forever())
 
     def close(self) -> None:
         """Cancel all tasks and close the pools of all targets."""
         self._tasks.cancel()
+        self.renewal.close()
         self.replacement.prober.close()
         for group in self.groups.values():
             for target in group.targets.values():
@@ -229,7 +255,9 @@
         if after_outage:
             self.directory.restart_grace_periods(now_ms)
 
-    def put_member(self, name: str, address: str, zone: str = "") -> None:
+    def put_member(
+        self, name: str, address: str, zone: str = "", version: int = 0
+    ) -> None:
         """Add or update another host of the fleet.
 
         Parameters
@@ -240,26 +268,31 @@
             ``ip:port`` for connections from other hosts.
         zone : str
             Its availability zone.
+        version : int
+            The store's version of this change.
         """
         if name != self.host:
             self.roster.put(name, address, zone)
+        self.roster.version = max(version, self.roster.version)
 
-    def remove_member(self, name: str) -> None:
+    def remove_member(self, name: str, version: int = 0) -> None:
         """Remove a host that has left the fleet.
 
         Parameters
         ----------
         name : str
             Its name.
+        version : int
+            The store's version of this change.
         """
         self.roster.remove(name)
+        self.roster.version = max(version, self.roster.version)
 
     def update_claim(self, group_name: str, row: ClaimRow) -> None:
         """Store a claim to replace a group's leader if it is newer, and act on it.
 
-        While a planned replacement is in progress, writes to the group are held for
-        up to `MAX_WRITE_HOLD_MS`.  When a replacement is done, the promoted target is
-        taken as the leader.
+        While a claim is open, the group's leader is not used.  When a replacement is
+        done, the promoted target is taken as the leader.
 
         Parameters
         ----------
@@ -274,11 +307,8 @@
         claim = row.claim
         if claim is None:
             return
-        group = self.env.group(group_name)
-        if claim.phase is ClaimPhase.CLAIMED and claim.planned:
-            group.leadership.hold_writes(now_ms + MAX_WRITE_HOLD_MS)
-        elif claim.phase is ClaimPhase.DONE and claim.target in group.targets:
-            group.leadership.set_reported_leader(claim.target, now_ms)
+        leadership = self.env.group(group_name).leadership
+        leadership.claimed = True
         self._events.record(
             "promotion.noticed",
             group=group_name,
@@ -287,6 +317,23 @@
             token=row.version,
             target=claim.target,
         )
+        if claim.phase is ClaimPhase.CLAIMED:
+            leadership.raise_fence(self._fence(row.version, claim, leadership))
+        elif claim.phase is ClaimPhase.DONE:
+            leadership.install_leader(claim.target, claim.term, now_ms)
+        else:
+            if leadership.leader_id is None and claim.previous_leader:
+                leadership.install_leader(
+                    claim.previous_leader, claim.previous_term, now_ms
+                )
+            leadership.lift_fence()
+
+    def _fence(self, version: int, claim: Claim, leadership: GroupLeadership) -> Fence:
+        covered_until_ms = self.env.access.lease.expires_ms
+        if leadership.fence is not None:
+            # The lease that counts is the one from before the first open claim.
+            covered_until_ms = leadership.fence.covered_until_ms
+        return Fence(version, claim.target, claim.previous_term, covered_until_ms)
 
     def fair_share(self, group_name: str) -> int:
         """Return this host's equal share of a target's connections.
@@ -429,7 +476,9 @@
             return
         leadership = group.leadership
         leader = group.leader()
-        suspect = leadership.failing_since_ms is not None
+        suspect = (
+            leadership.failing_since_ms is not None or leadership.fence is not None
+        )
         if leader is None or leader.entry.leaving or suspect:
             self._groups_being_checked.add(group.name)
             self._tasks.spawn(self._check_leader(group))
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/leader_lease/messages.py
@@ -0,0 +1,107 @@
+"""Messages between hosts about leases and claims, sent as datagrams."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+from fennelhilld.promotion.messages import Claim
+
+
+class ProofSource(enum.Enum):
+    """How the queried host gets the proof that it answers with."""
+
+    # It renews its own lease first if the lease is not fresh.
+    RENEWED = "renewed"
+    # It reads the store itself, without asking other hosts.
+    STORE = "store"
+    # It only confirms which claims it knows.
+    CONFIRMATION = "confirmation"
+
+
+class GroupClaim(msgspec.Struct, frozen=True):
+    """A claim row with the group that it belongs to."""
+
+    group: str
+    version: int
+    claim: Claim | None
+
+
+class LeaseQuery(msgspec.Struct, tag="lease_query", frozen=True):
+    """Asks a host for a proof of which claims are in force.
+
+    Parameters
+    ----------
+    source : ProofSource
+        How the host gets the proof.
+    claims_version : int
+        The asking host knows every claim up to this version of the store.
+    members_version : int
+        Version of the newest change to the list of hosts that the asking host knows.
+    """
+
+    source: ProofSource
+    claims_version: int
+    members_version: int
+
+
+class LeaseAnswer(msgspec.Struct, tag="lease_answer", frozen=True):
+    """Answers a `LeaseQuery`.
+
+    Parameters
+    ----------
+    granted : bool
+        Whether the host has a proof, or confirms.
+    age_ms : float
+        Age of the proof when the answer was sent; 0 for a confirmation.
+    claims_version : int
+        The host knows every claim up to this version of the store.
+    claims : list of GroupClaim
+        The claims that it knows and the asking host may not, oldest first.
+    complete : bool
+        Whether those are all; if not, the proof must not be used.
+    """
+
+    granted: bool
+    age_ms: float = 0.0
+    claims_version: int = 0
+    claims: list[GroupClaim] = []
+    complete: bool = True
+
+
+class FenceOrder(msgspec.Struct, tag="fence_order", frozen=True):
+    """Tells a host about a claim, and asks it to give its lease on the group up."""
+
+    row: GroupClaim
+
+
+class FenceAnswer(msgspec.Struct, tag="fence_answer", frozen=True):
+    """Says whether the host has given its lease on the group up."""
+
+    given_up: bool
+
+
+class DemotionOrder(msgspec.Struct, tag="demotion_order", frozen=True):
+    """Asks a host to demote a leader that the sender can't reach.
+
+    Parameters
+    ----------
+    row : GroupClaim
+        The claim under which the leader is replaced.
+    target_id : str
+        The leader.
+    """
+
+    row: GroupClaim
+    target_id: str
+
+
+class DemotionAnswer(msgspec.Struct, tag="demotion_answer", frozen=True):
+    """Says whether the target has confirmed that it does not lead."""
+
+    demoted: bool
+
+
+HostQuery = LeaseQuery | FenceOrder | DemotionOrder
+HostAnswer = LeaseAnswer | FenceAnswer | DemotionAnswer
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/leader_lease/renewal.py
@@ -0,0 +1,458 @@
+"""Renewal of a host's lease: from the store, from one host, or from most hosts."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import xxhash
+from fennelhill_core.clock import MS_PER_S, Clock
+from fennelhill_core.events import EventLog
+from fennelhill_core.platform import StoreUnavailableError
+from fennelhill_core.tasks import Tasks
+
+from fennelhilld.fleet.roster import Roster
+from fennelhilld.leader_lease.messages import (
+    GroupClaim,
+    HostAnswer,
+    HostQuery,
+    LeaseAnswer,
+    LeaseQuery,
+    ProofSource,
+)
+from fennelhilld.leader_lease.state import LEASE_MS, LeaderLease
+from fennelhilld.promotion.claims import ClaimCache
+from fennelhilld.promotion.messages import ClaimRow, ClaimStore
+
+# A lease that is used is renewed at this age.  What remains of it covers a store that
+# is slow (some 400 ms) and the queries to other hosts after it.
+RENEWAL_AGE_MS = 600.0
+# A host answers with its own proof up to this age, and renews an older one first.  It
+# bounds how often the store is read, however many hosts ask.
+FRESH_AGE_MS = 250.0
+# A queried host that renews its own lease answers with what it has after this time.
+SHARED_RENEWAL_MS = 80.0
+# A host of the same region answers within some milliseconds, after a renewal of its
+# own within `SHARED_RENEWAL_MS`.
+HOST_QUERY_MS = 130.0
+# If the store has not answered after this time, other hosts are asked too.
+STORE_HEAD_START_MS = 120.0
+STORE_LIMIT_MS = 700.0  # beyond the answers of a slow store; then no use for a lease
+# The store is not read again for this long after it failed: calls are priced.
+STORE_RETRY_MS = 1_000.0
+# A host that did not answer is passed over for this long.
+HOST_RETRY_MS = 2_000.0
+RETRY_MS = 150.0  # between attempts while the lease can't be renewed
+# A proof is good enough if the lease it gives lasts at least this long.
+MIN_REMAINING_MS = 300.0
+# A lease that was not needed for this long is no longer renewed.
+UNUSED_AFTER_MS = 3_000.0
+# Hosts of each zone that are asked to read the store if this host can't.
+HELPERS_PER_ZONE = 2
+CHECK_INTERVAL_MS = 100.0
+# Bounds the size of a datagram; the rest follows with the next query.
+MAX_CLAIMS_PER_ANSWER = 8
+
+
+class PeerQueries(Protocol):
+    """Sends queries to other hosts."""
+
+    async def ask(
+        self, address: str, query: HostQuery, limit_ms: float
+    ) -> HostAnswer | None:
+        """Send a query; return the answer, or None if none came in time."""
+
+
+def lease_sources(host: str, zone: str, zones: dict[str, str]) -> list[str]:
+    """Return the hosts that a host asks for a proof before it reads the store.
+
+    The first host of each zone, in an order that all hosts compute alike, asks the
+    first host of the first zone; the other hosts of a zone ask its first one.  So the
+    number of reads does not grow with the number of hosts.
+
+    Parameters
+    ----------
+    host : str
+        The host.
+    zone : str
+        Its availability zone.
+    zones : dict
+        Zone by name of the other hosts.
+
+    Returns
+    -------
+    list of str
+        At most two; the second is asked if the first does not answer.
+    """
+    zone_mates = sorted(
+        [host, *(name for name, other in zones.items() if other == zone)], key=_rank
+    )
+    if zone_mates[0] != host:
+        return zone_mates[: min(2, zone_mates.index(host))]
+    by_zone: dict[str, list[str]] = {zone: [host]}
+    for name, other_zone in zones.items():
+        by_zone.setdefault(other_zone, []).append(name)
+    first_hosts = [
+        min(names, key=_rank)
+        for _, names in sorted(by_zone.items(), key=lambda item: _rank(item[0]))
+    ]
+    return first_hosts[: min(2, first_hosts.index(host))]
+
+
+def is_majority(confirming: int, listed: int) -> bool:
+    """Return whether hosts are more than half of those that are listed.
+
+    Parameters
+    ----------
+    confirming : int
+        Number of hosts, this one included.
+    listed : int
+        Number of listed hosts, this one included.
+
+    Returns
+    -------
+    bool
+        Whether any two such sets of hosts have one in common.
+    """
+    return 2 * confirming > listed
+
+
+class LeaseRenewal:
+    """Renews a host's lease while it is used.
+
+    A proof is the store's list of claims, read by this host or by another one that
+    passes it on with its age.  If no host that can be reached reads the store, more
+    than half of all hosts must confirm that they know no other claim.  That is enough
+    because a promotion is ordered only after more than half of them knew its claim.
+
+    Parameters
+    ----------
+    host : str
+        This host.
+    zone : str
+        Its availability zone.
+    lease : LeaderLease
+        The lease.
+    roster : Roster
+        The other hosts.
+    claims : ClaimCache
+        The known claims.
+    apply_claim : callable
+        Called with the group and row of a claim that another host has sent.
+    clock : Clock
+        Source of time.
+    events : EventLog
+        Records when the lease is lost and regained.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        zone: str,
+        lease: LeaderLease,
+        roster: Roster,
+        claims: ClaimCache,
+        apply_claim: Callable[[str, ClaimRow], None],
+        clock: Clock,
+        events: EventLog,
+    ) -> None:
+        self.lease = lease
+        self.store: ClaimStore | None = None
+        self.peers: PeerQueries | None = None
+        # A host that is not listed may hold no lease: it would not be asked to give
+        # it up.
+        self.registered = False
+        # Whether the last renewal has failed.
+        self.failing = False
+        self.renewal_count = 0
+        self.failure_count = 0
+        self._host = host
+        self._zone = zone
+        self._roster = roster
+        self._claims = claims
+        self._apply_claim = apply_claim
+        self._clock = clock
+        self._events = events
+        self._random = random.Random(host)
+        self._used_ms = float("-inf")
+        self._renewal: asyncio.Task[bool] | None = None
+        self._store_failed_ms = float("-inf")
+        self._silent_since_ms: dict[str, float] = {}
+        self._helper = ""
+        self._sources: tuple[int, list[str]] = (-1, [])
+        self._tasks = Tasks()
+
+    def start(self) -> None:
+        """Start to renew the lease while it is used."""
+        self._tasks.spawn(self._run())
+
+    def close(self) -> None:
+        """Cancel all tasks."""
+        self._tasks.cancel()
+
+    async def ensure(self, limit_ms: float) -> bool:
+        """Renew the lease if it has expired, and return whether it is valid.
+
+        Parameters
+        ----------
+        limit_ms : float
+            Longest wait in milliseconds.
+
+        Returns
+        -------
+        bool
+            False if it could not be renewed in time.
+        """
+        self.use()
+        if self._valid():
+            return True
+        await self._wait_for_renewal(limit_ms)
+        return self._valid()
+
+    def use(self) -> None:
+        """Record that the lease is needed."""
+        self._used_ms = self._clock.now_ms()
+
+    async def answer(self, query: LeaseQuery) -> LeaseAnswer:
+        """Answer another host's query for a proof.
+
+        Parameters
+        ----------
+        query : LeaseQuery
+            The query.
+
+        Returns
+        -------
+        LeaseAnswer
+            The proof of this host, if it has one.
+        """
+        if query.source is ProofSource.CONFIRMATION:
+            # A host that knows a newer list may count other hosts as a majority.
+            current = query.members_version >= self._roster.version
+            return self._reply(query, current, 0.0)
+        if self.lease.age_ms > FRESH_AGE_MS:
+            if query.source is ProofSource.STORE:
+                await self._read_store()
+            else:
+                self.use()
+                await self._wait_for_renewal(SHARED_RENEWAL_MS)
+        return self._reply(query, self._valid(), self.lease.age_ms)
+
+    def _reply(self, query: LeaseQuery, granted: bool, age_ms: float) -> LeaseAnswer:
+        newer = self._claims.newer_than(query.claims_version)
+        sent = newer[:MAX_CLAIMS_PER_ANSWER]
+        return LeaseAnswer(
+            granted,
+            age_ms if granted else 0.0,
+            self._claims.complete_version,
+            [GroupClaim(group, row.version, row.claim) for group, row in sent],
+            len(sent) == len(newer),
+        )
+
+    def _valid(self) -> bool:
+        return self.lease.valid_at(self._clock.boottime_ms())
+
+    async def _run(self) -> None:
+        while True:
+            await self._clock.sleep_ms(CHECK_INTERVAL_MS)
+            unused_ms = self._clock.now_ms() - self._used_ms
+            if unused_ms > UNUSED_AFTER_MS or self.lease.age_ms < RENEWAL_AGE_MS:
+                continue
+            if not await self._renew_once():
+                await self._clock.sleep_ms(RETRY_MS)
+
+    async def _wait_for_renewal(self, limit_ms: float) -> None:
+        renewal = asyncio.ensure_future(self._renew_once())
+        await asyncio.wait({renewal}, timeout=max(0.0, limit_ms) / MS_PER_S)
+
+    async def _renew_once(self) -> bool:
+        """Renew the lease, or wait for the renewal in progress."""
+        if self._renewal is None or self._renewal.done():
+            self._renewal = self._tasks.spawn(self._renew())
+        return await asyncio.shield(self._renewal)
+
+    async def _renew(self) -> bool:
+        if not self.registered:
+            return False
+        had_lease = self._valid()
+        renewed = await self._try_sources()
+        self.renewal_count += renewed
+        self.failure_count += not renewed
+        if renewed == self.failing:
+            self.failing = not renewed
+            self._events.record(
+                "lease.renewed" if renewed else "lease.not_renewed",
+                source=self.lease.source,
+                age_ms=_finite(self.lease.age_ms),
+                hosts=len(self._roster) + 1,
+            )
+        elif not had_lease and renewed:
+            self._events.record(
+                "lease.acquired",
+                source=self.lease.source,
+                age_ms=_finite(self.lease.age_ms),
+            )
+        return renewed
+
+    async def _try_sources(self) -> bool:
+        refused = False
+        for name in self._lease_sources():
+            answer, sent_ms = await self._ask(name, ProofSource.RENEWED)
+            if answer is not None and self._use_answer(answer, sent_ms, name):
+                return True
+            refused = refused or answer is not None
+        reading = asyncio.ensure_future(self._read_store())
+        await asyncio.wait({reading}, timeout=STORE_HEAD_START_MS / MS_PER_S)
+        if reading.done() and reading.result():
+            return True
+        # A host that has refused has asked the others.
+        if not refused and (
+            await self._ask_helpers() or await self._ask_for_confirmation()
+        ):
+            return True
+        return await reading
+
+    def _lease_sources(self) -> list[str]:
+        if self._sources[0] != self._roster.change_count:
+            names = lease_sources(self._host, self._zone, self._roster.zones)
+            self._sources = (self._roster.change_count, names)
+        since_ms = self._clock.now_ms() - HOST_RETRY_MS
+        return [
+            name
+            for name in self._sources[1]
+            if self._silent_since_ms.get(name, float("-inf")) < since_ms
+        ]
+
+    async def _read_store(self) -> bool:
+        """Read all claims from the store."""
+        started_ms = self._clock.now_ms()
+        if self.store is None or started_ms < self._store_failed_ms + STORE_RETRY_MS:
+            return False
+        sent_ms = self._clock.boottime_ms()
+        try:
+            async with asyncio.timeout(STORE_LIMIT_MS / MS_PER_S):
+                await self.store.refresh()
+        except (StoreUnavailableError, TimeoutError):
+            self._store_failed_ms = self._clock.now_ms()
+            return False
+        self.lease.extend(sent_ms, "store")
+        return self._lasts()
+
+    async def _ask_helpers(self) -> bool:
+        """Ask some hosts of each zone to read the store."""
+        names = self._helpers()
+        queries = [self._grant(name, ProofSource.STORE) for name in names]
+        self._helper = await _first_result(queries) or ""
+        return bool(self._helper)
+
+    def _helpers(self) -> list[str]:
+        if self._helper in self._roster.addresses:
+            helper, self._helper = self._helper, ""
+            return [helper, *self._helpers()]
+        by_zone: dict[str, list[str]] = {}
+        shuffled = list(self._roster.addresses)
+        self._random.shuffle(shuffled)
+        for name in shuffled:
+            by_zone.setdefault(self._roster.zones[name], []).append(name)
+        return [name for names in by_zone.values() for name in names[:HELPERS_PER_ZONE]]
+
+    async def _grant(self, name: str, source: ProofSource) -> str:
+        """Return a host's name if its answer extends the lease, else an empty text."""
+        answer, sent_ms = await self._ask(name, source)
+        if answer is not None and self._use_answer(answer, sent_ms, name):
+            return name
+        return ""
+
+    async def _ask_for_confirmation(self) -> bool:
+        """Ask all hosts which claims they know; more than half must confirm."""
+        sent_ms = self._clock.boottime_ms()
+        names = list(self._roster.addresses)
+        listed = len(names) + 1
+        confirming = 1
+        pending = {
+            asyncio.ensure_future(self._ask(name, ProofSource.CONFIRMATION))
+            for name in names
+        }
+        while pending and not is_majority(confirming, listed):
+            done, pending = await asyncio.wait(
+                pending, return_when=asyncio.FIRST_COMPLETED
+            )
+            for query in done:
+                answer, _ = query.result()
+                confirming += answer is not None and self._apply(answer)
+        for query in pending:
+            query.cancel()
+        if not is_majority(confirming, listed):
+            return False
+        self.lease.extend(sent_ms, "most hosts")
+        return self._lasts()
+
+    async def _ask(
+        self, name: str, source: ProofSource
+    ) -> tuple[LeaseAnswer | None, float]:
+        """Return a host's answer, and when the query was sent."""
+        address = self._roster.addresses.get(name)
+        if self.peers is None or address is None:
+            return None, 0.0
+        query = LeaseQuery(source, self._claims.complete_version, self._roster.version)
+        sent_ms = self._clock.boottime_ms()
+        answer = await self.peers.ask(address, query, HOST_QUERY_MS)
+        if not isinstance(answer, LeaseAnswer):
+            self._silent_since_ms[name] = self._clock.now_ms()
+            return None, sent_ms
+        self._silent_since_ms.pop(name, None)
+        return answer, sent_ms
+
+    def _use_answer(self, answer: LeaseAnswer, sent_ms: float, name: str) -> bool:
+        """Extend the lease by a host's proof; return whether it then lasts.
+
+        The proof's age is counted from the sending of the query.  That is too early
+        by the time until the host answered, and right however late the answer is read.
+        """
+        if not self._apply(answer):
+            return False
+        self.lease.extend(sent_ms - answer.age_ms, name)
+        return self._lasts()
+
+    def _apply(self, answer: LeaseAnswer) -> bool:
+        """Apply the claims in an answer; return whether it proves that these are all.
+
+        They are applied also if the answer grants nothing.
+        """
+        for row in answer.claims:
+            self._apply_claim(row.group, ClaimRow(row.version, row.claim))
+        if not answer.complete:
+            # The next query continues after the last of these.
+            self._claims.raise_complete_version(
+                min(answer.claims[-1].version, answer.claims_version)
+            )
+            return False
+        self._claims.raise_complete_version(answer.claims_version)
+        return answer.granted
+
+    def _lasts(self) -> bool:
+        return self.lease.age_ms < LEASE_MS - MIN_REMAINING_MS
+
+
+async def _first_result(queries: list[Awaitable[str]]) -> str:
+    """Return the first result that is not empty, and cancel the other queries."""
+    tasks = [asyncio.ensure_future(query) for query in queries]
+    try:
+        for task in asyncio.as_completed(tasks):
+            result = await task
+            if result:
+                return result
+        return ""
+    finally:
+        for task in tasks:
+            task.cancel()
+
+
+def _finite(age_ms: float) -> int | None:
+    return None if age_ms == float("inf") else round(age_ms)
+
+
+def _rank(name: str) -> int:
+    return xxhash.xxh64_intdigest(name.encode())
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/leader_lease/service.py
@@ -0,0 +1,126 @@
+"""Answers the queries of other hosts about leases and claims."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+from fennelhill_core.clock import Clock
+
+from fennelhilld.leader_lease.messages import (
+    DemotionAnswer,
+    DemotionOrder,
+    FenceAnswer,
+    FenceOrder,
+    GroupClaim,
+    HostAnswer,
+    HostQuery,
+    LeaseQuery,
+)
+from fennelhilld.leader_lease.renewal import LeaseRenewal
+from fennelhilld.placement.state import GroupState
+from fennelhilld.promotion.messages import ClaimPhase, ClaimRow
+from fennelhilld.promotion.replacement import LeaderReplacement
+
+# Writes in flight when a planned replacement begins are answered within this time;
+# the answers to later ones no longer count, and their outcome is unknown.
+MAX_FLIGHT_MS = 250.0
+FLIGHT_CHECK_MS = 5.0
+
+
+class HostQueryService:
+    """Answers queries of other hosts.
+
+    Parameters
+    ----------
+    renewal : LeaseRenewal
+        Holds this host's lease.
+    replacement : LeaderReplacement
+        Demotes targets.
+    group : callable
+        Returns the state of a group by name.
+    apply_claim : callable
+        Called with the group and row of a claim that another host has sent.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        renewal: LeaseRenewal,
+        replacement: LeaderReplacement,
+        group: Callable[[str], GroupState],
+        apply_claim: Callable[[str, ClaimRow], None],
+        clock: Clock,
+    ) -> None:
+        self._renewal = renewal
+        self._replacement = replacement
+        self._group = group
+        self._apply_claim = apply_claim
+        self._clock = clock
+
+    def handle(self, query: HostQuery) -> HostAnswer | Awaitable[HostAnswer]:
+        """Answer a query.
+
+        Parameters
+        ----------
+        query : HostQuery
+            The query.
+
+        Returns
+        -------
+        HostAnswer or awaitable
+            The answer.
+        """
+        if isinstance(query, LeaseQuery):
+            return self._renewal.answer(query)
+        if isinstance(query, FenceOrder):
+            return self._answer_fence(query)
+        return self._answer_demotion(query)
+
+    async def _answer_fence(self, order: FenceOrder) -> FenceAnswer:
+        return FenceAnswer(await self.give_lease_up(order.row))
+
+    async def give_lease_up(self, row: GroupClaim) -> bool:
+        """Give the lease on a group up for a claim.
+
+        Parameters
+        ----------
+        row : GroupClaim
+            The claim.
+
+        Returns
+        -------
+        bool
+            False if this host knows a newer claim.
+        """
+        group = self._group(row.group)
+        self._apply_claim(row.group, ClaimRow(row.version, row.claim))
+        fence = group.leadership.fence
+        if fence is None or fence.claim_version != row.version:
+            # The replacement is finished, or another host has claimed the group.
+            known = self._replacement.claims.get(row.group)
+            return known.version == row.version
+        if row.claim is not None and row.claim.planned:
+            await self._wait_for_writes(group)
+        fence.covered_until_ms = float("-inf")
+        return True
+
+    async def _answer_demotion(self, order: DemotionOrder) -> DemotionAnswer:
+        row = order.row
+        self._apply_claim(row.group, ClaimRow(row.version, row.claim))
+        known = self._replacement.claims.get(row.group)
+        target = self._group(row.group).targets.get(order.target_id)
+        in_force = (
+            known.version == row.version
+            and known.claim is not None
+            and known.claim.phase is ClaimPhase.CLAIMED
+        )
+        if target is None or not in_force:
+            return DemotionAnswer(False)
+        term = known.claim.previous_term + 1
+        return DemotionAnswer(await self._replacement.demote(target, term))
+
+    async def _wait_for_writes(self, group: GroupState) -> None:
+        deadline_ms = self._clock.now_ms() + MAX_FLIGHT_MS
+        while group.leadership.writes_in_flight and self._clock.now_ms() < deadline_ms:
+            await self._clock.sleep_ms(FLIGHT_CHECK_MS)
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/leader_lease/tests/test_model.py
@@ -0,0 +1,274 @@
+"""A model of a change of leader under leases, checked in every order of steps.
+
+Three hosts.  Host 0 and host 2 replace the leader, one after the other if need be.
+Host 1 sends writes and reads to the old leader.  Any message may be late, any host may
+be suspended between two steps, and host 1 may be cut off from the store, from the
+others or from both: then it just does not take the steps that need them.
+
+Time is modelled by two events.  A lease is marked as old once more than half of the
+hosts have acknowledged the claim; waiting for `LEASE_MS` after that ends all old ones.
+The end of a holder's turn comes before another host may claim.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import pytest
+from fennelhill_bench.explorer import Counterexample, explore
+
+USER = 1  # the host that uses the old leader
+HOLDERS = (0, 2)  # the hosts that may replace it
+MAX_CLAIMS = 2
+NONE, NEW, OLD = "", "new", "old"
+
+
+class Host(NamedTuple):
+    seen: int = 0  # newest claim that the host knows
+    acknowledged: int = 0  # newest claim for which it has given its lease up
+    phase: str = "idle"  # of a holder: idle, claimed, fenced, ordered
+    token: int = 0
+    in_turn: bool = False
+
+
+class State(NamedTuple):
+    hosts: tuple = (Host(), Host(), Host())
+    row: int = 0  # version of the claim row in the store
+    lease: str = NONE  # of the user
+    pending: tuple | None = None  # a read of the store: row seen, mark
+    write: str = NONE  # of the user: sent, ran early, ran late
+    majority: int = 0  # newest claim that most hosts have acknowledged
+    waited: int = 0  # newest claim after which the leases were waited for
+    old_leads: bool = True
+    reached: bool = False  # whether the host that ordered it reached the old leader
+    orders: frozenset = frozenset()  # tokens on their way to the platform
+    highest_sent: int = 0
+    promoted: bool = False
+    new_commit: bool = False  # whether a write at the new leader was acknowledged
+    problem: str = ""
+
+
+class Model:
+    """The protocol; a flag that is False removes one of its parts.
+
+    ``wait`` lets a holder wait for leases that were not given up, ``answer_proof``
+    checks the lease again when a write is answered, ``read_proof`` checks it before a
+    read, ``demotion`` demotes the old leader first, ``turn`` ends a holder's right to
+    order before another host may claim, ``majority`` asks more than half of the hosts
+    for a confirmation, ``sent_time`` counts a proof's age from the query, and
+    ``fence_first`` orders the promotion only after the leases have ended.
+    """
+
+    PARTS = (
+        "wait",
+        "answer_proof",
+        "read_proof",
+        "demotion",
+        "turn",
+        "majority",
+        "sent_time",
+        "fence_first",
+    )
+
+    def __init__(self, missing="", ends_at_once=False):
+        for part in self.PARTS:
+            setattr(self, part, part != missing)
+        self.ends_at_once = ends_at_once
+
+    def steps(self, state):
+        yield from self._lease_steps(state)
+        yield from self._write_steps(state)
+        yield from self._platform_steps(state)
+        for number in range(len(state.hosts)):
+            yield from self._learning_steps(state, number)
+        for number in HOLDERS:
+            yield from self._holder_steps(state, number)
+
+    def _lease_steps(self, state):
+        user = state.hosts[USER]
+        if state.lease:
+            yield "the user's lease expires", state._replace(lease=NONE)
+        if state.pending is None:
+            yield (
+                "the user asks the store",
+                state._replace(pending=(state.row, NEW)),
+            )
+        else:
+            row, mark = state.pending
+            following = state._replace(pending=None)
+            if row > user.seen:
+                following = self._learn(following, USER, row)
+            elif user.seen == 0:
+                lease = mark if self.sent_time else NEW
+                following = following._replace(lease=lease)
+            yield "the user gets the store's answer", following
+        agreeing = 1 + sum(state.hosts[number].seen <= user.seen for number in HOLDERS)
+        needed = 2 if self.majority else 1
+        if agreeing >= needed and user.seen == 0:
+            yield "most hosts confirm to the user", state._replace(lease=NEW)
+
+    def _write_steps(self, state):
+        user = state.hosts[USER]
+        usable = user.seen == 0 and bool(state.lease)
+        if usable and not state.write:
+            yield "the user sends a write", state._replace(write="sent")
+        if (usable or (user.seen == 0 and not self.read_proof)) and state.new_commit:
+            yield (
+                "the user sends a read to the old leader",
+                state._replace(problem="a read missed a write at the new leader"),
+            )
+        if state.write == "sent":
+            if not state.old_leads:
+                yield "the old leader refuses the write", state._replace(write=NONE)
+            else:
+                ran = "ran late" if state.promoted else "ran early"
+                following = state._replace(write=ran)
+                if state.promoted and state.reached:
+                    following = following._replace(
+                        problem="a leader that could be demoted ran a late write"
+                    )
+                yield "the old leader runs the write", following
+        elif state.write:
+            counts = bool(state.lease) and user.acknowledged == 0
+            following = state._replace(write=NONE)
+            if state.write == "ran late" and (counts or not self.answer_proof):
+                following = following._replace(
+                    problem="a write at the replaced leader was acknowledged"
+                )
+            yield "the user gets the answer to its write", following
+        if state.promoted and not state.new_commit:
+            yield (
+                "a host writes at the new leader",
+                state._replace(new_commit=True),
+            )
+
+    def _learning_steps(self, state, number):
+        host = state.hosts[number]
+        newest = max(other.seen for other in state.hosts)
+        if host.seen < newest:
+            yield (
+                f"host {number} hears of claim {newest}",
+                self._learn(state, number, newest),
+            )
+        if host.acknowledged < host.seen:
+            following = self._replace_host(state, number, acknowledged=host.seen)
+            if number == USER:
+                following = following._replace(lease=NONE)
+            yield f"host {number} gives its lease up for claim {host.seen}", following
+
+    def _holder_steps(self, state, number):
+        host = state.hosts[number]
+        if host.phase == "idle":
+            other = state.hosts[HOLDERS[1 - HOLDERS.index(number)]]
+            free = not other.in_turn
+            if host.seen == state.row < MAX_CLAIMS and free:
+                token = state.row + 1
+                claimed = self._replace_host(
+                    state._replace(row=token),
+                    number,
+                    seen=token,
+                    acknowledged=token,
+                    phase="claimed",
+                    token=token,
+                    in_turn=True,
+                )
+                yield f"host {number} makes claim {token}", claimed
+            return
+        if host.in_turn:
+            yield (
+                f"the turn of host {number} ends",
+                self._replace_host(state, number, in_turn=False),
+            )
+        if host.phase == "claimed":
+            yield from self._fencing_steps(state, number, host)
+        elif host.phase == "fenced" and (host.in_turn or not self.turn):
+            following = self._replace_host(state, number, phase="ordered")
+            if host.token < state.highest_sent:
+                following = following._replace(problem="an older token was sent")
+            following = following._replace(
+                orders=state.orders | {host.token},
+                highest_sent=max(host.token, state.highest_sent),
+            )
+            yield f"host {number} orders the promotion", following
+            old_leads = state.old_leads and not self.demotion
+            yield (
+                f"host {number} reaches the old leader and orders the promotion",
+                following._replace(reached=True, old_leads=old_leads),
+            )
+
+    def _fencing_steps(self, state, number, host):
+        acknowledging = sum(other.acknowledged >= host.token for other in state.hosts)
+        if acknowledging >= 2 and state.majority < host.token:
+            pending = state.pending
+            yield (
+                f"most hosts have acknowledged claim {host.token}",
+                state._replace(
+                    majority=host.token,
+                    lease=OLD if state.lease else NONE,
+                    pending=None if pending is None else (pending[0], OLD),
+                ),
+            )
+        if state.majority == host.token and state.waited < host.token:
+            lease = NONE if state.lease == OLD else state.lease
+            pending = state.pending
+            if self.sent_time and pending is not None and pending[1] == OLD:
+                pending = None  # The lease that it gives has expired.
+            yield (
+                f"host {number} waits for the other leases to expire",
+                state._replace(waited=host.token, lease=lease, pending=pending),
+            )
+        complete = (
+            acknowledging == len(state.hosts)
+            or state.waited >= host.token
+            or (state.majority >= host.token and not self.wait)
+            or not self.fence_first
+        )
+        if complete:
+            yield (
+                f"host {number} knows that no host uses the old leader",
+                self._replace_host(state, number, phase="fenced"),
+            )
+
+    def _platform_steps(self, state):
+        for token in state.orders:
+            following = state._replace(orders=state.orders - {token}, promoted=True)
+            if self.ends_at_once:
+                following = following._replace(old_leads=False)
+            yield f"the platform carries out the order with token {token}", following
+        if state.promoted and state.old_leads:
+            yield "the old leader notices", state._replace(old_leads=False)
+
+    def _learn(self, state, number, version):
+        return self._replace_host(state, number, seen=version)
+
+    def _replace_host(self, state, number, **changes):
+        hosts = list(state.hosts)
+        hosts[number] = hosts[number]._replace(**changes)
+        return state._replace(hosts=tuple(hosts))
+
+
+class TestModel:
+    @pytest.mark.parametrize("ends_at_once", [False, True])
+    def test_keeps_all_promises_in_every_order_of_steps(self, ends_at_once):
+        model = Model(ends_at_once=ends_at_once)
+        assert explore(State(), model.steps, lambda state: state.problem) > 5_000
+
+    @pytest.mark.parametrize(
+        ("missing", "violation"),
+        [
+            ("wait", "was acknowledged|missed a write"),
+            ("answer_proof", "was acknowledged"),
+            ("read_proof", "missed a write"),
+            ("demotion", "ran a late write"),
+            ("turn", "an older token"),
+            ("majority", "was acknowledged|missed a write"),
+            ("sent_time", "was acknowledged|missed a write"),
+            ("fence_first", "was acknowledged|missed a write"),
+        ],
+    )
+    def test_removing_any_part_breaks_a_promise(self, missing, violation):
+        model = Model(missing)
+        with pytest.raises(Counterexample, match=violation) as caught:
+            explore(State(), model.steps, lambda state: state.problem)
+        print(f"without {missing}:\n{caught.value}")
+        assert len(caught.value.steps) >= 3
--- a/packages/fennelhilld/src/fennelhilld/leadership/state.py
+++ b/packages/fennelhilld/src/fennelhilld/leadership/state.py
@@ -3,14 +3,42 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+import contextlib
+from collections.abc import Callable, Iterator
 
+import msgspec
 from fennelhill_core.clock import MS_PER_S
 
 
+class Fence(msgspec.Struct):
+    """Keeps a host from using a leader that is being replaced.
+
+    Parameters
+    ----------
+    claim_version : int
+        Version of the claim to replace the leader.
+    target_id : str
+        The target that is to be promoted.
+    previous_term : int
+        Term of the leader that is being replaced.
+    covered_until_ms : float
+        Until when answers of that leader count, on the clock that also advances while
+        the host is suspended.
+    """
+
+    claim_version: int
+    target_id: str
+    previous_term: int
+    covered_until_ms: float
+
+
 class GroupLeadership:
     """The leader of one group, its term, and whether it currently answers.
 
+    Until a first claim on the group is known, the leader is the target that reports
+    itself as one.  From then on only claims and answers of a newer term change it: a
+    replaced leader may go on reporting that it leads.
+
     Parameters
     ----------
     group : str
@@ -23,13 +51,15 @@
         "_changed",
         "_record_event",
         "changed_ms",
+        "claimed",
         "confirmed_ms",
         "failing_since_ms",
+        "fence",
         "group",
         "leader_id",
         "obstacle",
         "term",
-        "writes_held_until_ms",
+        "writes_in_flight",
     )
 
     def __init__(self, group: str, record: Callable[..., None]) -> None:
@@ -42,7 +72,12 @@
         # When the leader last changed.
         self.changed_ms = float("-inf")
         self.failing_since_ms: float | None = None
-        self.writes_held_until_ms = 0.0
+        # Whether a claim on the group has been seen.
+        self.claimed = False
+        # Set while a claim is open.
+        self.fence: Fence | None = None
+        # Writes and commits that were sent to the leader and not yet answered.
+        self.writes_in_flight = 0
         # Why a lost leader can't be replaced now; empty if it can.
         self.obstacle = ""
         self._record_event = record
@@ -61,9 +96,7 @@
             When the command or probe that it answered was sent.
         """
         if target_id != self.leader_id:
-            # A late answer of a former leader does not count: its term is older, or
-            # it answers a command sent before the last change of leader.
-            if term < self.term or sent_ms < self.changed_ms:
+            if not self._may_lead(target_id, term, sent_ms):
                 return
             self._change_leader(target_id, term, sent_ms, "answered as the leader")
         self.term = max(self.term, term)
@@ -72,7 +105,10 @@
             self.clear_failure()
 
     def set_reported_leader(self, target_id: str, now_ms: float) -> None:
-        """Follow a leader that the platform's list, a claim or another host names.
+        """Follow a target that reports itself as the leader, or that a host names.
+
+        Once a claim on the group is known this is ignored, except that the target of
+        an open claim has been promoted if it begins to report that it leads.
 
         Parameters
         ----------
@@ -81,9 +117,57 @@
         now_ms : float
             Time on this host's clock.
         """
-        if target_id != self.leader_id:
+        if target_id == self.leader_id:
+            return
+        if self.fence is not None and self.fence.target_id == target_id:
+            self.install_leader(target_id, self.fence.previous_term + 1, now_ms)
+        elif not self.claimed:
             self._change_leader(target_id, self.term, now_ms, "reported as the leader")
 
+    def install_leader(self, target_id: str, term: int, now_ms: float) -> None:
+        """Follow the leader that a finished claim names.
+
+        Parameters
+        ----------
+        target_id : str
+            The target.
+        term : int
+            The term that it leads; 0 if unknown.
+        now_ms : float
+            Time on this host's clock.
+        """
+        self.fence = None
+        if 0 < term < self.term:
+            # A target with a newer term has answered as the leader since.
+            return
+        if target_id == self.leader_id:
+            self.term = max(term, self.term)
+            self.wake()
+            return
+        self._change_leader(target_id, term, now_ms, "named by a finished claim")
+
+    def raise_fence(self, fence: Fence) -> None:
+        """Stop using the leader because it is being replaced.
+
+        Parameters
+        ----------
+        fence : Fence
+            The fence.
+        """
+        self.fence = fence
+        self._record_event(
+            "leadership.fenced",
+            target=fence.target_id,
+            claim_version=fence.claim_version,
+            before=self.leader_id,
+            term=fence.previous_term,
+        )
+
+    def lift_fence(self) -> None:
+        """Use the leader again because the claim to replace it was abandoned."""
+        self.fence = None
+        self.wake()
+
     def record_not_leading(self, target_id: str, now_ms: float) -> None:
         """Record that a target refused because it does not lead.
 
@@ -126,20 +210,17 @@
         self.failing_since_ms = None
         self.obstacle = ""
 
-    def hold_writes(self, until_ms: float) -> None:
-        """Hold new writes while the leader is being replaced.
-
-        Parameters
-        ----------
-        until_ms : float
-            When the hold ends at the latest; 0 ends it at once.
-        """
-        self.writes_held_until_ms = until_ms
-        if until_ms == 0.0:
-            self._wake()
+    @contextlib.contextmanager
+    def write_in_flight(self) -> Iterator[None]:
+        """Count a write or commit while its answer is awaited."""
+        self.writes_in_flight += 1
+        try:
+            yield
+        finally:
+            self.writes_in_flight -= 1
 
     async def wait_for_change(self, limit_ms: float) -> None:
-        """Wait until the leader changes or a hold is ended early.
+        """Wait until the leader changes or can be used again.
 
         Parameters
         ----------
@@ -153,6 +234,18 @@
         except TimeoutError:
             return
 
+    def _may_lead(self, target_id: str, term: int, sent_ms: float) -> bool:
+        """Return whether an answer of another target than the leader is believed.
+
+        A late answer of a former leader is not: its term is older, or it answers a
+        command sent before the last change of leader.
+        """
+        if self.fence is not None:
+            return target_id == self.fence.target_id and term > self.fence.previous_term
+        if term < self.term or sent_ms < self.changed_ms:
+            return False
+        return term > self.term or not self.claimed or self.leader_id is None
+
     def _change_leader(
         self, target_id: str, term: int, at_ms: float, reason: str
     ) -> None:
@@ -161,7 +254,7 @@
         self.leader_id = target_id
         self.term = max(term, self.term)
         self.clear_failure()
-        self.writes_held_until_ms = 0.0
+        self.fence = None
         self._record_event(
             "leadership.changed",
             target=target_id,
@@ -169,8 +262,9 @@
             term=self.term,
             reason=reason,
         )
-        self._wake()
+        self.wake()
 
-    def _wake(self) -> None:
+    def wake(self) -> None:
+        """Wake requests that wait for the leader."""
         self._changed.set()
         self._changed = asyncio.Event()
--- a/packages/fennelhilld/src/fennelhilld/leadership/tests/test_state.py
+++ b/packages/fennelhilld/src/fennelhilld/leadership/tests/test_state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from fennelhilld.leadership.state import GroupLeadership
+from fennelhilld.leadership.state import Fence, GroupLeadership
 
 
 def leadership():
@@ -53,3 +53,41 @@
         state.record_not_leading("a", 300.0)
         assert state.leader_id is None
         assert state.failing_since_ms == 300.0
+
+
+def fence(version=1, target="b", previous_term=1):
+    return Fence(version, target, previous_term, float("inf"))
+
+
+class TestFence:
+    def test_only_the_claimed_target_in_a_newer_term_ends_it(self):
+        state = leadership()
+        state.confirm_leader("a", 1, 100.0)
+        state.raise_fence(fence())
+        state.confirm_leader("b", 1, 200.0)
+        state.confirm_leader("c", 2, 200.0)
+        assert state.fence is not None
+        state.confirm_leader("b", 2, 200.0)
+        assert (state.fence, state.leader_id, state.term) == (None, "b", 2)
+
+    def test_a_replaced_leader_that_reports_itself_is_not_followed(self):
+        state = leadership()
+        state.claimed = True
+        state.install_leader("b", 2, 100.0)
+        state.set_reported_leader("a", 200.0)
+        state.confirm_leader("a", 1, 300.0)
+        assert state.leader_id == "b"
+
+    def test_an_abandoned_claim_leaves_the_leader(self):
+        state = leadership()
+        state.confirm_leader("a", 1, 100.0)
+        state.raise_fence(fence())
+        state.lift_fence()
+        assert (state.fence, state.leader_id) == (None, "a")
+
+    def test_a_finished_claim_of_an_earlier_term_changes_nothing(self):
+        state = leadership()
+        state.claimed = True
+        state.confirm_leader("c", 3, 100.0)
+        state.install_leader("b", 2, 200.0)
+        assert state.leader_id == "c"
--- a/packages/fennelhilld/src/fennelhilld/links/messages.py
+++ b/packages/fennelhilld/src/fennelhilld/links/messages.py
@@ -23,6 +23,7 @@
     PREPARE = "prepare"
     RESET = "reset"
     STATUS = "status"
+    DEMOTE = "demote"
 
 
 class Command(msgspec.Struct):
@@ -42,6 +43,8 @@
         Whether a prepared statement changes data.
     after : Position or None
         Log position that the target must have applied; otherwise it refuses.
+    term : int
+        In a demotion: a target that leads in an earlier term becomes a replica.
     """
 
     kind: CommandKind
@@ -50,6 +53,7 @@
     value: str = ""
     writes: bool = False
     after: Position | None = None
+    term: int = 0
 
 
 class TargetFault(enum.Enum):
@@ -180,3 +184,9 @@
 
     async def status(self, link: TargetLink) -> TargetStatus | None:
         """Return the target's status, or None if it is busy; raises `LinkLostError`."""
+
+    async def demote(self, link: TargetLink, term: int) -> TargetStatus | None:
+        """Make the target a replica if it leads in an earlier term than the given one.
+
+        Returns its status after that, or None if it is busy; raises `LinkLostError`.
+        """
--- a/packages/fennelhilld/src/fennelhilld/observability/gateway_metrics.py
+++ b/packages/fennelhilld/src/fennelhilld/observability/gateway_metrics.py
@@ -65,6 +65,11 @@
             for event in ("opened", "refused", "too_many", "turned_away", "lost"):
                 count = getattr(pool.counters, event)
                 link_events.set({**target_labels, "event": event}, count)
+    lease_age = gauge("fennelhill_lease_age_ms", "Age of the proof of the lease.")
+    lease_age.set({}, gateway.renewal.lease.age_ms)
+    renewals = gauge("fennelhill_lease_renewals_total", "Renewals of the lease.")
+    renewals.set({"result": "renewed"}, gateway.renewal.renewal_count)
+    renewals.set({"result": "failed"}, gateway.renewal.failure_count)
     version = gauge("fennelhill_catalog_version", "Configuration in force.")
     version.set({}, gateway.catalog.version)
     content, _ = render(registry, [])
--- a/packages/fennelhilld/src/fennelhilld/promotion/messages.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/messages.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
 
 
 class ClaimPhase(enum.Enum):
-    """Whether the holder of a claim has finished the replacement."""
+    """State of a replacement: in progress, finished, or ended with no change."""
 
     CLAIMED = "claimed"
     DONE = "done"
+    ABANDONED = "abandoned"
 
 
 class Claim(msgspec.Struct):
@@ -29,8 +31,14 @@
     phase : ClaimPhase
         Whether the holder has finished the replacement.
     planned : bool
-        Whether the current leader is leaving but still serves; hosts then hold
-        writes during the replacement.
+        Whether the current leader is leaving but still serves.  A host then gives its
+        lease up only when its writes in flight have been answered.
+    previous_leader : str
+        The leader that is being replaced; empty if it is unknown.
+    previous_term : int
+        The newest term known when the claim was made.
+    term : int
+        Term of the new leader; 0 until the replacement is finished.
     """
 
     holder: str
@@ -38,6 +46,9 @@
     target: str
     phase: ClaimPhase = ClaimPhase.CLAIMED
     planned: bool = False
+    previous_leader: str = ""
+    previous_term: int = 0
+    term: int = 0
 
 
 class ClaimRow(msgspec.Struct):
@@ -59,6 +70,9 @@
 class ClaimStore(Protocol):
     """The store of claims; of several concurrent claims at most one succeeds."""
 
+    async def refresh(self) -> None:
+        """Apply all claims and hosts in the store; raises `StoreUnavailableError`."""
+
     async def read_claim(self, group: str) -> ClaimRow:
         """Return a group's claim row; raises `StoreUnavailableError`."""
 
@@ -79,15 +93,25 @@
     REFUSED = "refused"
     UNAVAILABLE = "unavailable"
     NO_ANSWER = "no_answer"
+    NOT_SENT = "not_sent"
 
 
 class PromotionOrders(Protocol):
     """The platform's interface for promoting a target."""
 
     async def promote(
-        self, group: str, target_id: str, holder: str, fencing_token: int
+        self,
+        group: str,
+        target_id: str,
+        holder: str,
+        fencing_token: int,
+        may_send: Callable[[], bool],
     ) -> PromotionResult:
-        """Order the platform to make a target the leader; return its answer."""
+        """Order the platform to make a target the leader; return its answer.
+
+        `may_send` is called right before the order is written to an open connection;
+        if it returns False nothing is sent.
+        """
 
 
 class LeaderView(msgspec.Struct):
--- a/packages/fennelhilld/src/fennelhilld/promotion/probing.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/probing.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
+from functools import partial
+
 import msgspec
 from fennelhill_core.clock import timeout_ms
 from fennelhill_core.events import EventLog
@@ -70,6 +73,31 @@
         ProbeResult
             Whether it answered, and its status if it answered and is not busy.
         """
+        return await self._exchange(target, self._driver.status)
+
+    async def demote(self, target: TargetState, term: int) -> TargetStatus | None:
+        """Order a target that leads in an earlier term to become a replica.
+
+        Parameters
+        ----------
+        target : TargetState
+            The target.
+        term : int
+            The next term.
+
+        Returns
+        -------
+        TargetStatus or None
+            Its status after the order; None if it is busy or did not answer.
+        """
+        command = partial(self._driver.demote, term=term)
+        return (await self._exchange(target, command)).status
+
+    async def _exchange(
+        self,
+        target: TargetState,
+        command: Callable[[TargetLink], Awaitable[TargetStatus | None]],
+    ) -> ProbeResult:
         entry = target.entry
         link = self._links.pop(entry.id, None)
         try:
@@ -78,7 +106,7 @@
                     link = await self._driver.open(
                         entry.group, entry.id, entry.address, STATUS_TIMEOUT_MS
                     )
-                status = await self._driver.status(link)
+                status = await command(link)
         except (LinkLostError, LinkRefusedError, TimeoutError) as error:
             if link is not None:
                 link.close()
--- a/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
@@ -4,12 +4,17 @@
 
 import asyncio
 import secrets
+from collections.abc import Awaitable, Callable
 
+import msgspec
 from fennelhill_core.clock import MS_PER_S, Clock
 from fennelhill_core.events import EventLog
 from fennelhill_core.platform import StoreFault, StoreUnavailableError
+from fennelhill_core.tasks import Tasks
 
 from fennelhilld.directory.state import TargetDirectory
+from fennelhilld.leader_lease.fencing import LeaseCollector
+from fennelhilld.leader_lease.messages import GroupClaim
 from fennelhilld.links.messages import (
     LinkDriver,
     TargetStatus,
@@ -21,7 +26,7 @@
     most_advanced,
     turn_delay_ms,
 )
-from fennelhilld.promotion.claims import ClaimCache
+from fennelhilld.promotion.claims import CLAIM_TURN_MS, ClaimCache
 from fennelhilld.promotion.messages import (
     Claim,
     ClaimPhase,
@@ -45,20 +50,25 @@
 # A promoted target leads some hundred milliseconds after the order.
 PROMOTION_TIMEOUT_MS = 3_000.0
 PROMOTION_POLL_MS = 60.0
-# Writes are held for at most this long during a planned change of leader.
-MAX_WRITE_HOLD_MS = 2_500.0
 # A replica receives the last commits within a round trip.  One that takes longer is
 # cut off from the leader; the most advanced replica that answers is then promoted.
 CATCH_UP_TIMEOUT_MS = 1_000.0
 CATCH_UP_POLL_MS = 15.0
-# Time for a claim to reach the other hosts through the store's feed, after which
-# they hold writes too.
-CLAIM_PROPAGATION_MS = 40.0
 # An order is repeated if the platform is unavailable or does not answer.  That is
 # safe because the fencing token is the same.
 MAX_ORDER_ATTEMPTS = 3
 ORDER_RETRY_DELAY_MS = 150.0
 CLAIM_NONCE_BYTES = 8
+# After a claim has been open for this long its holder may have failed; other hosts then
+# look whether its target leads.
+CLAIM_OVERDUE_MS = 2_000.0
+# An old leader that can be reached is demoted within this time.
+DEMOTION_HEAD_START_MS = 60.0
+# A target that the platform refused to promote is not chosen for this long, unless no
+# other one can be.
+REFUSED_TARGET_MS = 3_000.0
+
+GiveLeaseUp = Callable[[GroupClaim], Awaitable[bool]]
 
 
 class LeaderReplacement:
@@ -69,12 +79,19 @@
     a host whose claim has been replaced.  An order that was refused is never repeated
     with the same token.
 
+    The platform may not check tokens, and the old leader may not notice that it was
+    replaced.  So before the order, no host may have a lease on the old leader any more,
+    and the old leader is demoted if any host reaches it.  An order without an answer
+    may be carried out later; until it is, only its target is promoted if possible.
+
     Parameters
     ----------
     host : str
         This host.
     directory : TargetDirectory
         Targets that the platform lists.
+    collector : LeaseCollector
+        Collects the leases of the other hosts.
     driver : LinkDriver
         Opens the links for status probes.
     clock : Clock
@@ -87,20 +104,27 @@
         self,
         host: str,
         directory: TargetDirectory,
+        collector: LeaseCollector,
         driver: LinkDriver,
         clock: Clock,
         events: EventLog,
     ) -> None:
         self.host = host
         self.claims = ClaimCache()
+        # Applies a claim that this host has written, and gives its own lease up.
+        self.apply_claim: Callable[[str, ClaimRow], None] = lambda group, row: None
+        self.give_lease_up: GiveLeaseUp | None = None
         self.store: ClaimStore | None = None
         self.orders: PromotionOrders | None = None
         self.peers: Peers | None = None
         self._directory = directory
+        self._collector = collector
+        self._refused_ms: dict[str, float] = {}
         self._clock = clock
         self._events = events
         self.reach = FleetReach(clock, events)
         self.prober = TargetProber(driver, events)
+        self._tasks = Tasks()
 
     async def check_leader(self, group: GroupState) -> None:
         """Find the leader of a group, and replace one that is lost or leaving.
@@ -112,6 +136,9 @@
         """
         leader = group.leader()
         started_ms = self._clock.now_ms()
+        if self.claims.held_by_other(group.name, self.host, started_ms):
+            await self._look_for_promoted(group, started_ms)
+            return
         if leader is None or leader.entry.leaving:
             candidates = await self._probe_candidates(group, leader)
             if self._adopt_new_leader(group, candidates, leader, started_ms):
@@ -137,6 +164,18 @@
         if not self._adopt_new_leader(group, candidates, leader, started_ms):
             await self._replace(group, leader, candidates, survey)
 
+    async def _look_for_promoted(self, group: GroupState, now_ms: float) -> None:
+        """Follow the target of an overdue claim if it leads."""
+        if (self.claims.open_for_ms(group.name, now_ms) or 0.0) < CLAIM_OVERDUE_MS:
+            return
+        fence = group.leadership.fence
+        target = group.targets.get(fence.target_id) if fence else None
+        if target is None:
+            return
+        status = await self.status(target)
+        if status is not None and status.leads:
+            group.leadership.confirm_leader(target.entry.id, status.term, now_ms)
+
     def _update_reach(self, queried_ms: float, survey: Survey) -> None:
         if self.peers is not None:
             self.reach.update(queried_ms, len(survey.views), survey.queried)
@@ -156,6 +195,16 @@
             if not result.status.leads:
                 leadership.record_not_leading(leader.entry.id, probed_ms)
                 return False
+            if result.status.term < leadership.term:
+                self._record(
+                    "leadership.term_backwards",
+                    group,
+                    target=leader.entry.id,
+                    reported_term=result.status.term,
+                )
+                return False
+            if leadership.fence is not None:
+                return False
             leadership.confirm_leader(leader.entry.id, result.status.term, probed_ms)
         leadership.clear_failure()
         self._record("leadership.confirmed", group, target=leader.entry.id)
@@ -243,7 +292,25 @@
         if leader is not None and newest.status.term == group.leadership.term:
             return False
         group.leadership.confirm_leader(newest.target_id, newest.status.term, probed_ms)
-        return True
+        return group.leader() is group.targets.get(newest.target_id)
+
+    async def demote(self, target: TargetState, term: int) -> bool:
+        """Make a target a replica if it leads in an earlier term.
+
+        Parameters
+        ----------
+        target : TargetState
+            The target.
+        term : int
+            The next term.
+
+        Returns
+        -------
+        bool
+            Whether the target has confirmed that it does not lead.
+        """
+        status = await self.prober.demote(target, term)
+        return status is not None and not status.leads
 
     async def _replace(
         self,
@@ -276,11 +343,30 @@
         changed = group.leader() is not leader
         if changed or self.claims.held_by_other(name, self.host, now_ms):
             return
-        chosen = most_advanced(eligible)
+        chosen = self._choose(name, eligible)
         if chosen is None:
             return
         await self._claim_and_promote(group, leader, chosen, eligible, planned)
 
+    def _choose(self, name: str, eligible: list[Candidate]) -> Candidate | None:
+        """Choose the target to promote.
+
+        An earlier order to promote the target of an open claim may still be carried
+        out, so that target is preferred as long as it answers.
+        """
+        since_ms = self._clock.now_ms() - REFUSED_TARGET_MS
+        usable = [
+            candidate
+            for candidate in eligible
+            if self._refused_ms.get(candidate.target_id, float("-inf")) < since_ms
+        ] or eligible
+        claim = self.claims.get(name).claim
+        if claim is not None and claim.phase is ClaimPhase.CLAIMED:
+            for candidate in usable:
+                if candidate.target_id == claim.target:
+                    return candidate
+        return most_advanced(usable)
+
     def _fleet_confirms_loss(
         self,
         group: GroupState,
@@ -298,7 +384,10 @@
         newer = [view for view in survey.views if view.term > group.leadership.term]
         if newer:
             newest = max(newer, key=lambda view: view.term)
-            group.leadership.set_reported_leader(newest.leader, self._clock.now_ms())
+            if newest.leader and group.leadership.fence is None:
+                group.leadership.install_leader(
+                    newest.leader, newest.term, self._clock.now_ms()
+                )
             return False
         lost = leader_is_lost(survey, target_id)
         if self.reach.cut_off:
@@ -327,22 +416,40 @@
         eligible: list[Candidate],
         planned: bool,
     ) -> None:
+        leadership = group.leadership
+        known_terms = [candidate.status.term for candidate in eligible]
+        if leadership.fence is not None:
+            known_terms.append(leadership.fence.previous_term)
         claim = Claim(
             self.host,
             secrets.token_hex(CLAIM_NONCE_BYTES),
             chosen.target_id,
             ClaimPhase.CLAIMED,
             planned,
+            leadership.leader_id or "",
+            max([leadership.term, *known_terms]),
         )
+        claimed_ms = self._clock.boottime_ms()
         token = await self._write_claim(group, claim)
         if token is None:
             return
-        group.leadership.obstacle = ""
+        leadership.obstacle = ""
         self._record("promotion.claimed", group, target=chosen.target_id, token=token)
-        if planned and leader is not None:
-            chosen = await self._catch_up(group, leader, eligible) or chosen
+        if not await self._fence(group, claim, token):
+            leadership.obstacle = "too few hosts can be reached to replace it"
+            await self._finish_claim(group, token, claim, ClaimPhase.ABANDONED)
+            return
+        if (
+            planned
+            and leader is not None
+            and not await self._catch_up(group, leader, chosen)
+        ):
+            self._record("promotion.not_caught_up", group, target=chosen.target_id)
+            await self._finish_claim(group, token, claim, ClaimPhase.ABANDONED)
+            return
+        await self._demote_leader(group, leader, claim, token)
         started_ms = self._clock.now_ms()
-        result = await self._order_promotion(group, chosen.target_id, token)
+        result = await self._order_promotion(group, chosen.target_id, token, claimed_ms)
         self._record(
             "promotion.ordered",
             group,
@@ -350,8 +457,9 @@
             token=token,
             result=result.value,
         )
-        if result is not PromotionResult.ACCEPTED:
-            group.leadership.hold_writes(0.0)
+        if result is PromotionResult.REFUSED:
+            self._refused_ms[chosen.target_id] = self._clock.now_ms()
+        if result not in (PromotionResult.ACCEPTED, PromotionResult.NO_ANSWER):
             return
         leads = await self._wait_until_leading(group, chosen.target_id)
         self._record(
@@ -362,18 +470,68 @@
             leads=leads,
             took_ms=round(self._clock.now_ms() - started_ms),
         )
-        claim.phase = ClaimPhase.DONE
-        claim.target = chosen.target_id
+        if leads:
+            claim.term = leadership.term
+            await self._finish_claim(group, token, claim, ClaimPhase.DONE)
+
+    async def _fence(self, group: GroupState, claim: Claim, token: int) -> bool:
+        """Wait until no host may use the old leader; return whether that is certain."""
+        row = GroupClaim(group.name, token, claim)
+        if self.give_lease_up is not None:
+            await self.give_lease_up(row)
+        try:
+            # The list of hosts that this one knows may be older than the claim.
+            await self.store.refresh()
+            list_complete = True
+        except StoreUnavailableError as error:
+            self._record("promotion.hosts_unknown", group, reason=str(error))
+            list_complete = False
+        return (await self._collector.collect(row, list_complete)).complete
+
+    async def _demote_leader(
+        self, group: GroupState, leader: TargetState | None, claim: Claim, token: int
+    ) -> None:
+        """Demote the old leader, through another host if this one can't reach it.
+
+        The order waits only for an old leader that answers at once: no host uses it any
+        more.  Demoted, it also refuses what a suspended host sends after it wakes up.
+        """
+        leader = leader or group.targets.get(claim.previous_leader)
+        if leader is None or leader.entry.id == claim.target:
+            return
+        row = GroupClaim(group.name, token, claim)
+        demotion = self._tasks.spawn(self._demote_somehow(group, leader, row))
+        await asyncio.wait({demotion}, timeout=DEMOTION_HEAD_START_MS / MS_PER_S)
+
+    async def _demote_somehow(
+        self, group: GroupState, leader: TargetState, row: GroupClaim
+    ) -> None:
+        new_term = row.claim.previous_term + 1
+        demoted = await self.demote(leader, new_term)
+        self._record(
+            "promotion.demoted",
+            group,
+            target=leader.entry.id,
+            demoted=demoted,
+            new_term=new_term,
+        )
+        if not demoted:
+            await self._collector.demote_through_others(row, leader.entry.id)
+
+    async def _finish_claim(
+        self, group: GroupState, token: int, claim: Claim, phase: ClaimPhase
+    ) -> None:
+        """Write the end of a replacement, so that all hosts use the leader again."""
+        finished = msgspec.structs.replace(claim, phase=phase)
         try:
-            version = await self.store.swap_claim(group.name, token, claim)
+            version = await self.store.swap_claim(group.name, token, finished)
         except StoreUnavailableError as error:
-            # Other hosts ignore the claim after CLAIM_TAKEOVER_MS and then find the
+            # Other hosts ignore the claim after CLAIM_TAKEOVER_MS and find the
             # new leader by probing.
             self._record("promotion.unannounced", group, reason=str(error))
             return
         if version is not None:
-            row = ClaimRow(version, claim)
-            self.claims.put(group.name, row, self._clock.now_ms())
+            self.apply_claim(group.name, ClaimRow(version, finished))
 
     async def _write_claim(self, group: GroupState, claim: Claim) -> int | None:
         """Write a claim and return its fencing token.
@@ -386,8 +544,7 @@
         try:
             version = await self.store.swap_claim(name, expected, claim)
             if version is None:
-                row = await self.store.read_claim(name)
-                self.claims.put(name, row, self._clock.now_ms())
+                self.apply_claim(name, await self.store.read_claim(name))
                 return None
         except StoreUnavailableError as error:
             self._record("promotion.store_unavailable", group, reason=str(error))
@@ -397,8 +554,7 @@
             if version is None and not claim.planned:
                 group.leadership.obstacle = "the store accepts no claim to replace it"
         if version is not None:
-            row = ClaimRow(version, claim)
-            self.claims.put(name, row, self._clock.now_ms())
+            self.apply_claim(name, ClaimRow(version, claim))
         return version
 
     async def _find_written_claim(self, group: str, claim: Claim) -> int | None:
@@ -410,54 +566,62 @@
             row = await self.store.read_claim(group)
         except StoreUnavailableError:
             return None
-        self.claims.put(group, row, self._clock.now_ms())
+        self.apply_claim(group, row)
         if row.claim is not None and row.claim.nonce == claim.nonce:
             return row.version
         return None
 
     async def _order_promotion(
-        self, group: GroupState, target_id: str, token: int
+        self, group: GroupState, target_id: str, token: int, claimed_ms: float
     ) -> PromotionResult:
-        result = PromotionResult.UNAVAILABLE
+        def may_send() -> bool:
+            held_ms = self._clock.boottime_ms() - claimed_ms
+            in_force = self.claims.get(group.name).version == token
+            return in_force and held_ms < CLAIM_TURN_MS
+
+        result = PromotionResult.NOT_SENT
         for attempt in range(MAX_ORDER_ATTEMPTS):
             if attempt:
                 await self._clock.sleep_ms(ORDER_RETRY_DELAY_MS)
-            if self.claims.get(group.name).version != token:
-                break  # Another host has claimed the group.
-            result = await self.orders.promote(group.name, target_id, self.host, token)
-            if result in (PromotionResult.ACCEPTED, PromotionResult.REFUSED):
+            if not may_send():
+                break  # Another host has claimed the group, or may do so.
+            answer = await self.orders.promote(
+                group.name, target_id, self.host, token, may_send
+            )
+            if answer is PromotionResult.NOT_SENT:
                 break
+            # An order without an answer may still be carried out.
+            if result is not PromotionResult.NO_ANSWER:
+                result = answer
+            if answer in (PromotionResult.ACCEPTED, PromotionResult.REFUSED):
+                return answer
         return result
 
     async def _catch_up(
-        self, group: GroupState, leader: TargetState, eligible: list[Candidate]
-    ) -> Candidate | None:
-        """Hold writes, and wait until a replica has received the leader's whole log.
+        self, group: GroupState, leader: TargetState, chosen: Candidate
+    ) -> bool:
+        """Wait until a replica has received the leader's whole log.
 
-        Returns the most advanced eligible replica that was found, also at a time-out
-        or if the leader gives no status; None if none was found.
+        Returns
+        -------
+        bool
+            False if it has not in time, or if the leader gives no status.
         """
-        group.leadership.hold_writes(self._clock.now_ms() + MAX_WRITE_HOLD_MS)
-        await self._clock.sleep_ms(CLAIM_PROPAGATION_MS)
+        replica = group.targets[chosen.target_id]
         deadline_ms = self._clock.now_ms() + CATCH_UP_TIMEOUT_MS
-        best = None
         while self._clock.now_ms() < deadline_ms:
-            leader_status = await self.status(leader)
-            if leader_status is None:
-                return best
-            candidates = await self._probe_candidates(group, leader)
-            eligible_ids = {candidate.target_id for candidate in eligible}
-            best = most_advanced(
-                [
-                    candidate
-                    for candidate in candidates
-                    if candidate.target_id in eligible_ids
-                ]
+            leader_status, replica_status = await asyncio.gather(
+                self.status(leader), self.status(replica)
             )
-            if best is not None and best.status.received >= leader_status.received:
-                return best
+            if leader_status is None:
+                return False
+            if (
+                replica_status is not None
+                and replica_status.received >= leader_status.received
+            ):
+                return True
             await self._clock.sleep_ms(CATCH_UP_POLL_MS)
-        return best
+        return False
 
     async def _wait_until_leading(self, group: GroupState, target_id: str) -> bool:
         deadline_ms = self._clock.now_ms() + PROMOTION_TIMEOUT_MS
--- a/packages/fennelhilld/src/fennelhilld/statements/environment.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/environment.py
@@ -15,6 +15,8 @@
 from fennelhilld.admission.policies import LoadPolicies
 from fennelhilld.catalog.state import CatalogHolder, Database, ReadKind
 from fennelhilld.freshness.positions import MinimumPosition
+from fennelhilld.leader_lease.renewal import LeaseRenewal
+from fennelhilld.leader_lease.state import LeaderAccess
 from fennelhilld.links.lease import Exchange, Lease
 from fennelhilld.links.messages import LinkRefusedError, TargetAnswer, TargetFault
 from fennelhilld.links.state import SessionContext
@@ -43,6 +45,11 @@
 # A missing answer counts as a failure of the target only if its time-out was at least
 # this long: a queue in the target takes 100 to 150 ms.
 MIN_ANSWER_TIME_MS = 250.0
+# Longest wait of a statement for the first lease of a host, or for a new one after an
+# expiry.  A renewal takes some milliseconds; one that fails is known by then.
+LEASE_WAIT_MS = 400.0
+# Longest wait of an answered write for the proof that its answer counts.
+ANSWER_PROOF_WAIT_MS = 250.0
 # Suggested delay before a retry, by number of the result code.  A promotion takes a
 # little over a second, a queue in a target or for a link some tens of milliseconds;
 # another host can be tried at once.
@@ -51,6 +58,7 @@
     codes.OVERLOADED.number: 50,
     codes.CONNECTIONS_EXHAUSTED.number: 100,
     codes.OWNER_UNREACHABLE.number: 0,
+    codes.LEADER_UNPROVEN.number: 0,
 }
 
 
@@ -71,6 +79,10 @@
         Log of decisions.
     policies : LoadPolicies
         Policies for queueing, load shedding and placement.
+    access : LeaderAccess
+        Decides whether a group's leader may be used.
+    renewal : LeaseRenewal
+        Renews the lease under which leaders are used.
     """
 
     def __init__(
@@ -81,6 +93,8 @@
         clock: Clock,
         events: EventLog,
         policies: LoadPolicies,
+        access: LeaderAccess,
+        renewal: LeaseRenewal,
     ) -> None:
         self.zone = zone
         self.catalog = catalog
@@ -88,6 +102,8 @@
         self.clock = clock
         self.events = events
         self.policies = policies
+        self.access = access
+        self.renewal = renewal
         self.counters = StatementCounters()
         self.response_times = ResponseTimes()
         self.leaving = False
@@ -129,10 +145,12 @@
         Returns
         -------
         bool
-            True if the leader is lost or unknown while this host is cut off from the
-            fleet, or if it has been lost for `FAIL_FAST_AFTER_MS` and can't be
-            replaced now.
+            True if this host has no lease and could not renew it, if the leader is
+            lost or unknown while this host is cut off from the fleet, or if it has
+            been lost for `FAIL_FAST_AFTER_MS` and can't be replaced now.
         """
+        if self._lease_lost():
+            return True
         leadership = group.leadership
         if leadership.failing_since_ms is None and group.leader() is not None:
             return False
@@ -158,6 +176,9 @@
         detail : str
             Human-readable reason, with advice if there is something to try.
         """
+        if self._lease_lost():
+            detail = "this host can't prove that the leader still leads; connect again"
+            return codes.LEADER_UNPROVEN, detail
         if self.is_cut_off():
             detail = "this host is cut off from the leader; connect again"
             return codes.OWNER_UNREACHABLE, detail
@@ -181,7 +202,90 @@
             The failure.
         """
         code, detail = self.leader_unavailable_reason(group)
-        return self.refuse(statement, code, detail, group=group.name)
+        return self.refuse(
+            statement, code, detail, group=group.name, **self.lease_inputs(group)
+        )
+
+    def lease_inputs(self, group: GroupState) -> dict[str, object]:
+        """Return what decides whether a leader may be used, for a log line.
+
+        Parameters
+        ----------
+        group : GroupState
+            The group.
+
+        Returns
+        -------
+        dict
+            The leader and its term, age and source of the lease's proof, and the
+            version of the open claim, if any.
+        """
+        leadership = group.leadership
+        lease = self.access.lease
+        return {
+            "leader": leadership.leader_id,
+            "leader_term": leadership.term,
+            "lease_age_ms": _round_finite(lease.age_ms),
+            "lease_source": lease.source,
+            "open_claim": leadership.fence and leadership.fence.claim_version,
+        }
+
+    def _lease_lost(self) -> bool:
+        return self.renewal.failing and not self.access.lease.valid_at(
+            self.clock.boottime_ms()
+        )
+
+    async def leader_usable(self, group: GroupState, limit_ms: float) -> bool:
+        """Return whether the leader may be used now, after a renewal if necessary.
+
+        If it may not, this first waits for the lease or for a change of the leader.
+
+        Parameters
+        ----------
+        group : GroupState
+            The group.
+        limit_ms : float
+            Longest wait in milliseconds.
+
+        Returns
+        -------
+        bool
+            Whether writes and current reads may be sent to the leader now.
+        """
+        self.renewal.use()
+        if self.access.may_send(group):
+            return True
+        if group.leader() is None or group.leadership.fence is not None:
+            limit_ms = min(limit_ms, LEADER_RECHECK_MS)
+            await group.leadership.wait_for_change(limit_ms)
+        elif not await self.renewal.ensure(min(limit_ms, LEASE_WAIT_MS)):
+            await self.clock.sleep_ms(min(limit_ms, BUSY_RETRY_DELAY_MS))
+        return self.access.may_send(group)
+
+    async def answer_counts(self, group: GroupState, target: TargetState) -> bool:
+        """Return whether a write that a target has just answered is committed for good.
+
+        The answer counts if the target is proven to have led the group until now.
+
+        Parameters
+        ----------
+        group : GroupState
+            The group.
+        target : TargetState
+            The target.
+
+        Returns
+        -------
+        bool
+            False if the target may have been replaced before it committed.
+        """
+        answered_ms = self.clock.boottime_ms()
+        if self.access.covers(group, target.entry.id, answered_ms):
+            return True
+        if group.leadership.fence is None:
+            # The next proof may show that no claim was made until the answer.
+            await self.renewal.ensure(ANSWER_PROOF_WAIT_MS)
+        return self.access.covers(group, target.entry.id, answered_ms)
 
     def wait_failure_code(self, group: GroupState) -> Code:
         """Return the result code of a statement that could not be sent in time.
@@ -321,7 +425,10 @@
         answer : TargetAnswer
             The answer.
         """
-        if answer.position is None:
+        if answer.position is None or not self.access.covers(
+            group, target.entry.id, exchange.sent_boottime_ms
+        ):
+            # A leader that may have been replaced says nothing about newer commits.
             return
         group.freshness.add_sample(exchange.sent_boottime_ms, answer.position)
         group.leadership.confirm_leader(
--- a/packages/fennelhilld/src/fennelhilld/statements/execution.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/execution.py
@@ -180,6 +180,10 @@
                 break
             if lease is None or target is None:
                 continue
+            if not env.access.may_send(group):
+                # Lost during the wait for a link.
+                lease.release()
+                continue
             if deadline_ms - env.clock.now_ms() < MIN_WRITE_TIME_MS:
                 # The answer could miss the deadline, and the outcome would be unknown.
                 lease.release()
@@ -190,7 +194,9 @@
             )
             left_ms = deadline_ms - env.clock.now_ms()
             try:
-                exchange = await lease.exchange(commands, left_ms)
+                with group.leadership.write_in_flight():
+                    exchange = await lease.exchange(commands, left_ms)
+                    counts = await env.answer_counts(group, target)
             except LinkLostError as error:
                 lease.release()
                 env.record_lost_link(target, lease, str(error), left_ms)
@@ -207,6 +213,9 @@
                 )
             lease.release()
             answer = exchange.answers[0]
+            if answer.fault is None and not counts:
+                self.positions.unknown_outcomes.add(group.name)
+                return self.refuse_unproven_answer(statement, group, target)
             if answer.fault is None:
                 env.counters.served += 1
                 env.counters.writes += 1
@@ -228,6 +237,34 @@
             statement, code, last_failure, group=group.name, retry_ms=retry_ms
         )
 
+    def refuse_unproven_answer(
+        self, statement: Statement, group: GroupState, target: TargetState
+    ) -> Reply:
+        """Report that the outcome of an answered write or commit is unknown.
+
+        Parameters
+        ----------
+        statement : Statement
+            The statement.
+        group : GroupState
+            The group.
+        target : TargetState
+            The target that answered.
+
+        Returns
+        -------
+        Reply
+            The failure.
+        """
+        return self.env.refuse(
+            statement,
+            codes.ANSWER_UNPROVEN,
+            "the target answered, but may have been replaced before that",
+            group=group.name,
+            target=target.entry.id,
+            **self.env.lease_inputs(group),
+        )
+
     async def lease_leader_link(
         self, group: GroupState, request: QueuedRequest
     ) -> tuple[Lease | None, TargetState | None]:
@@ -243,10 +280,10 @@
         Returns
         -------
         lease : Lease or None
-            None if the leader is unknown, being replaced or unreachable; the call
-            has then waited up to `LEADER_RECHECK_MS` for a change.
+            None if the leader is unknown, being replaced, not proven to lead or
+            unreachable; the call has then waited for a change.
         target : TargetState or None
-            The leader; None if it is unknown or being replaced.
+            The leader; None if it may not be used.
 
         Raises
         ------
@@ -254,12 +291,10 @@
             If no link became available in time, or none is expected to.
         """
         env = self.env
-        leader = group.leader()
         left_ms = request.give_up_ms - env.clock.now_ms()
-        writes_held = env.clock.now_ms() < group.leadership.writes_held_until_ms
-        if leader is None or writes_held:
-            await group.leadership.wait_for_change(min(left_ms, LEADER_RECHECK_MS))
+        if not await env.leader_usable(group, left_ms):
             return None, None
+        leader = group.leader()
         lease = await env.lease_link(leader, self.context, request)
         if lease is None:
             left_ms = min(
--- a/packages/fennelhilld/src/fennelhilld/statements/reading.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/reading.py
@@ -112,6 +112,9 @@
             target = self._runner.choose_reader(group, self._database, self._tried)
             if target in (None, group.leader()) and env.leader_unavailable(group):
                 return env.refuse_leader_unavailable(self._statement, group)
+            minimum = self._runner.minimum_position(group, self._database)
+            if minimum is None and not await env.leader_usable(group, left_ms):
+                continue
             if target is None:
                 if self._wait_until_deadline and self._min_expected_wait_ms is not None:
                     break
@@ -139,6 +142,10 @@
         self._wait_until_deadline = self._min_expected_wait_ms is not None
         self._min_expected_wait_ms = None
 
+    def _may_use_leader(self, target: TargetState) -> bool:
+        env, group = self._env, self._group
+        return group.leader() is target and env.access.may_send(group)
+
     async def _try_target(self, target: TargetState, left_ms: float) -> Reply | None:
         """Send the read to a target; return None if another one must be tried."""
         limit_ms = (
@@ -180,7 +187,7 @@
         env = self._env
         # Computed here because the wait for the link has taken time.
         minimum = self._runner.minimum_position(self._group, self._database)
-        if minimum is None and self._group.leader() is not target:
+        if minimum is None and not self._may_use_leader(target):
             lease.release()
             return None
         left_ms = self._left_ms()
@@ -208,24 +215,12 @@
     async def _exchange(
         self, lease: Lease, minimum: MinimumPosition | None, left_ms: float
     ) -> Exchange:
-        """Run the read; the first answer is that of the read or of a refused BEGIN."""
         name = self._shape.link_name if self._shape else ""
         read = Command(CommandKind.STATEMENT, self._statement, name=name)
         replay = lease.link.replay(self._runner.context, self._shape)
         if minimum is not None:
             read.after = minimum.position
-            return await lease.exchange([*replay, read], left_ms)
-        # Only a leader accepts a read-write transaction, so this read can't run at a
-        # leader that has been replaced.  A target that refuses the begin command
-        # would run the commands after it in the same batch, so the read waits for
-        # the answer.
-        begin_exchange = await lease.exchange(
-            [*replay, Command(CommandKind.BEGIN)], left_ms
-        )
-        if begin_exchange.answers[0].fault is not None:
-            return begin_exchange
-        rollback = Command(CommandKind.ROLLBACK)
-        return await lease.exchange([read, rollback], max(1.0, self._left_ms()))
+        return await lease.exchange([*replay, read], left_ms)
 
     def _handle_answer(
         self,
--- a/packages/fennelhilld/src/fennelhilld/statements/transaction.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/transaction.py
@@ -17,10 +17,11 @@
 )
 from fennelhilld.links.pool import NoLinkError
 from fennelhilld.links.state import PreparedShape
-from fennelhilld.placement.state import TargetState
+from fennelhilld.placement.state import GroupState, TargetState
 from fennelhilld.statements.environment import (
     BUSY_RETRY_DELAY_MS,
     LEADER_RECHECK_MS,
+    LEASE_WAIT_MS,
     MIN_REMAINING_MS,
     READ_LINK_WAIT_MS,
     describe_fault,
@@ -77,9 +78,7 @@
     ) -> None:
         self.runner = runner
         self.database = database
-        # A replaced leader still answers read-only transactions, so reads that
-        # must be current use a read-write one, which it refuses.
-        self.read_write = not read_only or database.reads is ReadKind.CURRENT
+        self.read_write = not read_only
         self.wrote = False
         self.failed = False
         self.abort_reason = ""
@@ -197,10 +196,22 @@
                     break
                 if not begun:
                     continue
+            group = env.group(self.database.group)
+            if commits_writes and not await self._may_commit(group):
+                code, detail = env.leader_unavailable_reason(group)
+                return await self._fail(statement, codes.TRANSACTION_ABORTED, detail)
             left_ms = deadline_ms - env.clock.now_ms()
             commands = self._lease.link.replay(self.runner.context, shape)
+            counts = True
             try:
-                exchange = await self._lease.exchange([*commands, command], left_ms)
+                if commits_writes:
+                    with group.leadership.write_in_flight():
+                        exchange = await self._lease.exchange(
+                            [*commands, command], left_ms
+                        )
+                        counts = await env.answer_counts(group, self._target)
+                else:
+                    exchange = await self._lease.exchange([*commands, command], left_ms)
             except LinkLostError as error:
                 if self._has_run or command.kind is CommandKind.COMMIT:
                     return self._handle_lost_link(statement, error, left_ms)
@@ -208,6 +219,10 @@
                 self._discard_lost_link(statement, last_failure, left_ms)
                 continue
             answer = exchange.answers[-1]
+            if answer.fault is None and not counts:
+                return self.runner.refuse_unproven_answer(
+                    statement, group, self._target
+                )
             self._record_answer(exchange, answer)
             if answer.fault is None:
                 self._has_run = True
@@ -230,13 +245,26 @@
         code = env.wait_failure_code(env.group(self.database.group))
         return await self._fail(statement, code, last_failure)
 
+    async def _may_commit(self, group: GroupState) -> bool:
+        """Return whether the transaction's target may still be sent a commit."""
+        env = self.runner.env
+        env.renewal.use()
+        if not env.access.may_send(group) and group.leadership.fence is None:
+            await env.renewal.ensure(LEASE_WAIT_MS)
+        return env.access.may_send(group) and group.leader() is self._target
+
     def _leader_unavailable(self) -> bool:
         env = self.runner.env
         group = env.group(self.database.group)
         if not env.leader_unavailable(group):
             return False
         reader = self.runner.choose_reader(group, self.database, set())
-        return self.read_write or reader in (None, group.leader())
+        return self._at_leader or reader in (None, group.leader())
+
+    @property
+    def _at_leader(self) -> bool:
+        """Whether only the leader may run the transaction."""
+        return self.read_write or self.database.reads is ReadKind.CURRENT
 
     async def _begin(self, statement: Statement, deadline_ms: float) -> bool:
         """Begin on a target; return whether this attempt succeeded.
@@ -249,7 +277,7 @@
         group = env.group(self.database.group)
         left_ms = deadline_ms - env.clock.now_ms()
         started_ms = env.clock.now_ms()
-        if self.read_write:
+        if self._at_leader:
             request = env.queued_request(self.database, started_ms, left_ms)
             lease, target = await runner.lease_leader_link(group, request)
         else:
@@ -257,6 +285,9 @@
             if target is None:
                 await group.leadership.wait_for_change(min(left_ms, LEADER_RECHECK_MS))
                 return False
+            current = runner.minimum_position(group, self.database) is None
+            if current and not await env.leader_usable(group, left_ms):
+                return False
             limit_ms = min(left_ms, READ_LINK_WAIT_MS)
             request = env.queued_request(self.database, started_ms, limit_ms)
             try:
@@ -270,9 +301,11 @@
             return False
         # Computed here because the wait for the link has taken time.
         minimum = (
-            None if self.read_write else runner.minimum_position(group, self.database)
+            None if self._at_leader else runner.minimum_position(group, self.database)
         )
-        if minimum is None and group.leader() is not target:
+        if minimum is None and not (
+            group.leader() is target and env.access.may_send(group)
+        ):
             lease.release()
             return False
         left_ms = deadline_ms - env.clock.now_ms()
@@ -280,8 +313,10 @@
             lease.release()
             return False
         begin = Command(CommandKind.BEGIN)
-        if minimum is not None:
-            begin = Command(CommandKind.BEGIN_READ_ONLY, after=minimum.position)
+        if not self.read_write:
+            begin = Command(
+                CommandKind.BEGIN_READ_ONLY, after=minimum and minimum.position
+            )
         try:
             exchange = await lease.exchange([begin], left_ms)
         except LinkLostError as error:
--- a/scenarios/adapter/test_daemon.py
+++ b/scenarios/adapter/test_daemon.py
@@ -47,7 +47,7 @@
             path, _ = stand_ins.node_file(tmp_path, f"h{number}")
             daemons.append(PlatformDaemon(load_node_settings(str(path))))
         for daemon in daemons:
-            daemon.start()
+            await daemon.start()
         try:
             await until(lambda: all(daemon.gateway.ready for daemon in daemons))
             await until(
@@ -384,6 +384,40 @@
 
         run_deployed(tmp_path, check, hosts=2)
 
+    def test_a_replaced_primary_that_goes_on_is_demoted_and_used_no_more(
+        self, tmp_path
+    ):
+        async def check(deployment):
+            stand_ins = deployment.stand_ins
+            stand_ins.store.checks_tokens = False
+            old, *_ = stand_ins.targets
+            clients = [await deployment.connect(daemon=number) for number in (0, 1)]
+            for client in clients:
+                await client.ask("r", "READ item")
+            stand_ins.list_target(old, state="draining")
+            await until(lambda: stand_ins.group.leader is not old.model)
+            assert not old.model.leads
+            for number, client in enumerate(clients):
+                answer = await client.ask(f"w{number}", "WRITE item data")
+                assert answer[-2].startswith("COMPLETE")
+            assert stand_ins.observer.deposed_writes == set()
+
+        run_deployed(tmp_path, check, hosts=2, old_leader_goes_on=True)
+
+    def test_a_claim_of_another_writer_is_recorded_and_not_believed(self, tmp_path):
+        async def check(deployment):
+            gateway = deployment.daemons[0].gateway
+            client = await deployment.connect()
+            for document in (b"not json", {"holder": 3}, {"phase": "none"}):
+                deployment.stand_ins.store.put("fennelhill", "claim/g0", document)
+            await until(lambda: gateway.replacement.claims.get("g0").version > 0)
+            answer = await client.ask("w", "WRITE item data")
+            assert answer[-2].startswith("COMPLETE")
+            kinds = [event.kind for event in deployment.daemons[0].events.since(0)]
+            assert "store.unreadable_row" in kinds
+
+        run_deployed(tmp_path, check)
+
     def test_a_target_at_a_reused_address_gets_no_statements(self, tmp_path):
         async def check(deployment):
             stand_ins = deployment.stand_ins
--- a/scenarios/adapter/test_lines.py
+++ b/scenarios/adapter/test_lines.py
@@ -131,6 +131,8 @@
         prepare = Command(CommandKind.PREPARE, name="fw1", value="q2c", writes=True)
         assert encode_command(prepare) == "QUERY - PREPARE fw1 WRITE q2c"
         assert encode_command(Command(CommandKind.ROLLBACK)) == "QUERY - ROLLBACK"
+        demotion = Command(CommandKind.DEMOTE, term=4)
+        assert encode_command(demotion) == "QUERY - DEMOTE 4"
 
     def test_for_a_commit_have_the_clients_id(self):
         command = Command(CommandKind.COMMIT, parse_statement("77", "COMMIT"))
--- a/scenarios/test_sessions.py
+++ b/scenarios/test_sessions.py
@@ -13,6 +13,9 @@
 from fennelhill_bench.virtual_time import run_virtual
 from fennelhill_core import codes
 from fennelhilld.catalog.state import ReadKind
+from fennelhilld.leader_lease.state import CLOCK_MARGIN_MS, LEASE_MS, LeaderLease
+from fennelhilld.leadership.state import Fence
+from fennelhilld.promotion.messages import Claim, ClaimPhase
 from fennelhilld.statements.environment import FAIL_FAST_AFTER_MS
 from fennelhilld.statements.messages import TransactionState
 
@@ -58,11 +61,18 @@
 
 
 async def promotion_by_another(simulation):
-    """The leader is replaced while the old primary still answers."""
+    """A host that is not simulated replaces the leader, which still answers."""
     await simulation.clock.sleep_ms(700)
     model = simulation.groups["g0"]
     other = next(target for target in model.targets.values() if not target.leads)
+    claim = Claim("outside", "nonce", other.id, previous_leader=model.leader.id)
+    claim.previous_term = model.leader.term
+    version = await simulation.store.swap_claim("g0", 0, claim)
+    await simulation.clock.sleep_ms(LEASE_MS + CLOCK_MARGIN_MS)
     await model.promote(other.id)
+    claim.phase = ClaimPhase.DONE
+    claim.term = other.term
+    await simulation.store.swap_claim("g0", version, claim)
 
 
 async def lost_answers(simulation):
@@ -111,6 +121,53 @@
     simulation.store.down = False
 
 
+async def primary_alone_with_a_host(simulation):
+    """One host and the primary are cut off from all others, and later come back."""
+    await simulation.clock.sleep_ms(800)
+    simulation.partition({"host-0"}, {simulation.groups["g0"].leader.id})
+    await simulation.clock.sleep_ms(5_500)
+    simulation.heal()
+
+
+async def fleet_split_in_halves(simulation):
+    """Half of the hosts are cut off with the primary, and later come back."""
+    await simulation.clock.sleep_ms(800)
+    hosts = [gateway.host for gateway in simulation.gateways]
+    cut_off = set(hosts[: len(hosts) // 2])
+    simulation.partition(cut_off, {simulation.groups["g0"].leader.id})
+    await simulation.clock.sleep_ms(5_500)
+    simulation.heal()
+
+
+async def primary_cut_off_from_hosts(simulation):
+    """The primary lives and reaches the replicas, but no host reaches it."""
+    await simulation.clock.sleep_ms(800)
+    leader_id = simulation.groups["g0"].leader.id
+    for driver in simulation.drivers:
+        driver.unreachable_targets = {leader_id}
+        driver.silence_links()
+    await simulation.clock.sleep_ms(3_000)
+    simulation.heal()
+
+
+async def store_down_during_promotion(simulation):
+    """The store fails right after a claim was made."""
+    await simulation.clock.sleep_ms(500)
+    simulation.groups["g0"].leader.crash()
+    while not simulation.store.rows:
+        await simulation.clock.sleep_ms(1)
+    simulation.store.down = True
+    await simulation.clock.sleep_ms(2_500)
+    simulation.store.down = False
+
+
+async def store_down(simulation):
+    await simulation.clock.sleep_ms(500)
+    simulation.store.down = True
+    await simulation.clock.sleep_ms(3_500)
+    simulation.store.down = False
+
+
 FAULTS = [
     None,
     crash_primary,
@@ -122,6 +179,11 @@
     planned_replacement,
     store_loses_answers_and_crash,
     store_down_during_crash,
+    store_down_during_promotion,
+    store_down,
+    primary_alone_with_a_host,
+    fleet_split_in_halves,
+    primary_cut_off_from_hosts,
 ]
 
 
@@ -137,6 +199,16 @@
         assert violations == []
         assert simulation.observer.reads > 100
 
+    @pytest.mark.parametrize("seed", [4, 5])
+    @pytest.mark.parametrize("fault", FAULTS, ids=fault_name)
+    def test_hold_if_a_replaced_leader_goes_on(self, fault, seed):
+        traits = Traits(old_leader_goes_on=True)
+        simulation, violations = run_under_load(
+            seed, fault, hosts=4, traits=traits, load_ms=8_000.0
+        )
+        assert violations == []
+        assert simulation.observer.reads > 100
+
     @pytest.mark.parametrize("seed", [1, 2])
     def test_hold_with_scarce_connections(self, seed):
         traits = Traits(max_connections=3, queue=2)
@@ -144,6 +216,22 @@
         assert violations == []
 
 
+class TestWithoutLeases:
+    """Shows that the checks notice what leases prevent."""
+
+    def test_a_cut_off_host_acknowledges_writes_of_a_replaced_leader(self, monkeypatch):
+        monkeypatch.setattr(LeaderLease, "valid_at", lambda *_: True)
+        found = []
+        for seed in (4, 5):
+            traits = Traits(old_leader_goes_on=True)
+            _, violations = run_under_load(
+                seed, primary_alone_with_a_host, hosts=4, traits=traits, load_ms=8_000.0
+            )
+            found += violations
+        assert "acknowledged by a replaced leader" in " ".join(found)
+        assert "stale read" in " ".join(found)
+
+
 class TestManyHosts:
     @pytest.mark.parametrize("fault", [None, crash_primary, promotion_by_another])
     @pytest.mark.parametrize("seed", [3, 4])
@@ -472,7 +560,8 @@
             )
             await client.read()
             leadership = simulation.gateways[0].groups["g0"].leadership
-            leadership.hold_writes(simulation.clock.now_ms() + 650.0)
+            leadership.raise_fence(Fence(1, "g0-1", 1, float("-inf")))
+            asyncio.get_running_loop().call_later(0.70, leadership.lift_fence)
             reply = await client.write()
             assert reply.code is codes.OVERLOADED
             assert client.last_request_id not in simulation.observer.runs
@@ -558,25 +647,26 @@
 
         run_virtual(main())
 
-    def test_that_only_read_are_not_served_by_a_replaced_primary(self):
+    @pytest.mark.parametrize("goes_on", [False, True])
+    def test_that_only_read_are_not_served_by_a_replaced_primary(self, goes_on):
         async def main():
-            simulation = SessionSimulation(1, hosts=1)
+            traits = Traits(old_leader_goes_on=goes_on)
+            simulation = SessionSimulation(1, hosts=3, traits=traits)
             client = simulation.client(
                 simulation.gateways[0], simulation.database(ReadKind.CURRENT)
             )
             await client.read()
             model = simulation.groups["g0"]
-            other = next(
-                target for target in model.targets.values() if not target.leads
-            )
-            await model.promote(other.id)
-            position = model.commit(other, ("elsewhere",))
+            simulation.isolated_hosts = simulation.hosts_without_store = {"host-0"}
+            await promotion_by_another(simulation)
+            position = model.commit(model.leader, ("elsewhere",))
             simulation.observer.record_acknowledgement(
                 "g0", position, simulation.clock.now_ms()
             )
             await simulation.clock.sleep_ms(1)
             await client.begin(read_only=True)
-            await client.read()
+            reply = await client.read()
+            assert reply.code is codes.LEADER_UNPROVEN
             assert simulation.observer.violations == []
             simulation.close()
 
