feat: a few owners hold the connections of a target that a large fleet shares

Ruled out: a larger kept subset (the cap is the cap), one owner for each group (its loss stops the group). Change: for such groups, one host for each 8 connections owns a target, chosen by processor capacity in the target's zone; the others run their statements on its links through a stream between hosts. Links through owners are ordinary links to the rest of the core. Only owners check and replace the leader. The ranked subset and its rule in placement go, with their tests; the new rule has the same (even spread, few changes, never more than the target accepts), and the relay tests show that only owners connect.

--- a/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/simulation.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/simulation.py
@@ -12,6 +12,7 @@
 from fennelhill_core.codes import Outcome
 from fennelhill_core.events import EventLog
 from fennelhill_core.platform import StoreFault, StoreUnavailableError
+from fennelhill_core.streams import Stream
 from fennelhilld.admission.policies import LoadPolicies, PolicyNames
 from fennelhilld.catalog.state import Catalog, Database, Group, ReadKind
 from fennelhilld.directory.state import TargetEntry
@@ -31,6 +32,7 @@
 )
 
 from fennelhill_bench.session_simulation.checks import ExpectedRun, Observer
+from fennelhill_bench.session_simulation.streams import MemoryDialer
 from fennelhill_bench.session_simulation.targets import (
     TARGETS_PER_GROUP,
     DriverModel,
@@ -257,6 +259,7 @@
         zones: int = 2,
         policies: PolicyNames | None = None,
     ) -> None:
+        self.dialer = MemoryDialer(self._accept_stream)
         self.zones = zones
         self.policies = policies
         self.clock = VirtualClock()
@@ -417,6 +420,9 @@
                 await client.random_operation()
             await client.session.close()
 
+    def _accept_stream(self, address: str, stream: Stream) -> None:
+        self.spawn(self.gateway(address).relay.serve(stream))
+
     def _create_host(self, name: str, number: int) -> SessionGateway:
         driver = self.drivers_by_host[name] = DriverModel(self.groups)
         zone = f"zone-{number % self.zones}"
@@ -428,6 +434,7 @@
             self.clock,
             events,
             LoadPolicies.from_config(self.policies),
+            self.dialer,
         )
         gateway.install_catalog(
             Catalog(
--- a/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/targets.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/targets.py
@@ -19,6 +19,7 @@
     TargetAnswer,
     TargetFault,
     TargetStatus,
+    Urgency,
 )
 from fennelhilld.statements.messages import StatementKind, TransactionState
 
@@ -327,7 +328,9 @@
         target.links.add(self)
         self._task = target.group.spawn(self._serve())
 
-    async def send(self, commands: list[Command]) -> None:
+    async def send(
+        self, commands: list[Command], urgency: Urgency | None = None
+    ) -> None:
         """Queue commands for the target; raises `LinkLostError`."""
         if self.closed:
             raise LinkLostError("closed")
--- a/packages/fennelhilld/src/fennelhilld/fleet/http.py
+++ b/packages/fennelhilld/src/fennelhilld/fleet/http.py
@@ -8,6 +8,7 @@
 import msgspec
 from fennelhill_core.clock import MS_PER_S
 from fennelhill_core.sockets import http_client
+from fennelhill_core.streams import StreamEndpoint
 from loguru import logger
 from tornado.httpclient import HTTPClientError, HTTPRequest
 from tornado.iostream import StreamClosedError
@@ -17,6 +18,7 @@
 from fennelhilld.observability.gateway_metrics import render_metrics
 from fennelhilld.promotion.messages import LeaderView, Survey
 
+RELAY_PATH = "/relay"
 # The queried host probes the target itself, which takes up to 300 ms.
 QUERY_TIMEOUT_MS = 450.0
 
@@ -65,6 +67,7 @@
         [
             ("/leader", _LeaderHandler, handler_arguments),
             ("/metrics", _MetricsHandler, handler_arguments),
+            (RELAY_PATH, StreamEndpoint, {"handler": gateway.relay.serve}),
         ],
         log_function=_no_access_log,
     )
--- a/packages/fennelhilld/src/fennelhilld/fleet/roster.py
+++ b/packages/fennelhilld/src/fennelhilld/fleet/roster.py
@@ -34,6 +34,7 @@
         "_removed",
         "_silent_since_ms",
         "addresses",
+        "capacities",
         "change_count",
         "version",
         "zones",
@@ -43,6 +44,8 @@
         self._clock = clock
         self.addresses: dict[str, str] = {}
         self.zones: dict[str, str] = {}
+        # Processor capacity by host, in cores.
+        self.capacities: dict[str, float] = {}
         # Number of hosts added and removed so far.
         self.change_count = 0
         # The store's version of the newest change to the list that is known.
@@ -54,7 +57,9 @@
     def __len__(self) -> int:
         return len(self.addresses)
 
-    def put(self, name: str, address: str, zone: str = "") -> None:
+    def put(
+        self, name: str, address: str, zone: str = "", capacity: float = 1.0
+    ) -> None:
         """Add or update a host that has registered.
 
         Parameters
@@ -65,9 +70,12 @@
             ``ip:port`` for queries of other hosts.
         zone : str
             Its availability zone.
+        capacity : float
+            Its processor capacity, in cores.
         """
         self.change_count += name not in self.addresses
         self.addresses[name] = address
+        self.capacities[name] = capacity
         self.zones[name] = zone
         self._silent_since_ms.pop(name, None)
 
@@ -84,6 +92,7 @@
             self._removed[name] = (self.addresses[name], self._clock.now_ms())
         self.addresses.pop(name, None)
         self.zones.pop(name, None)
+        self.capacities.pop(name, None)
         self._silent_since_ms.pop(name, None)
 
     def recently_listed(self, period_ms: float) -> dict[str, str]:
--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -4,6 +4,7 @@
 
 from fennelhill_core.clock import Clock
 from fennelhill_core.events import EventLog
+from fennelhill_core.streams import Dialer
 from fennelhill_core.tasks import Tasks
 
 from fennelhilld.admission.policies import LoadPolicies
@@ -17,13 +18,18 @@
 from fennelhilld.leadership.state import Fence, GroupLeadership
 from fennelhilld.links.messages import LinkDriver
 from fennelhilld.links.pool import TargetPool
-from fennelhilld.placement.kept_connections import (
-    KEPT_CONNECTION_SHARE,
-    keeps_connection,
-)
 from fennelhilld.placement.state import GroupState, TargetState
 from fennelhilld.promotion.messages import Claim, ClaimPhase, ClaimRow
 from fennelhilld.promotion.replacement import LeaderReplacement
+from fennelhilld.relay.driver import OwnerStreams, RelayDriver
+from fennelhilld.relay.owners import (
+    HostCapacity,
+    is_shared,
+    links_per_owner,
+    owner_order,
+    target_owners,
+)
+from fennelhilld.relay.service import RelayService
 from fennelhilld.statements.environment import Environment
 from fennelhilld.statements.session import Session
 
@@ -44,7 +50,12 @@
 # For this long after its start a host opens one link per target, so that all hosts
 # of a fleet that restarts get one before some get several.
 STARTUP_PHASE_MS = 500.0
-# Entries per target in the cache of `keeps_link`, beyond which it is cleared.
+# Links through owners of a target that a host may use at the same time; they cost the
+# target nothing.
+RELAY_LINKS = 12
+# Pause between checks of a host that may not replace the leader of a shared group.
+FOLLOWER_CHECK_INTERVAL_MS = 1_000.0
+# Entries per target in the cache of owners, beyond which it is cleared.
 MAX_CACHE_ENTRIES_PER_TARGET = 10
 DEFAULT_CONNECTIONS = 16  # per target, until a catalog sets the limit
 
@@ -66,6 +77,10 @@
         Log of decisions.
     policies : LoadPolicies or None
         Policies for queueing, load shedding and placement; None for the defaults.
+    dialer : Dialer or None
+        Opens streams to other hosts; if None, this host connects to all targets itself.
+    capacity : float
+        Processor capacity of this host, in cores.
     """
 
     def __init__(
@@ -76,9 +91,12 @@
         clock: Clock,
         events: EventLog,
         policies: LoadPolicies | None = None,
+        dialer: Dialer | None = None,
+        capacity: float = 1.0,
     ) -> None:
         self.host = host
         self.zone = zone
+        self.capacity = capacity
         self.catalog = CatalogHolder()
         self.directory = TargetDirectory()
         self.groups: dict[str, GroupState] = {}
@@ -113,14 +131,21 @@
         )
         self.replacement.apply_claim = self.update_claim
         self.replacement.give_lease_up = self.host_queries.give_lease_up
-        self._driver = driver
+        self._relay_driver: RelayDriver | None = None
+        if dialer is not None:
+            streams = OwnerStreams(dialer, clock, events)
+            self._relay_driver = RelayDriver(
+                driver, self._owner_addresses, streams, clock
+            )
+        self.relay = RelayService(self.env)
+        self._driver = self._relay_driver or driver
         self._clock = clock
         self._events = events
         self._groups_being_checked: set[str] = set()
         self._next_check_ms: dict[str, float] = {}
         self._checking_reach = False
         self.overcommit = OVERCOMMIT
-        self._keeps_link_cache: dict[tuple[str, int, int], bool] = {}
+        self._owners_cache: dict[tuple[str, int, int], list[str]] = {}
         self._started_ms = float("-inf")
         self._tasks = Tasks()
         self.env.is_cut_off = lambda: self.replacement.reach.cut_off
@@ -148,6 +173,8 @@
         """Cancel all tasks and close the pools of all targets."""
         self._tasks.cancel()
         self.renewal.close()
+        if self._relay_driver is not None:
+            self._relay_driver.close()
         self.replacement.prober.close()
         for group in self.groups.values():
             for target in group.targets.values():
@@ -256,7 +283,12 @@
             self.directory.restart_grace_periods(now_ms)
 
     def put_member(
-        self, name: str, address: str, zone: str = "", version: int = 0
+        self,
+        name: str,
+        address: str,
+        zone: str = "",
+        version: int = 0,
+        capacity: float = 1.0,
     ) -> None:
         """Add or update another host of the fleet.
 
@@ -270,9 +302,11 @@
             Its availability zone.
         version : int
             The store's version of this change.
+        capacity : float
+            Processor capacity of the host, in cores.
         """
         if name != self.host:
-            self.roster.put(name, address, zone)
+            self.roster.put(name, address, zone, capacity)
         self.roster.version = max(version, self.roster.version)
 
     def remove_member(self, name: str, version: int = 0) -> None:
@@ -351,26 +385,25 @@
         limit = self._max_connections(group_name)
         return max(1, limit // (len(self.roster) + 1))
 
-    def connections_scarce(self, group_name: str) -> bool:
-        """Return whether there are too many hosts for each to keep a connection.
+    def shares_connections(self, group_name: str) -> bool:
+        """Return whether owners hold the connections to a group's targets.
 
         Parameters
         ----------
         group_name : str
-            Group of the target.
+            The group.
 
         Returns
         -------
         bool
-            True if the fleet has more hosts than `KEPT_CONNECTION_SHARE` of the
-            connections that each of the group's targets accepts.
+            True if the fleet has too many hosts for each to keep connections.
         """
-        return len(self.roster) >= KEPT_CONNECTION_SHARE * self._max_connections(
-            group_name
+        return self._relay_driver is not None and is_shared(
+            len(self.roster) + 1, self._max_connections(group_name)
         )
 
-    def keeps_link(self, entry: TargetEntry) -> bool:
-        """Return whether this host keeps a link to a target open while it is idle.
+    def owners(self, entry: TargetEntry) -> list[str]:
+        """Return the hosts that hold the connections to a target of a shared group.
 
         Parameters
         ----------
@@ -379,55 +412,97 @@
 
         Returns
         -------
-        bool
-            False for some hosts of a fleet that is too large for the target.
+        list of str
+            The owners, best first.
         """
-        if not self.connections_scarce(entry.group):
-            return True
         limit = self._max_connections(entry.group)
         key = (entry.id, limit, self.roster.change_count)
-        if key not in self._keeps_link_cache:
-            if len(self._keeps_link_cache) > MAX_CACHE_ENTRIES_PER_TARGET * len(
+        owners = self._owners_cache.get(key)
+        if owners is None:
+            if len(self._owners_cache) > MAX_CACHE_ENTRIES_PER_TARGET * len(
                 self.directory.all()
             ):
-                self._keeps_link_cache.clear()
-            others = self.roster.addresses
-            self._keeps_link_cache[key] = keeps_connection(
-                self.host, others, entry.id, limit
-            )
-        return self._keeps_link_cache[key]
+                self._owners_cache.clear()
+            hosts = [HostCapacity(self.host, self.zone, self.capacity)]
+            hosts += [
+                HostCapacity(name, self.roster.zones[name], capacity)
+                for name, capacity in self.roster.capacities.items()
+            ]
+            owners = target_owners(entry.id, entry.zone, hosts, limit)
+            self._owners_cache[key] = owners
+        return owners
+
+    def owns(self, entry: TargetEntry) -> bool:
+        """Return whether this host connects to a target itself.
+
+        Parameters
+        ----------
+        entry : TargetEntry
+            The target.
+
+        Returns
+        -------
+        bool
+            True for all hosts of a fleet that is small enough.
+        """
+        return not self.shares_connections(entry.group) or self.host in self.owners(
+            entry
+        )
+
+    def _owner_addresses(self, target_id: str) -> list[tuple[str, str]]:
+        entry = self.directory.get(target_id)
+        if entry is None or self.owns(entry):
+            return []
+        addresses = self.roster.addresses
+        return [
+            (name, addresses[name])
+            for name in owner_order(self.host, self.owners(entry))
+            if name in addresses
+        ]
+
+    def _may_replace_leader(self, group: GroupState) -> bool:
+        """Return whether this host checks and replaces the leader of a group.
+
+        In a shared group only owners of its targets do, in all zones that have one: a
+        check takes connections.
+        """
+        return not self.shares_connections(group.name) or any(
+            self.owns(target.entry) for target in group.targets.values()
+        )
 
     def _max_connections(self, group_name: str) -> int:
         catalog = self.catalog.current
         group = catalog.groups.get(group_name) if catalog else None
         return group.max_connections if group else DEFAULT_CONNECTIONS
 
-    def link_limit(self, group_name: str) -> int:
+    def link_limit(self, entry: TargetEntry) -> int:
         """Return the number of links to a target that this host may have open now.
 
         Parameters
         ----------
-        group_name : str
-            Group of the target.
+        entry : TargetEntry
+            The target.
 
         Returns
         -------
         int
             At least 1.
         """
+        shared = self.shares_connections(entry.group)
+        if shared and not self.owns(entry):
+            return RELAY_LINKS
         if self._clock.now_ms() - self._started_ms < STARTUP_PHASE_MS:
             return 1
-        return max(1, int(self.fair_share(group_name) * self.overcommit))
+        if shared:
+            return links_per_owner(self._max_connections(entry.group))
+        return max(1, int(self.fair_share(entry.group) * self.overcommit))
 
     def _open_pool(self, target: TargetState) -> TargetPool:
-        entry = target.entry
         return TargetPool(
-            entry,
+            target.entry,
             self._driver,
             self._clock,
-            lambda: self.link_limit(entry.group),
-            lambda: self.keeps_link(target.entry),
-            lambda: self.connections_scarce(entry.group),
+            lambda: self.link_limit(target.entry),
             lambda reason: self.env.record_target_failure(target, reason),
             self.env.policies,
         )
@@ -474,6 +549,9 @@
             return
         if now_ms < self._next_check_ms.get(group.name, 0.0):
             return
+        if not self._may_replace_leader(group):
+            self._follow_leader(group, now_ms)
+            return
         leadership = group.leadership
         leader = group.leader()
         suspect = (
@@ -483,6 +561,13 @@
             self._groups_being_checked.add(group.name)
             self._tasks.spawn(self._check_leader(group))
 
+    def _follow_leader(self, group: GroupState, now_ms: float) -> None:
+        """Look for a leader that this host does not know, at a low rate."""
+        if group.leader() is not None and group.leadership.fence is None:
+            return
+        self._next_check_ms[group.name] = now_ms + FOLLOWER_CHECK_INTERVAL_MS
+        self._tasks.spawn(self.replacement.find_leader(group))
+
     def _on_leader_suspected(self, group: GroupState) -> None:
         self._start_leader_check(group, self._clock.now_ms())
 
--- a/packages/fennelhilld/src/fennelhilld/links/lease.py
+++ b/packages/fennelhilld/src/fennelhilld/links/lease.py
@@ -7,11 +7,13 @@
 
 from fennelhill_core.clock import MS_PER_S, Clock, timeout_ms
 
+from fennelhilld.admission.order import QueuedRequest
 from fennelhilld.links.messages import (
     Command,
     CommandKind,
     LinkLostError,
     TargetAnswer,
+    Urgency,
 )
 from fennelhilld.links.pool import TargetPool
 from fennelhilld.links.state import PooledLink
@@ -71,6 +73,8 @@
     on_overdue : callable
         Called when an answer is overdue, with the time of sending on this host's
         clock.
+    request : QueuedRequest or None
+        The request that the link is leased to; None if it has no priority.
     """
 
     __slots__ = (
@@ -79,6 +83,7 @@
         "_on_overdue",
         "_paused",
         "_pool",
+        "_request",
         "_returned",
         "link",
         "sent",
@@ -91,8 +96,10 @@
         link: PooledLink,
         clock: Clock,
         on_overdue: Callable[[float], None],
+        request: QueuedRequest | None = None,
     ) -> None:
         self.link = link
+        self._request = request
         # Whether a command may have reached the target.
         self.sent = False
         # When the last batch was sent, on this host's clock.
@@ -149,7 +156,7 @@
                 if self.link.connection.closed:
                     raise LinkLostError("the link was closed before commands were sent")
                 self.sent = True
-                await self.link.connection.send(commands)
+                await self.link.connection.send(commands, self._urgency(limit_ms))
                 for command in commands:
                     answer = await self.link.connection.receive()
                     _check_answer(command, answer)
@@ -174,6 +181,13 @@
             self._pool.record_response_time(took_ms)
         return Exchange(sent_boottime_ms, took_ms, answers)
 
+    def _urgency(self, limit_ms: float) -> Urgency:
+        request = self._request
+        if request is None:
+            return Urgency(limit_ms)
+        due_in_ms = request.due_ms - self._clock.now_ms()
+        return Urgency(limit_ms, request.priority, due_in_ms)
+
     def _handle_overdue(self, sent_ms: float) -> None:
         # A lost answer must not block requests that wait for a link to the target.
         self.pause()
--- a/packages/fennelhilld/src/fennelhilld/links/messages.py
+++ b/packages/fennelhilld/src/fennelhilld/links/messages.py
@@ -157,6 +157,24 @@
         self.fault = fault
 
 
+class Urgency(msgspec.Struct, frozen=True):
+    """How soon the answers to a batch are needed.
+
+    Parameters
+    ----------
+    limit_ms : float
+        Time after which the answers are of no use, in milliseconds.
+    priority : int
+        Priority class; a lower number is more urgent.
+    due_in_ms : float
+        Time until the answers are due by their latency objective, in milliseconds.
+    """
+
+    limit_ms: float
+    priority: int = 0
+    due_in_ms: float = 0.0
+
+
 class TargetLink(Protocol):
     """One connection to a target.  Answers arrive in the order of commands."""
 
@@ -164,7 +182,9 @@
     def closed(self) -> bool:
         """Whether the connection is closed."""
 
-    async def send(self, commands: list[Command]) -> None:
+    async def send(
+        self, commands: list[Command], urgency: Urgency | None = None
+    ) -> None:
         """Write commands as one batch; raises `LinkLostError`."""
 
     async def receive(self) -> TargetAnswer:
--- a/packages/fennelhilld/src/fennelhilld/links/pool.py
+++ b/packages/fennelhilld/src/fennelhilld/links/pool.py
@@ -95,10 +95,6 @@
         Source of time.
     link_limit : callable
         Returns how many links this host may open now.
-    keep_idle : callable
-        Returns whether this host keeps a link that it does not need now.
-    connections_scarce : callable
-        Returns whether there are more hosts than the target's connections allow.
     on_failure : callable
         Called with the reason when the target can't be reached.
     policies : LoadPolicies
@@ -111,8 +107,6 @@
         driver: LinkDriver,
         clock: Clock,
         link_limit: Callable[[], int],
-        keep_idle: Callable[[], bool],
-        connections_scarce: Callable[[], bool],
         on_failure: Callable[[str], None],
         policies: LoadPolicies,
     ) -> None:
@@ -134,8 +128,6 @@
         self._driver = driver
         self._clock = clock
         self._link_limit = link_limit
-        self._keep_idle = keep_idle
-        self._connections_scarce = connections_scarce
         self._peak_use = 0
         self._peaks: deque[int] = deque(maxlen=PEAK_SAMPLES)
         self._on_failure = on_failure
@@ -162,11 +154,6 @@
         """Requests that wait for a link."""
         return sum(not waiter.done() for _, waiter in self._waiters)
 
-    @property
-    def connections_scarce(self) -> bool:
-        """Whether there are more hosts than the target's connections allow."""
-        return self._connections_scarce()
-
     @property
     def mean_response_ms(self) -> float:
         """Mean time that the target takes for a statement, in milliseconds."""
@@ -334,8 +321,8 @@
         self._idle = kept
 
     def warm(self) -> None:
-        """Open a link for the next request if there is none and this host keeps one."""
-        if self.open == 0 and not self.closed and self._keep_idle():
+        """Open a link for the next request if there is none."""
+        if self.open == 0 and not self.closed:
             self._start_opening()
 
     def answered_after(self, since_ms: float) -> bool:
@@ -410,10 +397,6 @@
         link.idle_since_ms = self._clock.now_ms()
         self._idle.append(link)
         self._serve_waiters()
-        if link in self._idle and not self._keep_idle():
-            # Leave the connection to another host.
-            self._idle.remove(link)
-            link.connection.close()
 
     def _serve_waiters(self) -> None:
         """Hand idle links to waiting requests as far as the window allows."""
--- a/packages/fennelhilld/src/fennelhilld/placement/policies.py
+++ b/packages/fennelhilld/src/fennelhilld/placement/policies.py
@@ -91,13 +91,9 @@
             cost_ms *= LEADER_COST_FACTOR
         if target.entry.zone != zone:
             cost_ms += OTHER_ZONE_COST_MS
-        if (is_leader and pool.connections_scarce) or (
-            not is_leader and pool.open == 0
-        ):
-            # In a fleet with too many hosts for each to keep a connection, it is better
-            # to open a connection to a replica than to use one to the leader. In any
-            # other fleet, a host that has just started uses its open links to the
-            # leader until links to replicas are open.
+        if not is_leader and pool.open == 0:
+            # A host that has just started uses its open links to the leader until links
+            # to replicas are open.
             cost_ms += SET_UP_COST_MS
         if now_ms < target.avoid_until_ms:
             cost_ms += AVOIDED_COST_MS
--- a/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
@@ -172,6 +172,21 @@
         if not self._adopt_new_leader(group, candidates, leader, started_ms):
             await self._replace(group, leader, candidates, survey)
 
+    async def find_leader(self, group: GroupState) -> None:
+        """Follow the leader of a group if one of its targets says that it leads.
+
+        Parameters
+        ----------
+        group : GroupState
+            A group whose leader is unknown or being replaced by another host.
+        """
+        started_ms = self._clock.now_ms()
+        if group.leadership.fence is not None:
+            await self._look_for_promoted(group, started_ms)
+            return
+        candidates = await self._probe_candidates(group, None)
+        self._adopt_new_leader(group, candidates, None, started_ms)
+
     async def _look_for_promoted(self, group: GroupState, now_ms: float) -> None:
         """Follow the target of an overdue claim if it leads."""
         if (self.claims.open_for_ms(group.name, now_ms) or 0.0) < CLAIM_OVERDUE_MS:
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/relay/service.py
@@ -0,0 +1,140 @@
+"""Runs the commands of other hosts on the links of an owner."""
+
+from __future__ import annotations
+
+import itertools
+
+import msgspec
+from fennelhill_core.rpc import RpcServer
+from fennelhill_core.streams import Stream
+
+from fennelhilld.admission.order import QueuedRequest
+from fennelhilld.links.lease import Lease
+from fennelhilld.links.messages import LinkLostError
+from fennelhilld.links.pool import NoLinkError
+from fennelhilld.links.state import PreparedShape, SessionContext
+from fennelhilld.placement.state import TargetState
+from fennelhilld.relay.messages import (
+    CLOSE,
+    RUN,
+    RelayBatch,
+    RelayClose,
+    RelayResult,
+)
+from fennelhilld.statements.environment import Environment
+from fennelhilld.statements.messages import TransactionState
+
+
+class RelayService:
+    """Serves the streams of other hosts.
+
+    Parameters
+    ----------
+    env : Environment
+        Groups, clock and log of this host.
+    """
+
+    __slots__ = ("_env",)
+
+    def __init__(self, env: Environment) -> None:
+        self._env = env
+
+    async def serve(self, stream: Stream) -> None:
+        """Serve a stream until it ends; its open transactions are then rolled back.
+
+        Parameters
+        ----------
+        stream : Stream
+            The accepted stream.
+        """
+        session = _RelaySession(self._env)
+        try:
+            await RpcServer({RUN: session.run, CLOSE: session.close}).serve(stream)
+        finally:
+            session.close_all()
+
+
+class _RelaySession:
+    """The open transactions of one other host."""
+
+    def __init__(self, env: Environment) -> None:
+        self._env = env
+        self._numbers = itertools.count(1)
+        self._leases: dict[int, tuple[TargetState, Lease]] = {}
+        self._ended = False
+
+    async def run(self, params: msgspec.Raw) -> RelayResult:
+        batch = msgspec.json.decode(params, type=RelayBatch)
+        if batch.transaction:
+            held = self._leases.pop(batch.transaction, None)
+            if held is None:
+                return RelayResult(error="the transaction's link was lost")
+            target, lease = held
+        else:
+            target = self._target(batch)
+            if target is None:
+                return RelayResult(error="unknown target", not_run=True)
+            try:
+                lease = await self._lease(target, batch)
+            except NoLinkError as error:
+                return RelayResult(error=str(error), not_run=True)
+            if lease is None:
+                return RelayResult(error="the target can't be reached", not_run=True)
+        return await self._exchange(batch, target, lease)
+
+    async def close(self, params: msgspec.Raw) -> RelayResult:
+        call = msgspec.json.decode(params, type=RelayClose)
+        held = self._leases.pop(call.transaction, None)
+        if held is not None:
+            held[1].discard()
+        return RelayResult()
+
+    def close_all(self) -> None:
+        self._ended = True
+        for _, lease in self._leases.values():
+            lease.discard()
+        self._leases.clear()
+
+    def _target(self, batch: RelayBatch) -> TargetState | None:
+        group = self._env.groups.get(batch.group)
+        return group.targets.get(batch.target_id) if group else None
+
+    async def _lease(self, target: TargetState, batch: RelayBatch) -> Lease | None:
+        now_ms = self._env.clock.now_ms()
+        request = QueuedRequest(
+            batch.priority, now_ms + batch.due_in_ms, now_ms + batch.limit_ms
+        )
+        return await self._env.lease_link(target, _context(batch), request)
+
+    async def _exchange(
+        self, batch: RelayBatch, target: TargetState, lease: Lease
+    ) -> RelayResult:
+        env = self._env
+        shape = PreparedShape(batch.shape_writes, batch.shape) if batch.shape else None
+        commands = lease.link.replay(_context(batch), shape)
+        try:
+            exchange = await lease.exchange(
+                [*commands, *batch.commands], batch.limit_ms
+            )
+        except LinkLostError as error:
+            lease.release()
+            env.record_lost_link(target, lease, str(error), batch.limit_ms)
+            not_run = not lease.sent and not batch.transaction
+            return RelayResult(error=str(error), not_run=not_run)
+        in_transaction = exchange.answers[-1].state is not TransactionState.IDLE
+        if not in_transaction or self._ended:
+            if in_transaction:
+                lease.discard()
+            else:
+                lease.release()
+            return RelayResult(exchange.answers)
+        lease.pause()
+        number = next(self._numbers)
+        self._leases[number] = (target, lease)
+        return RelayResult(exchange.answers, number)
+
+
+def _context(batch: RelayBatch) -> SessionContext:
+    context = SessionContext()
+    context.values = batch.values
+    return context
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/relay/tests/test_owners.py
@@ -0,0 +1,75 @@
+"""Tests of which hosts hold the connections to a target."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+from fennelhilld.relay.owners import (
+    HostCapacity,
+    is_shared,
+    links_per_owner,
+    owner_count,
+    owner_order,
+    target_owners,
+)
+
+ZONES = "abcde"
+FLEET = [
+    HostCapacity(f"host-{number}", ZONES[number % 5], 2.15 if number < 15 else 0.52)
+    for number in range(195)
+]
+
+
+def owners(target_id, fleet=FLEET, zone="a", max_connections=58):
+    return target_owners(target_id, zone, fleet, max_connections)
+
+
+class TestIsShared:
+    def test_not_by_a_fleet_that_is_small_enough(self):
+        assert not is_shared(6, 16)
+        assert not is_shared(65, 168)
+
+    def test_by_a_fleet_with_too_many_hosts(self):
+        assert is_shared(61, 32)
+        assert is_shared(195, 58)
+
+
+class TestTargetOwners:
+    @pytest.mark.parametrize("max_connections", [16, 23, 32, 58, 168])
+    def test_open_no_more_connections_than_the_target_accepts(self, max_connections):
+        opened = owner_count(max_connections) * links_per_owner(max_connections)
+        assert opened <= max_connections
+
+    def test_are_in_the_zone_of_the_target(self):
+        zones = {host.name: host.zone for host in FLEET}
+        assert {zones[name] for name in owners("t", zone="c")} == {"c"}
+
+    def test_are_in_other_zones_if_it_has_too_few_hosts(self):
+        few = [host for host in FLEET if host.zone != "c"] + [HostCapacity("x", "c")]
+        chosen = owners("t", few, zone="c")
+        assert chosen[0] == "x"
+        assert len(chosen) == owner_count(58)
+
+    def test_own_about_as_many_targets_as_their_processors_allow(self):
+        counts = Counter()
+        for number in range(300):
+            counts.update(owners(f"t{number}", zone=ZONES[number % 5]))
+        large = [counts[host.name] for host in FLEET if host.capacity > 1]
+        small = [counts[host.name] for host in FLEET if host.capacity < 1]
+        ratio = (sum(large) / len(large)) / (sum(small) / len(small))
+        assert 2.5 < ratio < 4.5
+
+    def test_few_change_when_a_host_leaves(self):
+        before = set(owners("t"))
+        leaving = next(iter(before))
+        after = set(owners("t", [host for host in FLEET if host.name != leaving]))
+        assert len(before - after) == 1
+
+
+class TestOwnerOrder:
+    def test_spreads_hosts_over_the_owners(self):
+        names = owners("t")
+        first = Counter(owner_order(host.name, names)[0] for host in FLEET)
+        assert len(first) == len(names)
+        assert max(first.values()) < 2 * len(FLEET) / len(names)
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/relay/tests/test_relay.py
@@ -0,0 +1,167 @@
+"""Tests of statements that reach a target through an owner."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from fennelhill_bench.session_simulation.simulation import SessionSimulation
+from fennelhill_bench.virtual_time import run_virtual
+from fennelhill_core import codes
+from fennelhilld.catalog.state import ReadKind
+from fennelhilld.relay.owners import owner_count
+from fennelhilld.statements.messages import TransactionState
+
+HOSTS = 24  # more than the 16 connections of a target
+
+
+def simulate(main, **options):
+    async def run():
+        simulation = SessionSimulation(1, hosts=HOSTS, **options)
+        await main(simulation, simulation.dialer)
+        violations = simulation.observer.check_final_logs(simulation.groups)
+        simulation.close()
+        assert violations == []
+
+    run_virtual(run())
+
+
+def relaying_host(simulation, target_id="g0-0"):
+    """Return a host that does not connect to a target itself."""
+    return next(
+        gateway
+        for gateway in simulation.gateways
+        if not gateway.owns(gateway.directory.get(target_id))
+    )
+
+
+def client_of(simulation, gateway, reads=ReadKind.CURRENT):
+    return simulation.client(gateway, simulation.database(reads))
+
+
+class TestRelay:
+    def test_only_owners_connect_to_a_target(self):
+        async def main(simulation, dialer):
+            for gateway in simulation.gateways:
+                assert (await client_of(simulation, gateway).write()).code is None
+            leader = simulation.groups["g0"].leader
+            opened = {
+                gateway.host
+                for gateway, driver in zip(
+                    simulation.gateways, simulation.drivers, strict=True
+                )
+                if any(link.driver is driver for link in leader.links)
+            }
+            assert 0 < len(opened) <= owner_count(16)
+
+        simulate(main)
+
+    def test_keeps_all_promises_under_load(self):
+        async def main(simulation, dialer):
+            await simulation.run_clients(60, 3_000.0)
+            served = [record for record in simulation.replies if record[3].code is None]
+            assert len(served) > 0.97 * len(simulation.replies) > 1_000
+            assert simulation.observer.violations == []
+
+        simulate(main, groups=2)
+
+    def test_keeps_all_promises_while_a_primary_is_replaced(self):
+        async def main(simulation, dialer):
+            load = asyncio.ensure_future(simulation.run_clients(40, 6_000.0))
+            await simulation.clock.sleep_ms(800.0)
+            simulation.groups["g0"].leader.crash()
+            await load
+            late = [record for record in simulation.replies if record[0] > 4_500.0]
+            served = [record for record in late if record[3].code is None]
+            assert len(served) > 0.95 * len(late) > 100
+
+        simulate(main)
+
+    def test_a_transaction_stays_on_one_link_and_is_rolled_back_at_its_end(self):
+        async def main(simulation, dialer):
+            client = client_of(simulation, relaying_host(simulation))
+            await client.begin()
+            await client.write()
+            runs = simulation.observer.runs
+            first = runs[client.last_request_id][0]
+            await client.read()
+            assert runs[client.last_request_id][0].link == first.link
+            client.session.abort("test")
+            await simulation.clock.sleep_ms(50.0)
+            links = simulation.groups["g0"].leader.links
+            assert all(not link.transaction_kind for link in links)
+
+        simulate(main)
+
+    def test_session_values_and_prepared_statements_reach_the_owners_link(self):
+        async def main(simulation, dialer):
+            gateway = relaying_host(simulation)
+            first, second = (client_of(simulation, gateway) for _ in range(2))
+            await first.set_value("a", "x")
+            await first.prepare("s1", True, "p")
+            await second.prepare("s1", False, "q")
+            for _ in range(3):
+                assert (await first.execute("s1")).code is None
+                assert (await second.execute("s1")).code is None
+
+        simulate(main)
+
+    def test_an_owner_that_can_not_be_reached_is_replaced_by_another(self):
+        async def main(simulation, dialer):
+            gateway = relaying_host(simulation)
+            entry = gateway.directory.get("g0-0")
+            dialer.unreachable = set(gateway.owners(entry)[:1])
+            assert (await client_of(simulation, gateway).write()).code is None
+
+        simulate(main)
+
+    def test_a_write_through_an_owner_that_falls_silent_is_in_doubt(self):
+        async def main(simulation, dialer):
+            gateway = relaying_host(simulation)
+            client = client_of(simulation, gateway)
+            assert (await client.write()).code is None
+            for _, _, far in dialer.streams:
+                far.silent = True
+            reply = await client.write()
+            assert reply.code is codes.CONNECTION_LOST
+            assert len(simulation.observer.runs[client.last_request_id]) == 1
+            assert (await client.write()).code is None
+
+        simulate(main)
+
+    def test_the_loss_of_a_stream_aborts_its_transactions(self):
+        async def main(simulation, dialer):
+            client = client_of(simulation, relaying_host(simulation))
+            await client.begin()
+            await client.write()
+            for _, near, _ in dialer.streams:
+                near.close()
+            reply = await client.write()
+            assert reply.code is codes.TRANSACTION_ABORTED
+            await simulation.clock.sleep_ms(50.0)
+            links = simulation.groups["g0"].leader.links
+            assert all(not link.transaction_kind for link in links)
+
+        simulate(main)
+
+    @pytest.mark.parametrize("count", [40])
+    def test_more_transactions_than_links_wait_or_are_refused_as_not_run(self, count):
+        async def main(simulation, dialer):
+            gateway = relaying_host(simulation)
+            clients = [client_of(simulation, gateway) for _ in range(count)]
+
+            async def run(client):
+                await client.begin()
+                reply = await client.write()
+                await simulation.clock.sleep_ms(100.0)
+                if client.session.state is TransactionState.OPEN:
+                    await client.commit()
+                return reply
+
+            replies = await asyncio.gather(*(run(client) for client in clients))
+            assert all(
+                reply.code is None or reply.code.outcome is codes.Outcome.NOT_RUN
+                for reply in replies
+            )
+
+        simulate(main)
--- a/packages/fennelhilld/src/fennelhilld/statements/environment.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/environment.py
@@ -375,6 +375,7 @@
             link,
             self.clock,
             lambda sent_ms: self.record_overdue_answer(target, sent_ms),
+            request,
         )
 
     def minimum_read_position(
