fix: owners lose no link to a transaction that nobody ends; free links are found

Traces: (1) a beginning whose answer came after its sender had given up left a transaction open on the owner's link for good; (2) one unanswered batch closed the stream to an owner, and with it the links of all open transactions there; (3) a host tried one owner only, while another had idle links; (4) a host without a sample younger than 1.5 s read from the leader; (5) requests that no owner could serve were sent again every 38 ms until their deadline. Ruled out: hosts that fall silent (after (2) there were none before the zone cut), full connections (the owners had idle links). Change: the sender numbers its links and ends them at the owner; an owner is pinged before it counts as silent; owners are tried one after the other; positions of leaders are fetched from owners; no expected link means a refusal at once, with the wait as hint. A rollback without a transaction stays local.

--- a/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/simulation.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/simulation.py
@@ -447,7 +447,8 @@
             for target_id in model.targets:
                 gateway.put_target(self.target_entry(model, target_id))
         gateway.replacement.store = gateway.renewal.store = HostStore(self, gateway)
-        gateway.renewal.peers = gateway.collector.peers = DatagramsModel(self, gateway)
+        peers = DatagramsModel(self, gateway)
+        gateway.renewal.peers = gateway.collector.peers = gateway.samples.peers = peers
         gateway.renewal.registered = True
         gateway.replacement.orders = self.orders
         gateway.replacement.peers = PeersModel(self, gateway)
--- a/packages/fennelhilld/src/fennelhilld/directory/follower.py
+++ b/packages/fennelhilld/src/fennelhilld/directory/follower.py
@@ -61,6 +61,9 @@
         Records when the store becomes unavailable and available again.
     random_state : random.Random
         Source of the jitter that spreads the retries of hosts.
+    pause_ms : callable
+        Returns the pause after changes, in which further ones collect.  Each call is
+        priced, and one change wakes all hosts.
     """
 
     def __init__(
@@ -71,7 +74,9 @@
         clock: Clock,
         events: EventLog,
         random_state: random.Random,
+        pause_ms: Callable[[], float] = lambda: 0.0,
     ) -> None:
+        self._pause_ms = pause_ms
         self._source = source
         self._table = table
         self._apply_rows = apply_rows
@@ -100,6 +105,8 @@
                 self._apply_rows(rows, is_snapshot, self._outage_since_ms is not None)
                 self._outage_since_ms = None
                 self._retry_delay_ms = RETRY_MIN_MS
+                if rows and not is_snapshot:
+                    await self._clock.sleep_ms(self._pause_ms())
 
     async def refresh(self) -> None:
         """Apply all changes that have been made until now.
--- a/packages/fennelhilld/src/fennelhilld/freshness/positions.py
+++ b/packages/fennelhilld/src/fennelhilld/freshness/positions.py
@@ -87,6 +87,16 @@
                 return
         self._samples.append(sample)
 
+    def newest_sample(self) -> PositionSample | None:
+        """Return the newest sample.
+
+        Returns
+        -------
+        PositionSample or None
+            None if there is none.
+        """
+        return self._samples[-1] if self._samples else None
+
     def minimum_position(
         self, now_ms: float, max_age_ms: float, own_commit: Position | None
     ) -> MinimumPosition | None:
--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -11,6 +11,7 @@
 from fennelhilld.catalog.state import Catalog, CatalogHolder
 from fennelhilld.directory.state import TargetDirectory, TargetEntry
 from fennelhilld.fleet.roster import Roster
+from fennelhilld.freshness.sharing import SampleSource
 from fennelhilld.leader_lease.fencing import LeaseCollector
 from fennelhilld.leader_lease.renewal import LeaseRenewal
 from fennelhilld.leader_lease.service import HostQueryService
@@ -25,7 +26,7 @@
 from fennelhilld.relay.owners import (
     HostCapacity,
     is_shared,
-    links_per_owner,
+    owner_links,
     owner_order,
     target_owners,
 )
@@ -138,6 +139,8 @@
                 driver, self._owner_addresses, streams, clock
             )
         self.relay = RelayService(self.env)
+        self.samples = SampleSource(self._leader_owner_addresses, clock)
+        self.env.samples = self.samples
         self._driver = self._relay_driver or driver
         self._clock = clock
         self._events = events
@@ -173,6 +176,7 @@
         """Cancel all tasks and close the pools of all targets."""
         self._tasks.cancel()
         self.renewal.close()
+        self.samples.close()
         if self._relay_driver is not None:
             self._relay_driver.close()
         self.replacement.prober.close()
@@ -460,6 +464,12 @@
             if name in addresses
         ]
 
+    def _leader_owner_addresses(self, group: GroupState) -> list[str]:
+        leader_id = group.leadership.leader_id
+        if leader_id is None:
+            return []
+        return [address for _, address in self._owner_addresses(leader_id)]
+
     def _may_replace_leader(self, group: GroupState) -> bool:
         """Return whether this host checks and replaces the leader of a group.
 
@@ -494,7 +504,8 @@
         if self._clock.now_ms() - self._started_ms < STARTUP_PHASE_MS:
             return 1
         if shared:
-            return links_per_owner(self._max_connections(entry.group))
+            position = self.owners(entry).index(self.host)
+            return owner_links(self._max_connections(entry.group), position)
         return max(1, int(self.fair_share(entry.group) * self.overcommit))
 
     def _open_pool(self, target: TargetState) -> TargetPool:
@@ -505,6 +516,7 @@
             lambda: self.link_limit(target.entry),
             lambda reason: self.env.record_target_failure(target, reason),
             self.env.policies,
+            lambda: not self.owns(target.entry),
         )
 
     def _drop_target(self, target: TargetState) -> None:
--- a/packages/fennelhilld/src/fennelhilld/leader_lease/fencing.py
+++ b/packages/fennelhilld/src/fennelhilld/leader_lease/fencing.py
@@ -168,6 +168,25 @@
         )
         return result
 
+    async def announce(self, row: GroupClaim) -> None:
+        """Tell all hosts about the end of a replacement, once.
+
+        Hosts that miss it learn it from the store, which may take a second longer.
+
+        Parameters
+        ----------
+        row : GroupClaim
+            The finished claim.
+        """
+        if self.peers is not None:
+            order = FenceOrder(row)
+            await asyncio.gather(
+                *(
+                    self.peers.ask(address, order, ORDER_REPEAT_MS)
+                    for address in self._roster.addresses.values()
+                )
+            )
+
     async def demote_through_others(self, row: GroupClaim, target_id: str) -> None:
         """Ask one host of each zone to demote a leader that this one can't reach.
 
--- a/packages/fennelhilld/src/fennelhilld/leader_lease/messages.py
+++ b/packages/fennelhilld/src/fennelhilld/leader_lease/messages.py
@@ -5,6 +5,7 @@
 import enum
 
 import msgspec
+from fennelhill_core.tokens import Position
 
 from fennelhilld.promotion.messages import Claim
 
@@ -103,5 +104,26 @@
     demoted: bool
 
 
-HostQuery = LeaseQuery | FenceOrder | DemotionOrder
-HostAnswer = LeaseAnswer | FenceAnswer | DemotionAnswer
+class SampleQuery(msgspec.Struct, tag="sample_query", frozen=True):
+    """Asks an owner of a group's leader for the leader's log position."""
+
+    group: str
+
+
+class SampleAnswer(msgspec.Struct, tag="sample_answer", frozen=True):
+    """The newest position that the host has seen at the leader under its lease.
+
+    Parameters
+    ----------
+    position : Position or None
+        The position; None if the host has seen none lately.
+    age_ms : float
+        Time since the command was sent that the leader answered with it.
+    """
+
+    position: Position | None = None
+    age_ms: float = 0.0
+
+
+HostQuery = LeaseQuery | FenceOrder | DemotionOrder | SampleQuery
+HostAnswer = LeaseAnswer | FenceAnswer | DemotionAnswer | SampleAnswer
--- a/packages/fennelhilld/src/fennelhilld/leader_lease/service.py
+++ b/packages/fennelhilld/src/fennelhilld/leader_lease/service.py
@@ -15,6 +15,8 @@
     HostAnswer,
     HostQuery,
     LeaseQuery,
+    SampleAnswer,
+    SampleQuery,
 )
 from fennelhilld.leader_lease.renewal import LeaseRenewal
 from fennelhilld.placement.state import GroupState
@@ -75,6 +77,8 @@
             return self._renewal.answer(query)
         if isinstance(query, FenceOrder):
             return self._answer_fence(query)
+        if isinstance(query, SampleQuery):
+            return self._answer_sample(query)
         return self._answer_demotion(query)
 
     async def _answer_fence(self, order: FenceOrder) -> FenceAnswer:
@@ -105,6 +109,12 @@
         fence.covered_until_ms = float("-inf")
         return True
 
+    def _answer_sample(self, query: SampleQuery) -> SampleAnswer:
+        sample = self._group(query.group).freshness.newest_sample()
+        if sample is None:
+            return SampleAnswer()
+        return SampleAnswer(sample.position, self._clock.boottime_ms() - sample.sent_ms)
+
     async def _answer_demotion(self, order: DemotionOrder) -> DemotionAnswer:
         row = order.row
         self._apply_claim(row.group, ClaimRow(row.version, row.claim))
--- a/packages/fennelhilld/src/fennelhilld/links/lease.py
+++ b/packages/fennelhilld/src/fennelhilld/links/lease.py
@@ -12,6 +12,7 @@
     Command,
     CommandKind,
     LinkLostError,
+    NoLinkError,
     TargetAnswer,
     Urgency,
 )
@@ -142,6 +143,9 @@
         LinkLostError
             If the link is closed, an answer is missing, late or does not fit its
             command, or session state could not be replayed.
+        NoLinkError
+            If the link leads through owners, and none of them has a connection to the
+            target in time; nothing was sent.
         """
         self._resume()
         started_ms = self.sent_at_ms = self._clock.now_ms()
@@ -168,6 +172,10 @@
         except LinkLostError:
             self._broken = True
             raise
+        except NoLinkError:
+            # An owner of the target has no link for the batch.
+            self.sent = False
+            raise
         except BaseException:
             # After a cancellation or an internal error no caller releases the link.
             self.discard()
--- a/packages/fennelhilld/src/fennelhilld/links/messages.py
+++ b/packages/fennelhilld/src/fennelhilld/links/messages.py
@@ -141,6 +141,21 @@
     """The connection is lost or out of sync; commands sent on it may have run."""
 
 
+class NoLinkError(Exception):
+    """No link became free in time, or none is expected to; nothing was sent.
+
+    Parameters
+    ----------
+    expected_ms : float
+        Expected wait, in milliseconds, if the request was refused because it was too
+        long; 0 if the request ran out of time.
+    """
+
+    def __init__(self, expected_ms: float = 0.0) -> None:
+        super().__init__("no link became free in time, or none is expected to")
+        self.expected_ms = expected_ms
+
+
 class LinkRefusedError(Exception):
     """No connection could be opened; nothing was run.
 
--- a/packages/fennelhilld/src/fennelhilld/links/pool.py
+++ b/packages/fennelhilld/src/fennelhilld/links/pool.py
@@ -13,7 +13,12 @@
 from fennelhilld.admission.policies import LoadPolicies
 from fennelhilld.admission.refusal import expected_wait_ms
 from fennelhilld.directory.state import TargetEntry
-from fennelhilld.links.messages import LinkDriver, LinkRefusedError, TargetFault
+from fennelhilld.links.messages import (
+    LinkDriver,
+    LinkRefusedError,
+    NoLinkError,
+    TargetFault,
+)
 from fennelhilld.links.state import PooledLink, SessionContext
 
 # Opening a connection occupies one of the target's slots, for 12 to 27 ms on the users'
@@ -35,21 +40,6 @@
 MIN_DELAY_MS = 1.0  # resolution of timers
 
 
-class NoLinkError(Exception):
-    """No link became free in time, or none is expected to; nothing was sent.
-
-    Parameters
-    ----------
-    expected_ms : float
-        Expected wait, in milliseconds, if the request was refused because it was too
-        long; 0 if the request ran out of time.
-    """
-
-    def __init__(self, expected_ms: float = 0.0) -> None:
-        super().__init__("no link became free in time, or none is expected to")
-        self.expected_ms = expected_ms
-
-
 class PoolCounters:
     """Counters for the metrics; the names are values of the label ``event``.
 
@@ -99,6 +89,8 @@
         Called with the reason when the target can't be reached.
     policies : LoadPolicies
         Queue order, load shedding and concurrency window.
+    relayed : callable
+        Returns whether links lead through an owner, so that opening one costs nothing.
     """
 
     def __init__(
@@ -109,7 +101,9 @@
         link_limit: Callable[[], int],
         on_failure: Callable[[str], None],
         policies: LoadPolicies,
+        relayed: Callable[[], bool] = lambda: False,
     ) -> None:
+        self._relayed = relayed
         self.entry = entry
         self.counters = PoolCounters()
         self.closed = False
@@ -154,6 +148,11 @@
         """Requests that wait for a link."""
         return sum(not waiter.done() for _, waiter in self._waiters)
 
+    @property
+    def relayed(self) -> bool:
+        """Whether links lead through an owner of the target."""
+        return self._relayed()
+
     @property
     def mean_response_ms(self) -> float:
         """Mean time that the target takes for a statement, in milliseconds."""
--- a/packages/fennelhilld/src/fennelhilld/links/tests/test_pool.py
+++ b/packages/fennelhilld/src/fennelhilld/links/tests/test_pool.py
@@ -9,12 +9,11 @@
 from fennelhilld.admission.order import QueuedRequest
 from fennelhilld.admission.policies import LoadPolicies, PolicyNames
 from fennelhilld.directory.state import TargetEntry
-from fennelhilld.links.messages import LinkRefusedError, TargetFault
+from fennelhilld.links.messages import LinkRefusedError, NoLinkError, TargetFault
 from fennelhilld.links.pool import (
     PEAK_SAMPLES,
     SURPLUS_IDLE_MS,
     TOO_MANY_CONNECTIONS_BACKOFF_MS,
-    NoLinkError,
     TargetPool,
 )
 from fennelhilld.links.state import SessionContext
--- a/packages/fennelhilld/src/fennelhilld/placement/policies.py
+++ b/packages/fennelhilld/src/fennelhilld/placement/policies.py
@@ -91,7 +91,7 @@
             cost_ms *= LEADER_COST_FACTOR
         if target.entry.zone != zone:
             cost_ms += OTHER_ZONE_COST_MS
-        if not is_leader and pool.open == 0:
+        if not is_leader and pool.open == 0 and not pool.relayed:
             # A host that has just started uses its open links to the leader until links
             # to replicas are open.
             cost_ms += SET_UP_COST_MS
--- a/packages/fennelhilld/src/fennelhilld/placement/tests/test_state.py
+++ b/packages/fennelhilld/src/fennelhilld/placement/tests/test_state.py
@@ -20,6 +20,7 @@
         self.open = 1
         self.created_ms = 0.0
         self.unreachable = False
+        self.relayed = False
 
 
 def group(**zones):
@@ -57,6 +58,12 @@
         state.targets["far"].pool.open = 0
         assert choose(state) == "leader"
 
+    def test_prefers_a_replica_if_no_connection_has_to_be_opened(self):
+        state = group(leader="a", far="b")
+        state.targets["far"].pool.open = 0
+        state.targets["far"].pool.relayed = True
+        assert choose(state) == "far"
+
     def test_avoids_a_slow_replica(self):
         state = group(leader="c", near="a", far="b")
         for _ in range(30):
--- a/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
@@ -564,6 +564,8 @@
             return
         if version is not None:
             self.apply_claim(group.name, ClaimRow(version, finished))
+            row = GroupClaim(group.name, version, finished)
+            self._tasks.spawn(self._collector.announce(row))
 
     async def _write_claim(self, group: GroupState, claim: Claim) -> int | None:
         """Write a claim and return its fencing token.
--- a/packages/fennelhilld/src/fennelhilld/relay/driver.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/driver.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from collections import deque
 from collections.abc import Callable
 
@@ -18,6 +19,8 @@
     CommandKind,
     LinkDriver,
     LinkLostError,
+    LinkRefusedError,
+    NoLinkError,
     TargetAnswer,
     TargetFault,
     TargetLink,
@@ -26,6 +29,7 @@
 )
 from fennelhilld.relay.messages import (
     CLOSE,
+    PING,
     RUN,
     RelayBatch,
     RelayClose,
@@ -35,15 +39,17 @@
 DIAL_TIMEOUT_MS = 300.0
 # An owner that did not answer is not used for this long.
 OWNER_RETRY_MS = 2_000.0
-# An owner that has sent nothing for this long while an answer is due counts as silent.
-OWNER_SILENCE_MS = 250.0
+# An owner that has left a batch unanswered is asked for a sign of life, which takes a
+# few milliseconds.
+PING_TIMEOUT_MS = 250.0
 # Pause before a refusal is passed on, so that the next attempt finds another state.
 REFUSAL_PAUSE_MS = 30.0
 CLOSE_TIMEOUT_MS = 500.0
+# Wait for a link at an owner while there are others to try; a statement takes some
+# milliseconds.
+SHORT_WAIT_MS = 10.0
 # Longest time for the answer to commands whose sender gives no limit.
 DEFAULT_LIMIT_MS = 1_000.0
-# Owners that are tried for a new link, before the target itself.
-MAX_OWNERS_TRIED = 3
 
 
 class OwnerStreams:
@@ -66,6 +72,14 @@
         self._clients: dict[str, RpcClient] = {}
         self._locks: dict[str, asyncio.Lock] = {}
         self._silent_since_ms: dict[str, float] = {}
+        self._numbers = itertools.count(1)
+        # Hosts that are being checked.
+        self._checked: set[str] = set()
+        self._tasks = Tasks()
+
+    def new_link_number(self) -> int:
+        """Return a number that no other link has."""
+        return next(self._numbers)
 
     def usable(self, host: str) -> bool:
         """Return whether a host has not failed to answer a moment ago.
@@ -129,28 +143,52 @@
             client.close()
         self._events.record("relay.owner_silent", owner=host, reason=reason)
 
+    def check(self, host: str, client: RpcClient) -> None:
+        """Find out whether a host that has left a batch unanswered still lives.
+
+        The target may be slow; only a host that does not even answer a ping is not used
+        any more.
+
+        Parameters
+        ----------
+        host : str
+            The host.
+        client : RpcClient
+            The stream to it.
+        """
+        if host not in self._checked:
+            self._checked.add(host)
+            self._tasks.spawn(self._ping(host, client))
+
+    async def _ping(self, host: str, client: RpcClient) -> None:
+        try:
+            await client.call(PING, None, PING_TIMEOUT_MS)
+        except (NoAnswer, NotSent, RpcError) as error:
+            self.record_silence(host, str(error) or "the stream is closed")
+        finally:
+            self._checked.discard(host)
+
     def close(self) -> None:
         """Close all streams."""
+        self._tasks.cancel()
         for client in self._clients.values():
             client.close()
         self._clients.clear()
 
 
 class RelayLink:
-    """A link to a target through one of its owners.
+    """A link to a target through its owners.
 
-    It holds no connection to the target: each batch runs on any link of the owner,
+    It holds no connection to the target: each batch runs on any free link of an owner,
     which is brought to this link's session state first.  Only an open transaction
-    stays on one.
+    stays with one owner, on one of its links.
 
     Parameters
     ----------
     streams : OwnerStreams
         Streams to owners.
-    client : RpcClient
-        Stream to the owner.
-    owner : str
-        The owner.
+    owners : callable
+        Returns name and address of the target's owners, in the order of use.
     group : str
         Group of the target.
     target_id : str
@@ -163,38 +201,38 @@
 
     __slots__ = (
         "_answers",
-        "_client",
         "_clock",
         "_closed",
         "_group",
+        "_number",
+        "_owner",
+        "_owners",
         "_prepared",
         "_streams",
         "_target_id",
         "_tasks",
-        "_transaction",
         "_values",
-        "owner",
     )
 
     def __init__(
         self,
         streams: OwnerStreams,
-        client: RpcClient,
-        owner: str,
+        owners: Callable[[], list[tuple[str, str]]],
         group: str,
         target_id: str,
         clock: Clock,
         tasks: Tasks,
     ) -> None:
-        self.owner = owner
         self._streams = streams
-        self._client = client
+        self._owners = owners
         self._group = group
         self._target_id = target_id
         self._clock = clock
         self._tasks = tasks
         self._closed = False
-        self._transaction = 0
+        self._number = streams.new_link_number()
+        # Owner of the link on which a transaction is open, and the stream to it.
+        self._owner: tuple[str, RpcClient] | None = None
         self._values: dict[str, str] = {}
         # Shape and whether it writes, by the name of the prepared statement.
         self._prepared: dict[str, tuple[str, bool]] = {}
@@ -203,12 +241,12 @@
     @property
     def closed(self) -> bool:
         """Whether the link can't be used any more."""
-        return self._closed or self._client.closed
+        return self._closed or (self._owner is not None and self._owner[1].closed)
 
     async def send(
         self, commands: list[Command], urgency: Urgency | None = None
     ) -> None:
-        """Run commands through the owner, and keep their answers for `receive`.
+        """Run commands through an owner, and keep their answers for `receive`.
 
         Parameters
         ----------
@@ -221,10 +259,16 @@
         ------
         LinkLostError
             If the owner does not answer, or has lost the link to the target.
+        NoLinkError
+            If no owner has a link in time; nothing was sent.
         """
         if self.closed:
             raise LinkLostError("the stream to the owner is closed")
-        remaining = [command for command in commands if not self._replay(command)]
+        # Left over from a batch that was not sent.
+        self._answers.clear()
+        remaining = [
+            command for command in commands if not self._answer_locally(command)
+        ]
         if not remaining:
             return
         urgency = urgency or Urgency(DEFAULT_LIMIT_MS)
@@ -233,24 +277,49 @@
             self._target_id,
             remaining,
             urgency.limit_ms,
+            urgency.limit_ms,
             urgency.priority,
             urgency.due_in_ms,
-            self._transaction,
+            self._number,
+            self._owner is not None,
             self._values,
         )
         batch.shape, batch.shape_writes = self._prepared.get(
             remaining[-1].name, ("", False)
         )
-        result = await self._call(batch)
-        self._transaction = result.transaction
+        if self._owner is not None:
+            result = await self._call(*self._owner, batch)
+        else:
+            result = await self._run_at_any_owner(batch)
         if result.answers:
             self._answers.extend(result.answers)
-        elif result.not_run and not batch.transaction:
+        elif result.expected_ms is not None:
+            raise NoLinkError(result.expected_ms)
+        elif result.not_run and not batch.in_transaction:
             await self._clock.sleep_ms(min(REFUSAL_PAUSE_MS, batch.limit_ms / 2))
             self._refuse(len(remaining), result.error)
         else:
             self._closed = True
-            raise LinkLostError(f"at owner {self.owner}: {result.error}")
+            raise LinkLostError(result.error)
+
+    async def _run_at_any_owner(self, batch: RelayBatch) -> RelayResult:
+        """Run a batch at the first owner with a free link; wait for one at the last."""
+        deadline_ms = self._clock.now_ms() + batch.limit_ms
+        owners = self._owners()
+        usable = [owner for owner in owners if self._streams.usable(owner[0])]
+        result = RelayResult(error="no owner can be reached", not_run=True)
+        for position, (name, address) in enumerate(usable):
+            client = await self._streams.connect(name, address)
+            left_ms = deadline_ms - self._clock.now_ms()
+            if client is None or left_ms <= 0:
+                continue
+            batch.limit_ms = left_ms
+            is_last = position == len(usable) - 1
+            batch.wait_ms = left_ms if is_last else min(left_ms, SHORT_WAIT_MS)
+            result = await self._call(name, client, batch)
+            if not result.not_run:
+                break
+        return result
 
     async def receive(self) -> TargetAnswer:
         """Return the next answer.
@@ -271,37 +340,42 @@
 
     def close(self) -> None:
         """Close the link; an open transaction is rolled back."""
-        if self._transaction and not self._client.closed:
-            self._tasks.spawn(self._close_transaction(self._transaction))
-        self._transaction = 0
+        owner, self._owner = self._owner, None
         self._closed = True
-
-    async def _call(self, batch: RelayBatch) -> RelayResult:
-        received = self._client.received_messages
-        sent_ms = self._clock.now_ms()
+        if owner is not None and not owner[1].closed:
+            self._tasks.spawn(self._close_at_owner(owner[1]))
+
+    async def _call(
+        self, name: str, client: RpcClient, batch: RelayBatch
+    ) -> RelayResult:
+        # Also without an answer, a transaction may have been begun there.
+        self._owner = (name, client)
         try:
-            raw = await self._client.call(RUN, batch, batch.limit_ms)
-            return msgspec.json.decode(raw, type=RelayResult)
+            raw = await client.call(RUN, batch, batch.limit_ms)
+            result = msgspec.json.decode(raw, type=RelayResult)
         except NotSent:
-            self._closed = True
-            return RelayResult(error="the owner can't be reached", not_run=True)
+            self._owner = None
+            return RelayResult(error=f"owner {name} can't be reached", not_run=True)
         except (NoAnswer, RpcError, msgspec.DecodeError) as error:
-            self._closed = True
-            self._check_owner(received, sent_ms)
-            raise LinkLostError(f"owner {self.owner}: {error}") from error
+            self._streams.check(name, client)
+            self.close()
+            raise LinkLostError(f"owner {name}: {error}") from error
         except asyncio.CancelledError:
-            self._closed = True
-            self._check_owner(received, sent_ms)
+            self._streams.check(name, client)
+            self.close()
             raise
+        if not result.in_transaction:
+            self._owner = None
+        if result.error:
+            result.error = f"{result.error} (at owner {name})"
+        return result
 
-    def _check_owner(self, received: int, sent_ms: float) -> None:
-        silent = self._client.received_messages == received
-        waited_ms = self._clock.now_ms() - sent_ms
-        if self._client.closed or (silent and waited_ms >= OWNER_SILENCE_MS):
-            self._streams.record_silence(self.owner, "no answer in time")
+    def _answer_locally(self, command: Command) -> bool:
+        """Answer a command that needs no target; return whether it was one.
 
-    def _replay(self, command: Command) -> bool:
-        """Keep session state that a command sets; return whether it sets any."""
+        Session state is kept here, and without a transaction there is nothing to roll
+        back.
+        """
         if command.kind is CommandKind.SET_VALUE:
             self._values = {**self._values, command.name: command.value}
         elif command.kind is CommandKind.PREPARE:
@@ -309,22 +383,21 @@
         elif command.kind is CommandKind.RESET:
             self._values = {}
             self._prepared = {}
-        else:
+        elif command.kind is not CommandKind.ROLLBACK or self._owner is not None:
             return False
         self._answers.append(TargetAnswer())
         return True
 
     def _refuse(self, count: int, reason: str) -> None:
-        detail = f"{reason} (at owner {self.owner})"
         for _ in range(count):
-            self._answers.append(TargetAnswer(fault=TargetFault.BUSY, detail=detail))
+            self._answers.append(TargetAnswer(fault=TargetFault.BUSY, detail=reason))
 
-    async def _close_transaction(self, number: int) -> None:
+    async def _close_at_owner(self, client: RpcClient) -> None:
         try:
-            await self._client.call(CLOSE, RelayClose(number), CLOSE_TIMEOUT_MS)
+            await client.call(CLOSE, RelayClose(self._number), CLOSE_TIMEOUT_MS)
         except (NoAnswer, NotSent, RpcError):
             # The owner rolls back when the stream closes.
-            self._client.close()
+            client.close()
 
 
 class RelayDriver:
@@ -375,30 +448,32 @@
         Returns
         -------
         TargetLink
-            A link through an owner if there are any; a connection to the target if
-            there are none or none of them can be reached.
+            A link through an owner if there are any, else a connection to the target.
 
         Raises
         ------
         LinkRefusedError
-            If the target can't be reached or refuses the connection.
+            If the target can't be reached or refuses the connection, or if none of its
+            owners can be reached.
         """
-        usable = [
-            owner for owner in self._owners(target_id) if self._streams.usable(owner[0])
-        ]
-        for name, owner_address in usable[:MAX_OWNERS_TRIED]:
-            client = await self._streams.connect(name, owner_address)
-            if client is not None:
+        owners = self._owners(target_id)
+        if not owners:
+            return await self._direct.open(group, target_id, address, limit_ms)
+        usable = [owner for owner in owners if self._streams.usable(owner[0])]
+        for name, owner_address in usable:
+            if await self._streams.connect(name, owner_address) is not None:
                 return RelayLink(
                     self._streams,
-                    client,
-                    name,
+                    lambda: self._owners(target_id),
                     group,
                     target_id,
                     self._clock,
                     self._tasks,
                 )
-        return await self._direct.open(group, target_id, address, limit_ms)
+        # Says nothing about the target, so it is not reported as unreachable.
+        raise LinkRefusedError(
+            TargetFault.TOO_MANY_CONNECTIONS, "no owner of the target can be reached"
+        )
 
     async def status(self, link: TargetLink) -> TargetStatus | None:
         """Return the status of a target that was connected to directly.
--- a/packages/fennelhilld/src/fennelhilld/relay/messages.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/messages.py
@@ -8,6 +8,7 @@
 
 RUN = "run"
 CLOSE = "close"
+PING = "ping"
 
 
 class RelayBatch(msgspec.Struct, omit_defaults=True):
@@ -23,12 +24,16 @@
         The commands, without those that replay session state.
     limit_ms : float
         Time within which the answers are needed, in milliseconds.
+    wait_ms : float
+        Longest wait for a link, in milliseconds.
     priority : int
         Priority class; a lower number is more urgent.
     due_in_ms : float
         Time until the answer is due by its latency objective, in milliseconds.
-    transaction : int
-        Number of the open transaction that the commands belong to; 0 if none is open.
+    link : int
+        Number of the sender's link, unique on the stream.
+    in_transaction : bool
+        Whether a transaction is open on that link.
     values : dict
         Session values.
     shape : str
@@ -41,9 +46,11 @@
     target_id: str
     commands: list[Command]
     limit_ms: float
+    wait_ms: float
     priority: int = 0
     due_in_ms: float = 0.0
-    transaction: int = 0
+    link: int = 0
+    in_transaction: bool = False
     values: dict[str, str] = {}
     shape: str = ""
     shape_writes: bool = False
@@ -56,21 +63,28 @@
     ----------
     answers : list of TargetAnswer
         One for each command; empty if there are none.
-    transaction : int
-        Number of the transaction that is open afterwards; 0 if none is.
+    in_transaction : bool
+        Whether a transaction is open afterwards.
     error : str
         Why there are no answers.
     not_run : bool
         Whether it is certain that no command ran.
+    expected_ms : float or None
+        Expected wait for a link, in milliseconds, if none was free in time; 0 if
+        unknown.
     """
 
     answers: list[TargetAnswer] = []
-    transaction: int = 0
+    in_transaction: bool = False
     error: str = ""
     not_run: bool = False
+    expected_ms: float | None = None
 
 
 class RelayClose(msgspec.Struct):
-    """Closes the link of an open transaction; the target rolls it back."""
+    """Ends a link; the target rolls back a transaction that is open on it.
 
-    transaction: int
+    It may overtake the end of a batch whose sender has given up waiting.
+    """
+
+    link: int
--- a/packages/fennelhilld/src/fennelhilld/relay/owners.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/owners.py
@@ -15,7 +15,7 @@
 MIN_OWNERS = 3
 # Share of a target's connections that its owners open; the rest is for status probes
 # and for hosts that disagree about the owners for a moment.
-OWNED_SHARE = 0.85
+OWNED_SHARE = 0.92
 # Hosts up to this share of a target's connections each open their own.
 DIRECT_SHARE = 0.6
 _HASH_RANGE = 2.0**64
@@ -73,20 +73,24 @@
     return max(MIN_OWNERS, max_connections // LINKS_PER_OWNER)
 
 
-def links_per_owner(max_connections: int) -> int:
+def owner_links(max_connections: int, position: int) -> int:
     """Return how many connections an owner may open to its target.
 
     Parameters
     ----------
     max_connections : int
         Connections that the target accepts.
+    position : int
+        Position of the owner among those of the target, from 0.
 
     Returns
     -------
     int
         At least 1.
     """
-    return max(1, int(OWNED_SHARE * max_connections / owner_count(max_connections)))
+    count = owner_count(max_connections)
+    share, remainder = divmod(int(OWNED_SHARE * max_connections), count)
+    return max(1, share + (position < remainder))
 
 
 def target_owners(
--- a/packages/fennelhilld/src/fennelhilld/relay/service.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/service.py
@@ -2,20 +2,18 @@
 
 from __future__ import annotations
 
-import itertools
-
 import msgspec
 from fennelhill_core.rpc import RpcServer
 from fennelhill_core.streams import Stream
 
 from fennelhilld.admission.order import QueuedRequest
 from fennelhilld.links.lease import Lease
-from fennelhilld.links.messages import LinkLostError
-from fennelhilld.links.pool import NoLinkError
+from fennelhilld.links.messages import LinkLostError, NoLinkError
 from fennelhilld.links.state import PreparedShape, SessionContext
 from fennelhilld.placement.state import TargetState
 from fennelhilld.relay.messages import (
     CLOSE,
+    PING,
     RUN,
     RelayBatch,
     RelayClose,
@@ -49,7 +47,8 @@
         """
         session = _RelaySession(self._env)
         try:
-            await RpcServer({RUN: session.run, CLOSE: session.close}).serve(stream)
+            handlers = {RUN: session.run, CLOSE: session.close, PING: session.ping}
+            await RpcServer(handlers).serve(stream)
         finally:
             session.close_all()
 
@@ -59,14 +58,25 @@
 
     def __init__(self, env: Environment) -> None:
         self._env = env
-        self._numbers = itertools.count(1)
+        # Links with an open transaction, by number.
         self._leases: dict[int, tuple[TargetState, Lease]] = {}
+        # Numbers of links on which a batch runs, and of those closed meanwhile.
+        self._running: set[int] = set()
+        self._closed: set[int] = set()
         self._ended = False
 
     async def run(self, params: msgspec.Raw) -> RelayResult:
         batch = msgspec.json.decode(params, type=RelayBatch)
-        if batch.transaction:
-            held = self._leases.pop(batch.transaction, None)
+        self._running.add(batch.link)
+        try:
+            return await self._run(batch)
+        finally:
+            self._running.discard(batch.link)
+            self._closed.discard(batch.link)
+
+    async def _run(self, batch: RelayBatch) -> RelayResult:
+        if batch.in_transaction:
+            held = self._leases.pop(batch.link, None)
             if held is None:
                 return RelayResult(error="the transaction's link was lost")
             target, lease = held
@@ -77,16 +87,23 @@
             try:
                 lease = await self._lease(target, batch)
             except NoLinkError as error:
-                return RelayResult(error=str(error), not_run=True)
+                return RelayResult(
+                    error=str(error), not_run=True, expected_ms=error.expected_ms
+                )
             if lease is None:
                 return RelayResult(error="the target can't be reached", not_run=True)
         return await self._exchange(batch, target, lease)
 
     async def close(self, params: msgspec.Raw) -> RelayResult:
         call = msgspec.json.decode(params, type=RelayClose)
-        held = self._leases.pop(call.transaction, None)
+        held = self._leases.pop(call.link, None)
         if held is not None:
             held[1].discard()
+        elif call.link in self._running:
+            self._closed.add(call.link)
+        return RelayResult()
+
+    async def ping(self, params: msgspec.Raw) -> RelayResult:
         return RelayResult()
 
     def close_all(self) -> None:
@@ -102,7 +119,7 @@
     async def _lease(self, target: TargetState, batch: RelayBatch) -> Lease | None:
         now_ms = self._env.clock.now_ms()
         request = QueuedRequest(
-            batch.priority, now_ms + batch.due_in_ms, now_ms + batch.limit_ms
+            batch.priority, now_ms + batch.due_in_ms, now_ms + batch.wait_ms
         )
         return await self._env.lease_link(target, _context(batch), request)
 
@@ -111,6 +128,10 @@
     ) -> RelayResult:
         env = self._env
         shape = PreparedShape(batch.shape_writes, batch.shape) if batch.shape else None
+        group = env.group(batch.group)
+        if group.leader() is target:
+            # Under a lease its answers are samples, which other hosts ask for.
+            env.renewal.use()
         commands = lease.link.replay(_context(batch), shape)
         try:
             exchange = await lease.exchange(
@@ -119,19 +140,21 @@
         except LinkLostError as error:
             lease.release()
             env.record_lost_link(target, lease, str(error), batch.limit_ms)
-            not_run = not lease.sent and not batch.transaction
+            not_run = not lease.sent and not batch.in_transaction
             return RelayResult(error=str(error), not_run=not_run)
-        in_transaction = exchange.answers[-1].state is not TransactionState.IDLE
-        if not in_transaction or self._ended:
-            if in_transaction:
-                lease.discard()
-            else:
-                lease.release()
+        answer = exchange.answers[-1]
+        if answer.fault is None:
+            env.record_leader_answer(group, target, exchange, answer)
+        if answer.state is TransactionState.IDLE:
+            lease.release()
             return RelayResult(exchange.answers)
+        if self._ended or batch.link in self._closed:
+            # Nobody would end the transaction.
+            lease.discard()
+            return RelayResult(error="the link was closed")
         lease.pause()
-        number = next(self._numbers)
-        self._leases[number] = (target, lease)
-        return RelayResult(exchange.answers, number)
+        self._leases[batch.link] = (target, lease)
+        return RelayResult(exchange.answers, in_transaction=True)
 
 
 def _context(batch: RelayBatch) -> SessionContext:
--- a/packages/fennelhilld/src/fennelhilld/statements/environment.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/environment.py
@@ -15,6 +15,7 @@
 from fennelhilld.admission.policies import LoadPolicies
 from fennelhilld.catalog.state import CatalogHolder, Database, ReadKind
 from fennelhilld.freshness.positions import MinimumPosition
+from fennelhilld.freshness.sharing import SampleSource
 from fennelhilld.leader_lease.renewal import LeaseRenewal
 from fennelhilld.leader_lease.state import LeaderAccess
 from fennelhilld.links.lease import Exchange, Lease
@@ -106,6 +107,8 @@
         self.counters = StatementCounters()
         self.response_times = ResponseTimes()
         self.leaving = False
+        # Fetches positions of leaders; None if this host sees enough of them itself.
+        self.samples: SampleSource | None = None
         self.is_cut_off: Callable[[], bool] = lambda: False
         self.on_leader_suspected: Callable[[GroupState], None] = lambda group: None
 
@@ -405,6 +408,23 @@
             own_commit if database.reads is ReadKind.OWN_WRITES else None,
         )
 
+    async def prepare_read(self, group: GroupState, database: Database) -> None:
+        """Get a position of the leader for a read that may be served by a replica.
+
+        Parameters
+        ----------
+        group : GroupState
+            The group.
+        database : Database
+            Its configuration says how stale a read may be.
+        """
+        if database.reads is ReadKind.CURRENT or self.samples is None:
+            return
+        if self.minimum_read_position(group, database, None) is None:
+            await self.samples.fetch(group)
+        else:
+            self.samples.keep_fresh(group, database.max_age_ms)
+
     def record_leader_answer(
         self,
         group: GroupState,
--- a/packages/fennelhilld/src/fennelhilld/statements/execution.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/execution.py
@@ -12,10 +12,10 @@
     Command,
     CommandKind,
     LinkLostError,
+    NoLinkError,
     TargetAnswer,
     TargetFault,
 )
-from fennelhilld.links.pool import NoLinkError
 from fennelhilld.links.state import PreparedShape, SessionContext
 from fennelhilld.placement.state import GroupState, TargetState
 from fennelhilld.statements.environment import (
@@ -197,6 +197,10 @@
                 with group.leadership.write_in_flight():
                     exchange = await lease.exchange(commands, left_ms)
                     counts = await env.answer_counts(group, target)
+            except NoLinkError as error:
+                lease.release()
+                last_failure, retry_ms = str(error), error.expected_ms
+                break
             except LinkLostError as error:
                 lease.release()
                 env.record_lost_link(target, lease, str(error), left_ms)
--- a/packages/fennelhilld/src/fennelhilld/statements/reading.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/reading.py
@@ -13,10 +13,10 @@
     Command,
     CommandKind,
     LinkLostError,
+    NoLinkError,
     TargetAnswer,
     TargetFault,
 )
-from fennelhilld.links.pool import NoLinkError
 from fennelhilld.links.state import PreparedShape
 from fennelhilld.placement.state import TargetState
 from fennelhilld.statements.environment import (
@@ -105,6 +105,7 @@
             The answer, or a failure with its result code.
         """
         env, group = self._env, self._group
+        await env.prepare_read(group, self._database)
         while self._attempts < MAX_READ_ATTEMPTS:
             left_ms = self._left_ms()
             if left_ms < MIN_READ_TIME_MS:
@@ -155,17 +156,20 @@
         try:
             lease = await self._env.lease_link(target, self._runner.context, request)
         except NoLinkError as error:
-            target.avoid(self._env.clock.now_ms())
-            shortest_ms = self._min_expected_wait_ms
-            self._min_expected_wait_ms = min(
-                shortest_ms or error.expected_ms, error.expected_ms
-            )
+            self._record_no_link(target, error)
             return None
         if lease is None:
             return None
         self._attempts += 1
         return await self._run_on(target, lease)
 
+    def _record_no_link(self, target: TargetState, error: NoLinkError) -> None:
+        target.avoid(self._env.clock.now_ms())
+        shortest_ms = self._min_expected_wait_ms
+        if shortest_ms is None:
+            shortest_ms = error.expected_ms
+        self._min_expected_wait_ms = min(shortest_ms, error.expected_ms)
+
     def _failure_reply(self) -> Reply:
         env, group = self._env, self._group
         code = codes.READ_UNANSWERED if self._attempts else codes.CONNECTIONS_EXHAUSTED
@@ -200,6 +204,10 @@
             left_ms = min(READ_ATTEMPT_TIMEOUT_MS, left_ms)
         try:
             exchange = await self._exchange(lease, minimum, left_ms)
+        except NoLinkError as error:
+            lease.release()
+            self._record_no_link(target, error)
+            return None
         except LinkLostError as error:
             lease.release()
             env.record_lost_link(target, lease, str(error), left_ms)
--- a/packages/fennelhilld/src/fennelhilld/statements/transaction.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/transaction.py
@@ -12,10 +12,10 @@
     Command,
     CommandKind,
     LinkLostError,
+    NoLinkError,
     TargetAnswer,
     TargetFault,
 )
-from fennelhilld.links.pool import NoLinkError
 from fennelhilld.links.state import PreparedShape
 from fennelhilld.placement.state import GroupState, TargetState
 from fennelhilld.statements.environment import (
@@ -281,6 +281,7 @@
             request = env.queued_request(self.database, started_ms, left_ms)
             lease, target = await runner.lease_leader_link(group, request)
         else:
+            await env.prepare_read(group, self.database)
             target = runner.choose_reader(group, self.database, set())
             if target is None:
                 await group.leadership.wait_for_change(min(left_ms, LEADER_RECHECK_MS))
@@ -319,6 +320,10 @@
             )
         try:
             exchange = await lease.exchange([begin], left_ms)
+        except NoLinkError:
+            lease.release()
+            target.avoid(env.clock.now_ms())
+            raise
         except LinkLostError as error:
             lease.release()
             env.record_lost_link(target, lease, str(error), left_ms)
