--- a/packages/fennelhilld/src/fennelhilld/directory/tests/test_follower.py
+++ b/packages/fennelhilld/src/fennelhilld/directory/tests/test_follower.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 
+import pytest
 from fennelhill_bench.virtual_time import VirtualClock, run_virtual
 from fennelhill_core.events import EventLog
 from fennelhill_core.platform import StoreFault, StoreUnavailableError
@@ -50,7 +51,7 @@
             raise StoreUnavailableError(StoreFault.DOWN)
 
 
-def follow(check):
+def follow(check, pause_ms=0.0):
     async def main():
         clock = VirtualClock()
         source = TableSourceStub(clock)
@@ -62,6 +63,7 @@
             clock,
             EventLog("h", "z", clock),
             random.Random(1),
+            lambda: pause_ms,
         )
         task = asyncio.ensure_future(follower.run())
         await check(clock, source, applied)
@@ -110,3 +112,39 @@
             assert len(source.calls_ms) < 25
 
         follow(check)
+
+    def test_pauses_after_changes_so_that_further_ones_collect(self):
+        async def check(clock, source, applied):
+            await clock.sleep_ms(4_600)
+            assert (
+                len(source.calls_ms) <= 8
+            )  # two for each poll, one a second and a half
+
+        follow(check, pause_ms=1_000.0)
+
+    def test_a_refresh_applies_changes_at_once_beside_the_poll_in_progress(self):
+        async def main():
+            clock = VirtualClock()
+            source = TableSourceStub(clock)
+            applied = []
+            follower = TableFollower(
+                source,
+                "t",
+                lambda rows, *_: applied.append(rows),
+                clock,
+                EventLog("h", "z", clock),
+                random.Random(1),
+            )
+            task = asyncio.ensure_future(follower.run())
+            await clock.sleep_ms(100)
+            await follower.refresh()
+            assert applied[1:] == [[2]]
+            source.history_gone = True
+            await follower.refresh()
+            assert applied[2:] == [["all"]]
+            source.down = True
+            with pytest.raises(StoreUnavailableError):
+                await follower.refresh()
+            task.cancel()
+
+        run_virtual(main())
