feat: timeline and explain show leases and owners

Cause: a request refused as 1030 could not be followed from its id to its cause: lines of leases and owners were no state changes to the operators' command. Ruled out: nothing. Change: lease.* and relay.* count as state changes; the collection of leases and the demotion are steps of a promotion. Figures: none; the new test failed before.

--- a/packages/fennelhill/src/fennelhill/loglines.py
+++ b/packages/fennelhill/src/fennelhill/loglines.py
@@ -17,7 +17,9 @@
 # Kinds of lines on the state of a host or of the fleet, not on a single request.
 STATE_CHANGE_PREFIXES = (
     "leadership.",
+    "lease.",
     "promotion.",
+    "relay.",
     "target.",
     "store.",
     "catalog.",
@@ -25,7 +27,9 @@
     "daemon.",
 )
 PROMOTION_STEP_PREFIXES = (
+    "lease.collected",
     "promotion.claimed",
+    "promotion.demoted",
     "promotion.ordered",
     "promotion.finished",
 )
--- a/packages/fennelhill/tests/test_loglines.py
+++ b/packages/fennelhill/tests/test_loglines.py
@@ -50,6 +50,21 @@
             "request.refused",
         ]
 
+    def test_holds_the_lease_of_the_host_and_the_steps_of_a_promotion(self):
+        log = [
+            line(20.0, "lease.not_renewed", age_ms=900),
+            line(20.1, "lease.not_renewed", host="h3", age_ms=800),
+            line(20.2, "request.refused", group="g1", request="a1", code=1030),
+            line(19.9, "lease.collected", host="h2", group="g1", hosts=6),
+            line(19.8, "lease.collected", host="h2", group="g2", hosts=6),
+        ]
+        entries = request_history(decoded(log), "a1")
+        assert [(entry.message, entry.host) for entry in entries] == [
+            ("lease.collected", "h2"),
+            ("lease.not_renewed", "h1"),
+            ("request.refused", "h1"),
+        ]
+
     def test_is_empty_for_an_unknown_request(self):
         assert request_history(decoded(), "zz") == []
 
