perf: messages to owners leave defaults out

Ruled out: nothing else; statements cross zones once either way. Change: commands, statements and answers are encoded without fields at their defaults.

--- a/packages/fennelhilld/src/fennelhilld/links/messages.py
+++ b/packages/fennelhilld/src/fennelhilld/links/messages.py
@@ -26,7 +26,7 @@
     DEMOTE = "demote"
 
 
-class Command(msgspec.Struct):
+class Command(msgspec.Struct, omit_defaults=True):
     """One command on a link.
 
     Parameters
@@ -89,7 +89,7 @@
 )
 
 
-class TargetAnswer(msgspec.Struct):
+class TargetAnswer(msgspec.Struct, omit_defaults=True):
     """The complete answer to one command.
 
     Parameters
--- a/packages/fennelhilld/src/fennelhilld/relay/tests/test_relay.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/tests/test_relay.py
@@ -4,10 +4,12 @@
 
 import asyncio
 
+import msgspec
 import pytest
 from fennelhill_bench.session_simulation.simulation import SessionSimulation
 from fennelhill_bench.virtual_time import run_virtual
 from fennelhill_core import codes
+from fennelhill_core.tokens import Position
 from fennelhilld.catalog.state import ReadKind
 from fennelhilld.links.messages import (
     Command,
@@ -17,9 +19,13 @@
     TargetFault,
 )
 from fennelhilld.relay.driver import PING_TIMEOUT_MS, RelayLink
-from fennelhilld.relay.messages import RelayResult
+from fennelhilld.relay.messages import RelayBatch, RelayResult
 from fennelhilld.relay.owners import owner_count, owner_order
-from fennelhilld.statements.messages import TransactionState
+from fennelhilld.statements.messages import (
+    Statement,
+    StatementKind,
+    TransactionState,
+)
 
 HOSTS = 24  # more than the 16 connections of a target
 
@@ -242,3 +248,18 @@
             assert (await link.receive()).fault is TargetFault.BEHIND
 
         simulate(main)
+
+
+class TestMessages:
+    def test_hold_only_what_differs_from_the_defaults(self):
+        # Bytes between zones are the dearest price of a large fleet.
+        statement = Statement("5c0e7a21d94b36f8", StatementKind.READ, "READ 1a4")
+        command = Command(CommandKind.STATEMENT, statement, after=Position(3, 7))
+        batch = RelayBatch("orders", "i-7f3a91c2", [command], 450.0, 10.0, link=9)
+        encoded = msgspec.json.encode(batch)
+        assert msgspec.json.decode(encoded, type=RelayBatch) == batch
+        assert len(encoded) < 250
+        result = RelayResult([TargetAnswer(["row"], "7.1f3", position=Position(3, 9))])
+        encoded = msgspec.json.encode(result)
+        assert msgspec.json.decode(encoded, type=RelayResult) == result
+        assert len(encoded) < 80
--- a/packages/fennelhilld/src/fennelhilld/statements/messages.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/messages.py
@@ -32,7 +32,7 @@
     FAILED = "failed"
 
 
-class Statement(msgspec.Struct, frozen=True):
+class Statement(msgspec.Struct, frozen=True, omit_defaults=True):
     """One statement of a client, decoded.
 
     Parameters
