test: a late order after an abandoned claim makes reads stale

Cause, as callers see it: reads miss acknowledged writes, and where a replaced primary goes on leading, writes are acknowledged that the next one lacks. A host claims a group and its order gets no answer; after 4.5 s another one claims the group and abandons its own claim, because no replica has caught up or too few hosts answer. All hosts then use the old leader again, while the first order is still to be carried out. Ruled out: the simulation's own check; without the late order the same runs are clean. Conclusion: a cause of STALE on the present code, also where the old primary ends at once; whether it is the one that the users met is not known.

--- a/scenarios/test_sessions.py
+++ b/scenarios/test_sessions.py
@@ -15,6 +15,7 @@
 from fennelhilld.catalog.state import ReadKind
 from fennelhilld.leader_lease.state import CLOCK_MARGIN_MS, LEASE_MS, LeaderLease
 from fennelhilld.leadership.state import Fence
+from fennelhilld.promotion.claims import CLAIM_TAKEOVER_MS
 from fennelhilld.promotion.messages import Claim, ClaimPhase
 from fennelhilld.statements.environment import FAIL_FAST_AFTER_MS
 from fennelhilld.statements.messages import TransactionState
@@ -168,6 +169,26 @@
     simulation.store.down = False
 
 
+async def late_order_after_an_abandoned_claim(simulation):
+    """An order is carried out after another host has abandoned the next claim.
+
+    The first claim is of a host that is not simulated.  Another host takes the group
+    over, but no replica receives what the leaving leader has.
+    """
+    await simulation.clock.sleep_ms(700)
+    model = simulation.groups["g0"]
+    other = next(target for target in model.targets.values() if not target.leads)
+    model.replication_stopped.update(model.targets)
+    claim = Claim("outside", "nonce", other.id, planned=True)
+    claim.previous_leader = model.leader.id
+    claim.previous_term = model.leader.term
+    await simulation.store.swap_claim("g0", 0, claim)
+    await simulation.announce_shutdown(model, model.leader.id)
+    await simulation.clock.sleep_ms(CLAIM_TAKEOVER_MS + 2_000)
+    await model.promote(other.id)
+    model.replication_stopped.clear()
+
+
 FAULTS = [
     None,
     crash_primary,
@@ -232,6 +253,17 @@
         assert "stale read" in " ".join(found)
 
 
+class TestAbandonedClaim:
+    """The claim that it replaced was open, so its order may still be carried out."""
+
+    @pytest.mark.parametrize(("seed", "goes_on"), [(5, False), (1, True), (2, True)])
+    def test_gives_no_leader_back_that_a_late_order_replaces(self, seed, goes_on):
+        traits = Traits(old_leader_goes_on=goes_on)
+        fault = late_order_after_an_abandoned_claim
+        _, violations = run_under_load(seed, fault, 6, traits=traits, load_ms=9_000.0)
+        assert violations == []
+
+
 class TestManyHosts:
     @pytest.mark.parametrize("fault", [None, crash_primary, promotion_by_another])
     @pytest.mark.parametrize("seed", [3, 4])
