fix: a claim of a stopped host no longer leaves its group without a leader

What callers saw: a host is killed right after it claimed a group whose leader still answers, or whose leader comes back meanwhile. From then on no request of the group is served, for ever: every host keeps the fence of the open claim. Cause: after 4.5 s another host may take the claim over, but it replaces a leader only if the fleet finds it lost. This one answers, so nobody finishes what was begun. The class: a state that only the work which it prevents would end. Ruled out: the check of reach and the turn of the holder; the log says promotion.weighed lost=False at each try. Change: a host that finds an open claim whose holder's time is over finishes it. As the old leader answers, it does so like a planned replacement: a replica catches up first, so nothing acknowledged is lost. Not if this host is cut off or another knows a newer term. promotion.unfinished says so. Conclusion: the fence of an open claim ends with a promotion, whoever completes it.

--- a/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
@@ -359,7 +359,10 @@
         if self.claims.held_by_other(name, self.host, self._clock.now_ms()):
             return
         if not planned and not self._fleet_confirms_loss(group, leader, survey):
-            return
+            if leader is None or not self._must_finish_claim(group, survey):
+                return
+            # The leader still answers, so nothing that it has acknowledged is lost.
+            planned = True
         peer_names = [view.host for view in survey.views]
         if planned or leader is None:
             peer_names = self.peers.names() if self.peers else []
@@ -437,6 +440,26 @@
         )
         return lost
 
+    def _must_finish_claim(self, group: GroupState, survey: Survey) -> bool:
+        """Return whether this host has to finish a claim that its holder left open.
+
+        No host uses the leader meanwhile, and an order of the holder may still be
+        carried out, so the leader is replaced even if it answers.
+        """
+        row = self.claims.get(group.name)
+        if row.claim is None or row.claim.phase is not ClaimPhase.CLAIMED:
+            return False
+        newer = any(view.term > group.leadership.term for view in survey.views)
+        self._record(
+            "promotion.unfinished",
+            group,
+            holder=row.claim.holder,
+            token=row.version,
+            newer_term_known=newer,
+            cut_off=self.reach.cut_off,
+        )
+        return not newer and not self.reach.cut_off
+
     async def _claim_and_promote(
         self,
         group: GroupState,
--- a/scenarios/test_sessions.py
+++ b/scenarios/test_sessions.py
@@ -17,6 +17,7 @@
 from fennelhilld.leadership.state import Fence
 from fennelhilld.promotion.claims import CLAIM_TAKEOVER_MS
 from fennelhilld.promotion.messages import Claim, ClaimPhase
+from fennelhilld.promotion.replacement import PROMOTION_TIMEOUT_MS
 from fennelhilld.statements.environment import FAIL_FAST_AFTER_MS
 from fennelhilld.statements.messages import TransactionState
 
@@ -169,6 +170,16 @@
     simulation.store.down = False
 
 
+async def holder_stops_after_its_claim(simulation):
+    """A host that is not simulated claims the group and does nothing more."""
+    await simulation.clock.sleep_ms(700)
+    model = simulation.groups["g0"]
+    other = next(target for target in model.targets.values() if not target.leads)
+    claim = Claim("outside", "nonce", other.id, previous_leader=model.leader.id)
+    claim.previous_term = model.leader.term
+    await simulation.store.swap_claim("g0", 0, claim)
+
+
 async def late_order_after_an_abandoned_claim(simulation):
     """An order is carried out after another host has abandoned the next claim.
 
@@ -253,6 +264,22 @@
         assert "stale read" in " ".join(found)
 
 
+class TestUnfinishedClaim:
+    @pytest.mark.parametrize(("seed", "goes_on"), [(1, False), (2, True)])
+    def test_of_a_stopped_host_leaves_no_group_unserved(self, seed, goes_on):
+        traits = Traits(old_leader_goes_on=goes_on)
+        fault = holder_stops_after_its_claim
+        simulation, violations = run_under_load(
+            seed, fault, hosts=4, traits=traits, load_ms=10_000.0
+        )
+        assert violations == []
+        finish_limit_ms = CLAIM_TAKEOVER_MS + PROMOTION_TIMEOUT_MS
+        assert served_share(simulation, from_ms=700 + finish_limit_ms) > 0.95
+        model = simulation.groups["g0"]
+        kept = {entry.position for entry in model.leader.log}
+        assert kept.issuperset(p for _, p in simulation.observer.acknowledged["g0"])
+
+
 class TestAbandonedClaim:
     """The claim that it replaced was open, so its order may still be carried out."""
 
