fix: a claim that replaced an open one is not abandoned

What callers saw: reads miss acknowledged writes (STALE), and where a replaced primary goes on leading, writes are acknowledged that the next primary lacks. Cause: a host claims a group, orders the promotion and gets no answer. Another host takes the claim over after 4.5 s and abandons it: too few hosts answer, or no replica catches up. All hosts use the old leader again, under leases that prove that no claim is open. Then the first order is carried out. A lease says nothing about a promotion that no open claim announces, and current reads have no other fence since leases came. The class: a decision is taken back while its effect may still come. Weighed: ordering the old leader's own promotion, which would make a platform that checks tokens refuse the older order, holds nothing where it does not check them. Change: a claim that replaced an open one stays open if it can't be carried out, so no host uses the old leader until a host completes the replacement. promotion.claimed says whether an order may be pending, promotion.left_open that the claim stays. The search has the step, and the mutant without the rule is caught: its shortest trace reads a stale leader after 'host 2 abandons claim 2'. Conclusion: a leader is given back only when no order can be pending.

--- a/packages/fennelhilld/src/fennelhilld/leader_lease/tests/test_model.py
+++ b/packages/fennelhilld/src/fennelhilld/leader_lease/tests/test_model.py
@@ -19,7 +19,7 @@
 
 USER = 1  # the host that uses the old leader
 HOLDERS = (0, 2)  # the hosts that may replace it
-MAX_CLAIMS = 2
+MAX_VERSIONS = 3  # of the claim row; claiming and abandoning take one each
 NONE, NEW, OLD = "", "new", "old"
 
 
@@ -45,8 +45,13 @@
     highest_sent: int = 0
     promoted: bool = False
     new_commit: bool = False  # whether a write at the new leader was acknowledged
+    abandoned: frozenset = frozenset()  # versions that ended a claim with no order
     problem: str = ""
 
+    def is_free(self, version):
+        """Return whether a host that knows this version may use the old leader."""
+        return version == 0 or version in self.abandoned
+
 
 class Model:
     """The protocol; a flag that is False removes one of its parts.
@@ -55,8 +60,9 @@
     checks the lease again when a write is answered, ``read_proof`` checks it before a
     read, ``demotion`` demotes the old leader first, ``turn`` ends a holder's right to
     order before another host may claim, ``majority`` asks more than half of the hosts
-    for a confirmation, ``sent_time`` counts a proof's age from the query, and
-    ``fence_first`` orders the promotion only after the leases have ended.
+    for a confirmation, ``sent_time`` counts a proof's age from the query,
+    ``fence_first`` orders the promotion only after the leases have ended, and
+    ``left_open`` abandons no claim that replaced an open one.
     """
 
     PARTS = (
@@ -68,6 +74,7 @@
         "majority",
         "sent_time",
         "fence_first",
+        "left_open",
     )
 
     def __init__(self, missing="", ends_at_once=False):
@@ -98,21 +105,22 @@
             following = state._replace(pending=None)
             if row > user.seen:
                 following = self._learn(following, USER, row)
-            elif user.seen == 0:
+            elif state.is_free(user.seen):
                 lease = mark if self.sent_time else NEW
                 following = following._replace(lease=lease)
             yield "the user gets the store's answer", following
         agreeing = 1 + sum(state.hosts[number].seen <= user.seen for number in HOLDERS)
         needed = 2 if self.majority else 1
-        if agreeing >= needed and user.seen == 0:
+        if agreeing >= needed and state.is_free(user.seen):
             yield "most hosts confirm to the user", state._replace(lease=NEW)
 
     def _write_steps(self, state):
         user = state.hosts[USER]
-        usable = user.seen == 0 and bool(state.lease)
+        free = state.is_free(user.seen)
+        usable = free and bool(state.lease)
         if usable and not state.write:
             yield "the user sends a write", state._replace(write="sent")
-        if (usable or (user.seen == 0 and not self.read_proof)) and state.new_commit:
+        if (usable or (free and not self.read_proof)) and state.new_commit:
             yield (
                 "the user sends a read to the old leader",
                 state._replace(problem="a read missed a write at the new leader"),
@@ -129,7 +137,7 @@
                     )
                 yield "the old leader runs the write", following
         elif state.write:
-            counts = bool(state.lease) and user.acknowledged == 0
+            counts = bool(state.lease) and (free or user.acknowledged < user.seen)
             following = state._replace(write=NONE)
             if state.write == "ran late" and (counts or not self.answer_proof):
                 following = following._replace(
@@ -150,7 +158,7 @@
                 f"host {number} hears of claim {newest}",
                 self._learn(state, number, newest),
             )
-        if host.acknowledged < host.seen:
+        if host.acknowledged < host.seen and not state.is_free(host.seen):
             following = self._replace_host(state, number, acknowledged=host.seen)
             if number == USER:
                 following = following._replace(lease=NONE)
@@ -161,7 +169,7 @@
         if host.phase == "idle":
             other = state.hosts[HOLDERS[1 - HOLDERS.index(number)]]
             free = not other.in_turn
-            if host.seen == state.row < MAX_CLAIMS and free:
+            if host.seen == state.row < MAX_VERSIONS and free:
                 token = state.row + 1
                 claimed = self._replace_host(
                     state._replace(row=token),
@@ -181,6 +189,7 @@
             )
         if host.phase == "claimed":
             yield from self._fencing_steps(state, number, host)
+            yield from self._abandoning_steps(state, number, host)
         elif host.phase == "fenced" and (host.in_turn or not self.turn):
             following = self._replace_host(state, number, phase="ordered")
             if host.token < state.highest_sent:
@@ -229,6 +238,22 @@
                 self._replace_host(state, number, phase="fenced"),
             )
 
+    def _abandoning_steps(self, state, number, host):
+        replaced_open = not state.is_free(host.token - 1)
+        if state.row != host.token or (self.left_open and replaced_open):
+            return
+        version = state.row + 1
+        yield (
+            f"host {number} abandons claim {host.token}",
+            self._replace_host(
+                state._replace(row=version, abandoned=state.abandoned | {version}),
+                number,
+                seen=version,
+                phase="idle",
+                in_turn=False,
+            ),
+        )
+
     def _platform_steps(self, state):
         for token in state.orders:
             following = state._replace(orders=state.orders - {token}, promoted=True)
@@ -264,6 +289,7 @@
             ("majority", "was acknowledged|missed a write"),
             ("sent_time", "was acknowledged|missed a write"),
             ("fence_first", "was acknowledged|missed a write"),
+            ("left_open", "was acknowledged|missed a write"),
         ],
     )
     def test_removing_any_part_breaks_a_promise(self, missing, violation):
--- a/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
@@ -482,14 +482,21 @@
             max([leadership.term, *known_terms]),
         )
         claimed_ms = self._clock.boottime_ms()
+        order_pending = self._order_may_be_pending(group)
         token = await self._write_claim(group, claim)
         if token is None:
             return
         leadership.obstacle = ""
-        self._record("promotion.claimed", group, target=chosen.target_id, token=token)
+        self._record(
+            "promotion.claimed",
+            group,
+            target=chosen.target_id,
+            token=token,
+            order_pending=order_pending,
+        )
         if not await self._fence(group, claim, token):
             leadership.obstacle = "too few hosts can be reached to replace it"
-            await self._finish_claim(group, token, claim, ClaimPhase.ABANDONED)
+            await self._give_up(group, token, claim, order_pending)
             return
         if (
             planned
@@ -497,7 +504,7 @@
             and not await self._catch_up(group, leader, chosen)
         ):
             self._record("promotion.not_caught_up", group, target=chosen.target_id)
-            await self._finish_claim(group, token, claim, ClaimPhase.ABANDONED)
+            await self._give_up(group, token, claim, order_pending)
             return
         await self._demote_leader(group, leader, claim, token)
         started_ms = self._clock.now_ms()
@@ -526,6 +533,31 @@
             claim.term = leadership.term
             await self._finish_claim(group, token, claim, ClaimPhase.DONE)
 
+    def _order_may_be_pending(self, group: GroupState) -> bool:
+        """Return whether an order under the group's newest claim may be carried out.
+
+        A holder that did not finish may have sent one, which may be on its way for
+        seconds after its answer was lost.
+        """
+        row = self.claims.get(group.name)
+        if row.claim is None:
+            return row.version > 0
+        return row.claim.phase is ClaimPhase.CLAIMED
+
+    async def _give_up(
+        self, group: GroupState, token: int, claim: Claim, order_pending: bool
+    ) -> None:
+        """Let all hosts use the old leader again, unless it may still be replaced.
+
+        If an order of an earlier holder is pending, the claim stays open until a host
+        completes the replacement: a promotion that no host expects would leave the old
+        leader in use.
+        """
+        if order_pending:
+            self._record("promotion.left_open", group, target=claim.target, token=token)
+            return
+        await self._finish_claim(group, token, claim, ClaimPhase.ABANDONED)
+
     async def _fence(self, group: GroupState, claim: Claim, token: int) -> bool:
         """Wait until no host may use the old leader; return whether that is certain."""
         row = GroupClaim(group.name, token, claim)
