fix: half of the hosts claim no group that they can't take over

What callers saw: with exactly half of the hosts on each side of a cut, and the store within reach of both, the side without the leader claimed the group, could not end the other side's leases and abandoned the claim after 3 s, again and again; meanwhile the side with the leader refused what it could serve. Cause: a host counts as cut off only if fewer than half of the hosts answer it; a replacement needs more than half. Ruled out: the store and the holder's turn; the claims in the trace are two, each fenced for 3 s and abandoned. Change: a replacement needs answers of more than half of the hosts that were asked.

--- a/packages/fennelhilld/src/fennelhilld/promotion/reach.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/reach.py
@@ -23,13 +23,23 @@
         Records each change of ``cut_off``.
     """
 
-    __slots__ = ("_clock", "_events", "_last_queried_ms", "cut_off", "cut_off_since_ms")
+    __slots__ = (
+        "_clock",
+        "_events",
+        "_last_queried_ms",
+        "cut_off",
+        "cut_off_since_ms",
+        "has_majority",
+    )
 
     def __init__(self, clock: Clock, events: EventLog) -> None:
         self._clock = clock
         self._events = events
         self.cut_off = False
         self.cut_off_since_ms = 0.0
+        # Whether more than half of the queried hosts answered; fewer can't end the
+        # leases of the others.
+        self.has_majority = True
         self._last_queried_ms = float("-inf")
 
     def update(self, queried_ms: float, answered: int, queried: int) -> None:
@@ -48,6 +58,7 @@
         if queried_ms < self._last_queried_ms:
             return
         self._last_queried_ms = queried_ms
+        self.has_majority = 2 * (answered + 1) > queried + 1
         cut_off = 2 * (answered + 1) < queried + 1
         if cut_off == self.cut_off:
             return
--- a/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
@@ -67,6 +67,7 @@
 # A target that the platform refused to promote is not chosen for this long, unless no
 # other one can be.
 REFUSED_TARGET_MS = 3_000.0
+TOO_FEW_HOSTS = "too few hosts can be reached to replace it"
 
 GiveLeaseUp = Callable[[GroupClaim], Awaitable[bool]]
 
@@ -363,6 +364,10 @@
                 return
             # The leader still answers, so nothing that it has acknowledged is lost.
             planned = True
+        if not self.reach.has_majority:
+            group.leadership.obstacle = TOO_FEW_HOSTS
+            self._record("promotion.impossible", group, reason=TOO_FEW_HOSTS)
+            return
         peer_names = [view.host for view in survey.views]
         if planned or leader is None:
             peer_names = self.peers.names() if self.peers else []
@@ -495,7 +500,7 @@
             order_pending=order_pending,
         )
         if not await self._fence(group, claim, token):
-            leadership.obstacle = "too few hosts can be reached to replace it"
+            leadership.obstacle = TOO_FEW_HOSTS
             await self._give_up(group, token, claim, order_pending)
             return
         if (
--- a/packages/fennelhilld/src/fennelhilld/promotion/tests/test_reach.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/tests/test_reach.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from fennelhill_bench.virtual_time import VirtualClock, run_virtual
 from fennelhill_core.events import EventLog
 from fennelhilld.promotion.reach import FleetReach
@@ -27,6 +28,16 @@
     def test_neither_of_two_equal_sides_is_cut_off(self):
         assert not cut_off(2, 5)
 
+    @pytest.mark.parametrize(("answered", "majority"), [(2, False), (3, True)])
+    def test_a_majority_is_more_than_half(self, answered, majority):
+        async def main():
+            clock = VirtualClock()
+            reach = FleetReach(clock, EventLog("h", "z", clock))
+            reach.update(0.0, answered, 5)
+            return reach.has_majority
+
+        assert run_virtual(main()) is majority
+
     def test_a_late_result_of_an_older_query_changes_nothing(self):
         # Incident inc-1890: hosts flapped while a network partition healed.
         async def main():
--- a/scenarios/test_sessions.py
+++ b/scenarios/test_sessions.py
@@ -468,6 +468,26 @@
         run_virtual(main())
 
 
+class TestHalfOfTheHosts:
+    def test_that_can_replace_no_leader_do_not_stop_the_others_from_using_it(self):
+        usable = []
+
+        async def fault(simulation):
+            await simulation.clock.sleep_ms(800)
+            model = simulation.groups["g0"]
+            simulation.partition({"host-0", "host-1"}, {model.leader.id})
+            simulation.hosts_without_store = set()
+            for _ in range(60):
+                await simulation.clock.sleep_ms(100)
+                env = simulation.gateways[0].env
+                usable.append(env.access.may_send(env.group("g0")))
+
+        simulation, violations = run_under_load(1, fault, hosts=4, load_ms=6_900.0)
+        assert violations == []
+        assert simulation.store.rows == {}
+        assert all(usable)
+
+
 class TestCutOffHost:
     def cut(self, simulation, number):
         """Isolate a host from its peers and from all targets but one replica."""
