fix: a host that lost its lease goes on asking for one

Callers saw: after a host had been cut off for more than some three seconds, it refused every write and current read as 1030 until it was started again, although zone, store and leader were back. Cause: once a renewal has failed, statements are refused at once, so none records a use of the lease any more; three seconds later the renewal takes the lease for unused and stops, and nothing clears the failure. The refusal rested on a belief which only the refused work would renew. Change: a lease is wanted while it is used and, after a failed renewal, until one succeeds, so the host decides and not its requests. While it has none it asks all sources at once, also those that did not answer; the next attempt begins 150 ms after the end of the last one, whoever wants it, and the next query to all hosts 5 ms for each of them later. Before, on: eight of eight scenarios fail, for a cut of 4 s, 10 s and 60 s, with steady requests and with none, and for a split into halves with the store down: "AssertionError: [('host-0', 'g1-current', 2000, 2000, 'leader_unproven')]": refused from the heal to the end of the play. After: all of them pass, and so do the tests of the leases and the simulated sessions. Conclusion: each host serves writes to each group within 1 s of the heal, and goes on so.

--- a/packages/fennelhilld/src/fennelhilld/leader_lease/renewal.py
+++ b/packages/fennelhilld/src/fennelhilld/leader_lease/renewal.py
@@ -44,7 +44,13 @@
 STORE_RETRY_MS = 1_000.0
 # A host that did not answer is passed over for this long.
 HOST_RETRY_MS = 2_000.0
-RETRY_MS = 150.0  # between attempts while the lease can't be renewed
+# From the end of a failed attempt to the next, whoever wants the lease: other hosts'
+# queries and statements can't make attempts more frequent.
+RETRY_MS = 150.0
+# After a failed round of confirmations the next begins this much later for each listed
+# host.  So a host sends at most 200 of these queries a second, however many hosts are
+# listed.
+CONFIRMATION_RETRY_MS_PER_HOST = 5.0
 # A proof is good enough if the lease it gives lasts at least this long.
 MIN_REMAINING_MS = 200.0
 # A lease that was not needed for this long is no longer renewed.
@@ -120,7 +126,11 @@
 
 
 class LeaseRenewal:
-    """Renews a host's lease while it is used.
+    """Renews a host's lease while it is wanted.
+
+    It is wanted while statements use it and, after a failed renewal, until one
+    succeeds.  Statements that are refused for want of a lease can't ask for one, so
+    the host that refuses them asks on by itself.
 
     A proof is the store's list of claims, read by this host or by another one that
     passes it on with its age.  If no host that can be reached reads the store, more
@@ -164,7 +174,8 @@
         # A host that is not listed may hold no lease: it would not be asked to give
         # it up.
         self.registered = False
-        # Whether the last renewal has failed.
+        # Whether the last renewal has failed.  While it is set, statements without a
+        # lease are refused at once, and the renewal goes on until it succeeds.
         self.failing = False
         self.renewal_count = 0
         self.failure_count = 0
@@ -178,14 +189,16 @@
         self._random = random.Random(host)
         self._used_ms = float("-inf")
         self._renewal: asyncio.Task[bool] | None = None
+        self._failed_ms = float("-inf")
         self._store_failed_ms = float("-inf")
+        self._unconfirmed_ms = float("-inf")
         self._silent_since_ms: dict[str, float] = {}
         self._helper = ""
         self._sources: tuple[int, list[str]] = (-1, [])
         self._tasks = Tasks()
 
     def start(self) -> None:
-        """Start to renew the lease while it is used."""
+        """Start to renew the lease while it is wanted."""
         self._tasks.spawn(self._run())
 
     def close(self) -> None:
@@ -257,11 +270,12 @@
     async def _run(self) -> None:
         while True:
             await self._clock.sleep_ms(CHECK_INTERVAL_MS)
-            unused_ms = self._clock.now_ms() - self._used_ms
-            if unused_ms > UNUSED_AFTER_MS or self.lease.age_ms < RENEWAL_AGE_MS:
-                continue
-            if not await self._renew_once():
-                await self._clock.sleep_ms(RETRY_MS)
+            if self._wanted() and self.lease.age_ms >= RENEWAL_AGE_MS:
+                await self._renew_once()
+
+    def _wanted(self) -> bool:
+        unused_ms = self._clock.now_ms() - self._used_ms
+        return self.failing or unused_ms <= UNUSED_AFTER_MS
 
     async def _wait_for_renewal(self, limit_ms: float) -> None:
         renewal = asyncio.ensure_future(self._renew_once())
@@ -277,7 +291,15 @@
         if not self.registered:
             return False
         had_lease = self._valid()
-        renewed = await self._try_sources()
+        pause_ms = self._failed_ms + RETRY_MS - self._clock.now_ms()
+        if pause_ms > 0:
+            await self._clock.sleep_ms(pause_ms)
+        if self.failing:
+            renewed = await self._try_all_sources()
+        else:
+            renewed = await self._try_sources()
+        if not renewed:
+            self._failed_ms = self._clock.now_ms()
         self.renewal_count += renewed
         self.failure_count += not renewed
         if renewed == self.failing:
@@ -296,9 +318,28 @@
             )
         return renewed
 
+    async def _try_all_sources(self) -> bool:
+        """Ask all sources at once, also hosts that did not answer before.
+
+        In turn they would take longer than a second to notice that a fault has ended.
+        """
+        return await _first_success(
+            [
+                *(self._ask_source(name) for name in self._source_names()),
+                self._read_store(),
+                self._ask_helpers(),
+                self._ask_for_confirmation(),
+            ]
+        )
+
+    async def _ask_source(self, name: str) -> bool:
+        answer, sent_ms = await self._ask(name, ProofSource.RENEWED)
+        return answer is not None and self._use_answer(answer, sent_ms, name)
+
     async def _try_sources(self) -> bool:
+        """Ask one source after the other, so that most renewals cost one query."""
         refused = False
-        for name in self._lease_sources():
+        for name in self._answering_sources():
             answer, sent_ms = await self._ask(name, ProofSource.RENEWED)
             if answer is not None and self._use_answer(answer, sent_ms, name):
                 return True
@@ -314,14 +355,17 @@
             [reading, self._ask_helpers(), self._ask_for_confirmation()]
         )
 
-    def _lease_sources(self) -> list[str]:
+    def _source_names(self) -> list[str]:
         if self._sources[0] != self._roster.change_count:
             names = lease_sources(self._host, self._zone, self._roster.zones)
             self._sources = (self._roster.change_count, names)
+        return self._sources[1]
+
+    def _answering_sources(self) -> list[str]:
         since_ms = self._clock.now_ms() - HOST_RETRY_MS
         return [
             name
-            for name in self._sources[1]
+            for name in self._source_names()
             if self._silent_since_ms.get(name, float("-inf")) < since_ms
         ]
 
@@ -368,9 +412,12 @@
 
     async def _ask_for_confirmation(self) -> bool:
         """Ask all hosts which claims they know; more than half must confirm."""
-        sent_ms = self._clock.boottime_ms()
         names = list(self._roster.addresses)
         listed = len(names) + 1
+        pause_ms = listed * CONFIRMATION_RETRY_MS_PER_HOST
+        if self._clock.now_ms() < self._unconfirmed_ms + pause_ms:
+            return False
+        sent_ms = self._clock.boottime_ms()
         confirming = 1
         pending = {
             asyncio.ensure_future(self._ask(name, ProofSource.CONFIRMATION))
@@ -386,6 +433,7 @@
         for query in pending:
             query.cancel()
         if not is_majority(confirming, listed):
+            self._unconfirmed_ms = self._clock.now_ms()
             return False
         self.lease.extend(sent_ms, "most hosts")
         return self._lasts()
--- a/packages/fennelhilld/src/fennelhilld/leader_lease/tests/test_renewal.py
+++ b/packages/fennelhilld/src/fennelhilld/leader_lease/tests/test_renewal.py
@@ -7,10 +7,16 @@
 import pytest
 from fennelhill_bench.session_simulation.simulation import SessionSimulation
 from fennelhill_bench.virtual_time import run_virtual
+from fennelhill_core.clock import MS_PER_S
+from fennelhill_core.platform import StoreFault, StoreUnavailableError
 from fennelhilld.leader_lease.messages import LeaseAnswer, LeaseQuery, ProofSource
 from fennelhilld.leader_lease.renewal import (
+    CONFIRMATION_RETRY_MS_PER_HOST,
     FRESH_AGE_MS,
+    HELPERS_PER_ZONE,
     MAX_CLAIMS_PER_ANSWER,
+    RETRY_MS,
+    STORE_RETRY_MS,
     UNUSED_AFTER_MS,
     is_majority,
     lease_sources,
@@ -19,9 +25,9 @@
 from fennelhilld.promotion.messages import Claim, ClaimRow
 
 
-def simulate(main, hosts=6, zones=3):
+def simulate(main, hosts=6, zones=3, groups=1):
     async def run():
-        simulation = SessionSimulation(1, hosts=hosts, zones=zones)
+        simulation = SessionSimulation(1, hosts, groups, zones=zones)
         await main(simulation)
         simulation.close()
 
@@ -187,3 +193,75 @@
             assert calls <= 30  # three a second, whatever the number of hosts
 
         simulate(main, hosts=30)
+
+
+class CountingPeers:
+    """Counts the queries of a host."""
+
+    def __init__(self, gateway):
+        self.query_count = 0
+        self._peers = gateway.renewal.peers
+        gateway.renewal.peers = self
+
+    async def ask(self, address, query, limit_ms):
+        self.query_count += 1
+        return await self._peers.ask(address, query, limit_ms)
+
+
+class TestHostWithoutLease:
+    SECONDS = 3
+
+    @pytest.mark.parametrize(
+        ("hosts", "groups", "zone_mates"),
+        [(12, 1, False), (150, 1, False), (150, 8, False), (150, 1, True)],
+    )
+    def test_asks_at_a_rate_that_neither_hosts_nor_groups_raise(
+        self, hosts, groups, zone_mates
+    ):
+        zones = 3
+
+        async def main(simulation):
+            cut_off = {"host-0"}
+            if zone_mates:
+                cut_off = {gateway.host for gateway in simulation.gateways[::zones]}
+            simulation.isolated_hosts = simulation.hosts_without_store = cut_off
+            gateways = [simulation.gateway(name) for name in cut_off]
+            for gateway in gateways:
+                assert not await gateway.renewal.ensure(1_000.0)
+            counting = [CountingPeers(gateway) for gateway in gateways]
+            failure_count = gateways[0].renewal.failure_count
+            for _ in range(self.SECONDS * 10):
+                for gateway in gateways:
+                    gateway.renewal.use()
+                    for group in gateway.groups.values():
+                        gateway.env.leader_unavailable(group)
+                await simulation.clock.sleep_ms(100.0)
+            attempts = gateways[0].renewal.failure_count - failure_count
+            attempts_per_s = MS_PER_S / RETRY_MS
+            assert self.SECONDS < attempts <= self.SECONDS * attempts_per_s
+            highest_rate = (
+                MS_PER_S / CONFIRMATION_RETRY_MS_PER_HOST
+                + attempts_per_s * (2 + zones * HELPERS_PER_ZONE + 1)
+            )
+            for peers in counting:
+                assert peers.query_count / self.SECONDS <= highest_rate
+
+        simulate(main, hosts, zones, groups)
+
+    def test_reads_a_store_that_is_away_at_most_once_a_second(self):
+        async def main(simulation):
+            renewal = simulation.gateways[0].renewal
+            calls = 0
+
+            async def count_and_fail():
+                nonlocal calls
+                calls += 1
+                raise StoreUnavailableError(StoreFault.DOWN)
+
+            renewal.store.refresh = count_and_fail
+            simulation.isolated_hosts = {"host-0"}
+            assert not await renewal.ensure(1_000.0)
+            await simulation.clock.sleep_ms(10 * STORE_RETRY_MS)
+            assert 5 <= calls <= 11
+
+        simulate(main)
--- /dev/null
+++ b/scenarios/test_recovery.py
@@ -0,0 +1,146 @@
+"""Tests that a host serves again soon after a fault that has ended.
+
+Each test cuts something off, restores it and requires that every host then serves
+writes to every group, whatever it has refused in the meantime.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from fennelhill_bench.session_simulation.simulation import SessionSimulation
+from fennelhill_bench.virtual_time import run_virtual
+from fennelhilld.catalog.state import ReadKind
+
+RECOVERY_MS = 1_000.0  # from the end of a fault until each host serves each group
+STEADY_PAUSE_MS = 100.0  # between the requests of a steady client
+SERVED_FOR_MS = 1_000.0  # for which a host that has recovered must go on serving
+
+
+def current_databases(simulation):
+    return [
+        database
+        for database in simulation.databases
+        if database.reads is ReadKind.CURRENT
+    ]
+
+
+async def write_until_stopped(simulation, gateway, database):
+    client = simulation.client(gateway, database)
+    while True:
+        await client.write()
+        await simulation.clock.sleep_ms(STEADY_PAUSE_MS)
+
+
+def start_steady_writes(simulation):
+    """Write to each group at each host until the returned tasks are cancelled."""
+    return [
+        simulation.spawn(write_until_stopped(simulation, gateway, database))
+        for gateway in simulation.gateways
+        for database in current_databases(simulation)
+    ]
+
+
+def cancel(tasks):
+    for task in tasks:
+        task.cancel()
+
+
+async def write_in_turn(simulation, gateway, database, started_ms, outcomes):
+    """Write once with a new session; note when it began and ended, and how."""
+    began_ms = simulation.clock.now_ms() - started_ms
+    reply = await simulation.client(gateway, database).write()
+    ended_ms = simulation.clock.now_ms() - started_ms
+    code = "served" if reply.code is None else reply.code.name
+    record = gateway.host, database.name, round(began_ms), round(ended_ms), code
+    outcomes.append(record)
+
+
+async def assert_all_recover(simulation, limit_ms=RECOVERY_MS):
+    """Each host serves writes to each group within a time, and goes on doing so.
+
+    Writes begin at a steady rate, whether or not earlier ones have been answered.
+    """
+    started_ms = simulation.clock.now_ms()
+    outcomes = []
+    writes = []
+    while simulation.clock.now_ms() < started_ms + limit_ms + SERVED_FOR_MS:
+        for gateway in simulation.gateways:
+            for database in current_databases(simulation):
+                write = write_in_turn(
+                    simulation, gateway, database, started_ms, outcomes
+                )
+                writes.append(simulation.spawn(write))
+        await simulation.clock.sleep_ms(STEADY_PAUSE_MS)
+    await asyncio.gather(*writes)
+    served = {
+        (host, database)
+        for host, database, _, ended_ms, code in outcomes
+        if code == "served" and ended_ms <= limit_ms
+    }
+    expected = {
+        (gateway.host, database.name)
+        for gateway in simulation.gateways
+        for database in current_databases(simulation)
+    }
+    refused = [record for record in outcomes if record[4] != "served"]
+    assert expected - served == set(), refused[-1:]
+    assert [record for record in refused if record[2] >= limit_ms] == []
+
+
+def simulate(main, hosts=6, zones=3, groups=2, seed=1):
+    async def run():
+        simulation = SessionSimulation(seed, hosts, groups, zones=zones)
+        steady = start_steady_writes(simulation)
+        await simulation.clock.sleep_ms(500.0)
+        cancel(steady)
+        await main(simulation)
+        assert simulation.observer.violations == []
+        simulation.close()
+
+    run_virtual(run())
+
+
+# Duration of a cut, and the number of hosts that are cut off one after the other.
+CUTS = [(4_000.0, 6), (10_000.0, 3), (60_000.0, 1)]
+
+
+class TestHostThatLostItsLease:
+    """A host that had no lease for a while asks for it again, used or not."""
+
+    @pytest.mark.parametrize("requests", ["steady", "none"])
+    @pytest.mark.parametrize(("cut_off_ms", "cuts"), CUTS)
+    def test_refuses_no_write_for_want_of_a_lease_after_its_cut_has_healed(
+        self, cut_off_ms, cuts, requests
+    ):
+        async def main(simulation):
+            for gateway in simulation.gateways[:cuts]:
+                steady = start_steady_writes(simulation) if requests == "steady" else []
+                simulation.partition({gateway.host}, set())
+                await simulation.clock.sleep_ms(cut_off_ms)
+                simulation.heal()
+                await assert_all_recover(simulation)
+                cancel(steady)
+
+        simulate(main)
+
+    @pytest.mark.parametrize("requests", ["steady", "none"])
+    def test_needs_no_store_to_serve_after_a_split_into_halves_has_healed(
+        self, requests
+    ):
+        # Neither half has more than half of the hosts, so no host keeps its lease.
+        async def main(simulation):
+            simulation.store.down = True
+            steady = start_steady_writes(simulation) if requests == "steady" else []
+            simulation.isolated_hosts = {"host-0", "host-2", "host-4"}
+            await simulation.clock.sleep_ms(10_000.0)
+            assert not any(
+                gateway.renewal.lease.valid_at(simulation.clock.boottime_ms())
+                for gateway in simulation.gateways
+            )
+            simulation.isolated_hosts = set()
+            await assert_all_recover(simulation)
+            cancel(steady)
+
+        simulate(main)
