fix: a loop that fails is started again

Callers saw: a host that met an unexpected error in the renewal of its lease refused every write and current read as 1030 until it was started again; one that met it in its periodic checks while it was cut off refused them as 1027, and one whose feed met it kept the targets, claims and configuration that it knew. Cause: these loops are the only thing that ends such states, and an error ended the loop. It was logged once, as a failed background task. Ruled out: statements that renew the lease themselves; once a renewal has failed they are refused before that. A feed whose rows could not be applied reads the table again.

--- a/packages/fennelhill-core/src/fennelhill_core/tasks.py
+++ b/packages/fennelhill-core/src/fennelhill_core/tasks.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from loguru import logger
 
+# Bounds the log lines and the work of a loop that fails each time it is started.
+RESTART_PAUSE_S = 0.25
+
 
 class Tasks:
     """Owns the background tasks of one object.
@@ -39,6 +42,35 @@
         task.add_done_callback(self._on_done)
         return task
 
+    def keep_running(
+        self, loop: Callable[[], Coroutine[Any, Any, Any]]
+    ) -> asyncio.Task:
+        """Run a loop that must not end, and start it again after an error.
+
+        Without the loop, nothing would end a state that only the loop can end, such as
+        the refusal of statements until a lease is renewed.
+
+        Parameters
+        ----------
+        loop : callable
+            Returns a new coroutine of the loop.
+
+        Returns
+        -------
+        asyncio.Task
+            The task.
+        """
+        return self.spawn(self._run_again(loop))
+
+    async def _run_again(self, loop: Callable[[], Coroutine[Any, Any, Any]]) -> None:
+        while True:
+            try:
+                await loop()
+                return
+            except Exception as error:
+                logger.opt(exception=error).error("a loop failed; it is started again")
+            await asyncio.sleep(RESTART_PAUSE_S)
+
     def cancel(self) -> None:
         """Cancel all tasks that still run."""
         for task in list(self._running):
--- a/packages/fennelhilld/src/fennelhilld/directory/follower.py
+++ b/packages/fennelhilld/src/fennelhilld/directory/follower.py
@@ -102,12 +102,20 @@
                 await self._back_off(error)
             else:
                 self._record_store_return()
-                self._apply_rows(rows, is_snapshot, self._outage_since_ms is not None)
+                self._apply_or_read_again(rows, is_snapshot)
                 self._outage_since_ms = None
                 self._retry_delay_ms = RETRY_MIN_MS
                 if rows and not is_snapshot:
                     await self._clock.sleep_ms(self._pause_ms())
 
+    def _apply_or_read_again(self, rows: list[Any], is_snapshot: bool) -> None:
+        try:
+            self._apply_rows(rows, is_snapshot, self._outage_since_ms is not None)
+        except Exception:
+            # The rows that were not applied would be missing for ever.
+            self._last_version = None
+            raise
+
     async def refresh(self) -> None:
         """Apply all changes that have been made until now.
 
--- a/packages/fennelhilld/src/fennelhilld/directory/tests/test_follower.py
+++ b/packages/fennelhilld/src/fennelhilld/directory/tests/test_follower.py
@@ -9,6 +9,7 @@
 from fennelhill_bench.virtual_time import VirtualClock, run_virtual
 from fennelhill_core.events import EventLog
 from fennelhill_core.platform import StoreFault, StoreUnavailableError
+from fennelhill_core.tasks import Tasks
 from fennelhilld.directory.follower import (
     RETRY_MAX_MS,
     HistoryGoneError,
@@ -90,6 +91,35 @@
 
         follow(check)
 
+    def test_loses_no_change_to_an_unexpected_error(self):
+        # The feed ended with the error, and the host kept what it knew for ever.
+        async def main():
+            clock = VirtualClock()
+            source = TableSourceStub(clock)
+            applied = []
+
+            def fail_once(rows, is_snapshot, after_outage):
+                applied.append((rows, is_snapshot))
+                if len(applied) == 2:
+                    raise ValueError("an unexpected row")
+
+            follower = TableFollower(
+                source, "t", fail_once, clock, EventLog("h", "z", clock), random
+            )
+            tasks = Tasks()
+            tasks.keep_running(follower.run)
+            await clock.sleep_ms(3_000)
+            tasks.cancel()
+            assert [is_snapshot for _, is_snapshot in applied[:4]] == [
+                True,
+                False,
+                True,
+                False,
+            ]
+            assert len(applied) >= 6
+
+        run_virtual(main())
+
     def test_reconnects_soon_after_an_outage_and_reports_it(self):
         async def check(clock, source, applied):
             await clock.sleep_ms(100)
--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -170,7 +170,7 @@
         """Start the periodic checks."""
         self._started_ms = self._clock.now_ms()
         self.renewal.start()
-        self._tasks.spawn(self._tick_forever())
+        self._tasks.keep_running(self._tick_forever)
 
     def close(self) -> None:
         """Cancel all tasks and close the pools of all targets."""
--- a/packages/fennelhilld/src/fennelhilld/leader_lease/renewal.py
+++ b/packages/fennelhilld/src/fennelhilld/leader_lease/renewal.py
@@ -199,7 +199,7 @@
 
     def start(self) -> None:
         """Start to renew the lease while it is wanted."""
-        self._tasks.spawn(self._run())
+        self._tasks.keep_running(self._run)
 
     def close(self) -> None:
         """Cancel all tasks."""
--- a/packages/fennelhilld/src/fennelhilld/leader_lease/tests/test_renewal.py
+++ b/packages/fennelhilld/src/fennelhilld/leader_lease/tests/test_renewal.py
@@ -15,6 +15,7 @@
     FRESH_AGE_MS,
     HELPERS_PER_ZONE,
     MAX_CLAIMS_PER_ANSWER,
+    RENEWAL_AGE_MS,
     RETRY_MS,
     STORE_RETRY_MS,
     UNUSED_AFTER_MS,
@@ -265,3 +266,32 @@
             assert 5 <= calls <= 11
 
         simulate(main)
+
+    @pytest.mark.parametrize("had_failed", [False, True])
+    def test_asks_on_after_an_unexpected_error(self, had_failed):
+        # The loop that renews ended with the error, and refusals lasted for ever.
+        async def main(simulation):
+            gateway = simulation.gateways[0]
+            renewal, refresh = gateway.renewal, gateway.renewal.store.refresh
+
+            async def fail():
+                raise ValueError("an unreadable row")
+
+            simulation.isolated_hosts = {"host-0"}
+            if had_failed:
+                simulation.hosts_without_store = {"host-0"}
+                assert not await renewal.ensure(1_000.0)
+            renewal.store.refresh = fail
+            renewal.use()
+            await simulation.clock.sleep_ms(3_000.0)
+            renewal.store.refresh = refresh
+            simulation.isolated_hosts = simulation.hosts_without_store = set()
+            await simulation.clock.sleep_ms(1_000.0)
+            client = simulation.client(gateway, simulation.databases[0])
+            assert (await client.write()).code is None
+            assert not renewal.failing
+            assert renewal.lease.valid_at(simulation.clock.boottime_ms())
+            await simulation.clock.sleep_ms(1_000.0)
+            assert renewal.lease.age_ms < RENEWAL_AGE_MS + RETRY_MS
+
+        simulate(main)
--- a/scenarios/test_recovery.py
+++ b/scenarios/test_recovery.py
@@ -12,6 +12,7 @@
 from fennelhill_bench.session_simulation.simulation import SessionSimulation
 from fennelhill_bench.virtual_time import run_virtual
 from fennelhilld.catalog.state import ReadKind
+from fennelhilld.directory.state import TargetDirectory
 
 RECOVERY_MS = 1_000.0  # from the end of a fault until each host serves each group
 STEADY_PAUSE_MS = 100.0  # between the requests of a steady client
@@ -144,3 +145,31 @@
             cancel(steady)
 
         simulate(main)
+
+
+class TestPeriodicChecks:
+    def test_go_on_after_an_unexpected_error(self, monkeypatch):
+        # The loop of the checks ended with the error: a host that was cut off then, or
+        # whose leader was lost, stayed so.
+        async def main(simulation):
+            gateway = simulation.gateways[0]
+            expire = TargetDirectory.expire
+            failed = []
+
+            def fail_once(directory, now_ms):
+                if directory is gateway.directory and not failed:
+                    failed.append(now_ms)
+                    raise ValueError("an entry without a time")
+                return expire(directory, now_ms)
+
+            steady = start_steady_writes(simulation)
+            simulation.partition({gateway.host}, set())
+            await simulation.clock.sleep_ms(4_000.0)
+            monkeypatch.setattr(TargetDirectory, "expire", fail_once)
+            await simulation.clock.sleep_ms(500.0)
+            assert failed
+            simulation.heal()
+            await assert_all_recover(simulation)
+            cancel(steady)
+
+        simulate(main)
