--- a/packages/fennelhilld/src/fennelhilld/leader_lease/tests/test_renewal.py
+++ b/packages/fennelhilld/src/fennelhilld/leader_lease/tests/test_renewal.py
@@ -7,10 +7,17 @@
 import pytest
 from fennelhill_bench.session_simulation.simulation import SessionSimulation
 from fennelhill_bench.virtual_time import run_virtual
+from fennelhill_core.clock import MS_PER_S
+from fennelhill_core.platform import StoreFault, StoreUnavailableError
 from fennelhilld.leader_lease.messages import LeaseAnswer, LeaseQuery, ProofSource
 from fennelhilld.leader_lease.renewal import (
+    CONFIRMATION_RETRY_MS_PER_HOST,
     FRESH_AGE_MS,
+    HELPERS_PER_ZONE,
     MAX_CLAIMS_PER_ANSWER,
+    RENEWAL_AGE_MS,
+    RETRY_MS,
+    STORE_RETRY_MS,
     UNUSED_AFTER_MS,
     is_majority,
     lease_sources,
@@ -19,9 +26,9 @@
 from fennelhilld.promotion.messages import Claim, ClaimRow
 
 
-def simulate(main, hosts=6, zones=3):
+def simulate(main, hosts=6, zones=3, groups=1):
     async def run():
-        simulation = SessionSimulation(1, hosts=hosts, zones=zones)
+        simulation = SessionSimulation(1, hosts, groups, zones=zones)
         await main(simulation)
         simulation.close()
 
@@ -187,3 +194,104 @@
             assert calls <= 30  # three a second, whatever the number of hosts
 
         simulate(main, hosts=30)
+
+
+class CountingPeers:
+    """Counts the queries of a host."""
+
+    def __init__(self, gateway):
+        self.query_count = 0
+        self._peers = gateway.renewal.peers
+        gateway.renewal.peers = self
+
+    async def ask(self, address, query, limit_ms):
+        self.query_count += 1
+        return await self._peers.ask(address, query, limit_ms)
+
+
+class TestHostWithoutLease:
+    SECONDS = 3
+
+    @pytest.mark.parametrize(
+        ("hosts", "groups", "zone_mates"),
+        [(12, 1, False), (150, 1, False), (150, 8, False), (150, 1, True)],
+    )
+    def test_asks_at_a_rate_that_neither_hosts_nor_groups_raise(
+        self, hosts, groups, zone_mates
+    ):
+        zones = 3
+
+        async def main(simulation):
+            cut_off = {"host-0"}
+            if zone_mates:
+                cut_off = {gateway.host for gateway in simulation.gateways[::zones]}
+            simulation.isolated_hosts = simulation.hosts_without_store = cut_off
+            gateways = [simulation.gateway(name) for name in cut_off]
+            for gateway in gateways:
+                assert not await gateway.renewal.ensure(1_000.0)
+            counting = [CountingPeers(gateway) for gateway in gateways]
+            failure_count = gateways[0].renewal.failure_count
+            for _ in range(self.SECONDS * 10):
+                for gateway in gateways:
+                    gateway.renewal.use()
+                    for group in gateway.groups.values():
+                        gateway.env.leader_unavailable(group)
+                await simulation.clock.sleep_ms(100.0)
+            attempts = gateways[0].renewal.failure_count - failure_count
+            attempts_per_s = MS_PER_S / RETRY_MS
+            assert self.SECONDS < attempts <= self.SECONDS * attempts_per_s
+            highest_rate = (
+                MS_PER_S / CONFIRMATION_RETRY_MS_PER_HOST
+                + attempts_per_s * (2 + zones * HELPERS_PER_ZONE + 1)
+            )
+            for peers in counting:
+                assert peers.query_count / self.SECONDS <= highest_rate
+
+        simulate(main, hosts, zones, groups)
+
+    def test_reads_a_store_that_is_away_at_most_once_a_second(self):
+        async def main(simulation):
+            renewal = simulation.gateways[0].renewal
+            calls = 0
+
+            async def count_and_fail():
+                nonlocal calls
+                calls += 1
+                raise StoreUnavailableError(StoreFault.DOWN)
+
+            renewal.store.refresh = count_and_fail
+            simulation.isolated_hosts = {"host-0"}
+            assert not await renewal.ensure(1_000.0)
+            await simulation.clock.sleep_ms(10 * STORE_RETRY_MS)
+            assert 5 <= calls <= 11
+
+        simulate(main)
+
+    @pytest.mark.parametrize("had_failed", [False, True])
+    def test_asks_on_after_an_unexpected_error(self, had_failed):
+        # The loop that renews ended with the error, and refusals lasted for ever.
+        async def main(simulation):
+            gateway = simulation.gateways[0]
+            renewal, refresh = gateway.renewal, gateway.renewal.store.refresh
+
+            async def fail():
+                raise ValueError("an unreadable row")
+
+            simulation.isolated_hosts = {"host-0"}
+            if had_failed:
+                simulation.hosts_without_store = {"host-0"}
+                assert not await renewal.ensure(1_000.0)
+            renewal.store.refresh = fail
+            renewal.use()
+            await simulation.clock.sleep_ms(3_000.0)
+            renewal.store.refresh = refresh
+            simulation.isolated_hosts = simulation.hosts_without_store = set()
+            await simulation.clock.sleep_ms(1_000.0)
+            client = simulation.client(gateway, simulation.databases[0])
+            assert (await client.write()).code is None
+            assert not renewal.failing
+            assert renewal.lease.valid_at(simulation.clock.boottime_ms())
+            await simulation.clock.sleep_ms(1_000.0)
+            assert renewal.lease.age_ms < RENEWAL_AGE_MS + RETRY_MS
+
+        simulate(main)
