fix: a host that lost its leader replaces none that other hosts use

What callers saw: after a cut had healed, a group lost its healthy primary once more, and commits that only this one had were rolled back. Cause: that host knew no leader, since i-e9ae had told it that it leads no more, and i-e49a had refused its connection (too many connections). Without a leader of its own a host did not look at what the other hosts answered. A belief ('nobody leads') without a proof. Ruled out by the log: commits at the old primary after the promotion; it refused in its own zone from 35.45 s on. Change: the answers of the other hosts are read first, whether or not this host knows a leader; it follows one of a newer term. Conclusion: the needless second promotion is traced and mended. That it is what made old reads STALE is suspected: they began with the first reads at the first new primary, and a second promotion may bring commits back that the first had rolled back; no play with logs shows it.

--- a/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
@@ -413,11 +413,6 @@
         """Return whether the other hosts' answers allow a replacement."""
         if self.peers is None:
             return True
-        if leader is None:
-            # The last leader may have been replaced by a host that this one can't
-            # reach, for instance if it has refused because it no longer leads.
-            return not self.reach.cut_off
-        target_id = leader.entry.id
         newer = [view for view in survey.views if view.term > group.leadership.term]
         if newer:
             newest = max(newer, key=lambda view: view.term)
@@ -426,6 +421,11 @@
                     newest.leader, newest.term, self._clock.now_ms()
                 )
             return False
+        if leader is None:
+            # The last leader may have been replaced by a host that this one can't
+            # reach, for instance if it has refused because it no longer leads.
+            return not self.reach.cut_off
+        target_id = leader.entry.id
         lost = leader_is_lost(survey, target_id)
         if self.reach.cut_off:
             # The larger side of the partition decides.  If the platform is on this
--- a/scenarios/test_sessions.py
+++ b/scenarios/test_sessions.py
@@ -280,6 +280,29 @@
         assert kept.issuperset(p for _, p in simulation.observer.acknowledged["g0"])
 
 
+class TestHostThatLostItsLeader:
+    """Another target leads; this host gets no connection to it, the others do."""
+
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    def test_replaces_no_leader_that_other_hosts_use(self, seed):
+        async def fault(simulation):
+            await simulation.clock.sleep_ms(700)
+            model = simulation.groups["g0"]
+            other = next(
+                target for target in model.targets.values() if not target.leads
+            )
+            driver = simulation.drivers[0]
+            driver.unreachable_targets = {other.id}
+            driver.silence_links()
+            # An order of an earlier holder, which no claim announces any more.
+            await model.promote(other.id)
+
+        simulation, violations = run_under_load(seed, fault, hosts=4)
+        assert violations == []
+        assert simulation.orders.calls == []
+        assert simulation.gateways[0].env.group("g0").leadership.term == 2
+
+
 class TestAbandonedClaim:
     """The claim that it replaced was open, so its order may still be carried out."""
 
