fix: an abandoned claim tells a host that missed a replacement who leads

What callers saw, where a replaced primary goes on leading: reads miss acknowledged writes, and writes are acknowledged that the next primary lacks, at one host after a cut. Cause: the row of a group holds the newest claim only. A host that missed 'claimed, then done' and next reads that a later claim was abandoned lifted its fence on the leader that it still believed in, with a lease that proves that no claim is open. Found by review. The class: a belief about who leads that no proof covers. Ruled out: the lease itself; all claims were known, but the last says nothing of the replacement before. Change: a claim names the term of the leader that it replaces; if it is abandoned, hosts that know an older one, or none, follow that leader. Conclusion: each row says alone who leads when it is in force.

--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -346,6 +346,7 @@
         if claim is None:
             return
         leadership = self.env.group(group_name).leadership
+        first_claim = not leadership.claimed
         leadership.claimed = True
         self._events.record(
             "promotion.noticed",
@@ -360,9 +361,13 @@
         elif claim.phase is ClaimPhase.DONE:
             leadership.install_leader(claim.target, claim.term, now_ms)
         else:
-            if leadership.leader_id is None and claim.previous_leader:
+            # This host may have missed the replacement before, or believe a target that
+            # goes on reporting that it leads.
+            newest_known = leadership.term - first_claim
+            outdated = claim.previous_leader_term > max(0, newest_known)
+            if claim.previous_leader and (leadership.leader_id is None or outdated):
                 leadership.install_leader(
-                    claim.previous_leader, claim.previous_term, now_ms
+                    claim.previous_leader, claim.previous_leader_term, now_ms
                 )
             leadership.lift_fence()
 
--- a/packages/fennelhilld/src/fennelhilld/promotion/messages.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/messages.py
@@ -37,6 +37,8 @@
         The leader that is being replaced; empty if it is unknown.
     previous_term : int
         The newest term known when the claim was made.
+    previous_leader_term : int
+        Term of the previous leader; 0 if it is unknown.
     term : int
         Term of the new leader; 0 until the replacement is finished.
     """
@@ -48,6 +50,7 @@
     planned: bool = False
     previous_leader: str = ""
     previous_term: int = 0
+    previous_leader_term: int = 0
     term: int = 0
 
 
--- a/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
@@ -485,6 +485,7 @@
             planned,
             leadership.leader_id or "",
             max([leadership.term, *known_terms]),
+            leadership.term if leadership.leader_id else 0,
         )
         claimed_ms = self._clock.boottime_ms()
         order_pending = self._order_may_be_pending(group)
--- a/scenarios/test_sessions.py
+++ b/scenarios/test_sessions.py
@@ -303,8 +303,49 @@
         assert simulation.gateways[0].env.group("g0").leadership.term == 2
 
 
+async def abandoned_claim_after_a_missed_replacement(simulation):
+    """One host sees neither a replacement nor that its leader leads no more.
+
+    The next thing that it learns is that a later claim was abandoned.
+    """
+    await simulation.clock.sleep_ms(800)
+    model = simulation.groups["g0"]
+    old = model.leader
+    simulation.partition({"host-0"}, {old.id})
+    await simulation.clock.sleep_ms(4_000)
+    new = model.leader
+    third = next(
+        target.id for target in model.targets.values() if target not in (old, new)
+    )
+    claim = Claim("outside", "nonce", third, planned=True, previous_leader=new.id)
+    claim.previous_term = claim.previous_leader_term = new.term
+    row = simulation.store.rows["g0"]
+    version = await simulation.store.swap_claim("g0", row.version, claim)
+    await simulation.clock.sleep_ms(600)
+    claim.phase = ClaimPhase.ABANDONED
+    await simulation.store.swap_claim("g0", version, claim)
+    await simulation.clock.sleep_ms(100)
+    # The old leader still reaches no other target.
+    simulation.isolated_hosts = simulation.hosts_without_store = set()
+    simulation.drivers[0].unreachable_targets = set()
+
+
 class TestAbandonedClaim:
-    """The claim that it replaced was open, so its order may still be carried out."""
+    """A claim that was abandoned gives no leader back that was replaced before."""
+
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    def test_tells_a_host_that_missed_a_replacement_who_leads(self, seed):
+        traits = Traits(old_leader_goes_on=True)
+        fault = abandoned_claim_after_a_missed_replacement
+        simulation, violations = run_under_load(
+            seed, fault, 4, traits=traits, load_ms=9_000.0
+        )
+        assert violations == []
+        leaders = {
+            gateway.env.group("g0").leadership.leader_id
+            for gateway in simulation.gateways
+        }
+        assert leaders == {simulation.groups["g0"].leader.id}
 
     @pytest.mark.parametrize(("seed", "goes_on"), [(5, False), (1, True), (2, True)])
     def test_gives_no_leader_back_that_a_late_order_replaces(self, seed, goes_on):
