fix: a claim is finished only once its target leads in the newest term

What callers saw, where a replaced primary goes on leading: reads miss acknowledged writes after the last other target has failed and the former primary is promoted again. Cause: the former primary still says that it leads, in its old term. The host that had ordered its promotion took that for the effect of the order, wrote the claim as done, and all hosts used a log that was to be replaced. Found by review. An entry of the platform's list was believed in the same way, also from a target that was listed for the first time. The class: a belief about who leads that no proof covers. Ruled out: the order; without the change it is carried out after the claim was done. Change: the target must lead in a term that is not older than the newest known when the claim was made, and the claim is done with that term; its entry counts only if it said before that it is a replica. The simulation replicates no log to a target that leads. Conclusion: DONE says what has happened, not what was ordered.

--- a/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/targets.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/targets.py
@@ -283,6 +283,8 @@
         await self.clock.sleep_ms(replica.traits.network_ms)
         if not replica.up or not source.leads or replica.id in self.replication_stopped:
             return
+        if replica.leads:  # It was replaced and has not noticed.
+            return
         if len(replica.log) < length:
             replica.log = source.log[:length]
             replica.term = source.term
--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -242,11 +242,11 @@
             group.targets[entry.id] = TargetState(entry, self._open_pool)
         else:
             target.entry = target.pool.entry = entry
-        newly_leads = (
-            previous_entry is None or not previous_entry.leads or started_again
-        )
-        if entry.leads and newly_leads:
-            group.leadership.set_reported_leader(entry.id, now_ms)
+        was_replica = previous_entry is not None and not previous_entry.leads
+        if entry.leads and (previous_entry is None or was_replica or started_again):
+            group.leadership.set_reported_leader(
+                entry.id, now_ms, was_replica and not started_again
+            )
         self._events.record(
             "target.listed",
             group=entry.group,
--- a/packages/fennelhilld/src/fennelhilld/leadership/state.py
+++ b/packages/fennelhilld/src/fennelhilld/leadership/state.py
@@ -107,11 +107,13 @@
         if self.failing_since_ms is not None and sent_ms > self.failing_since_ms:
             self.clear_failure()
 
-    def set_reported_leader(self, target_id: str, now_ms: float) -> None:
+    def set_reported_leader(
+        self, target_id: str, now_ms: float, was_replica: bool = False
+    ) -> None:
         """Follow a target that reports itself as the leader, or that a host names.
 
         Once a claim on the group is known this is ignored, except that the target of
-        an open claim has been promoted if it begins to report that it leads.
+        an open claim has been promoted if it reported itself as a replica until now.
 
         Parameters
         ----------
@@ -119,10 +121,15 @@
             The target.
         now_ms : float
             Time on this host's clock.
+        was_replica : bool
+            Whether its last report said that it is a replica.  A target that is listed
+            for the first time may have been replaced and go on reporting that it leads.
         """
         if target_id == self.leader_id:
             return
         if self.fence is not None and self.fence.target_id == target_id:
+            if not was_replica:
+                return
             self.install_leader(target_id, self.fence.previous_term + 1, now_ms)
         elif not self.claimed:
             self._change_leader(target_id, self.term, now_ms, "reported as the leader")
--- a/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
@@ -526,17 +526,17 @@
             self._refused_ms[chosen.target_id] = self._clock.now_ms()
         if result not in (PromotionResult.ACCEPTED, PromotionResult.NO_ANSWER):
             return
-        leads = await self._wait_until_leading(group, chosen.target_id)
+        term = await self._wait_until_leading(group, claim)
         self._record(
             "promotion.finished",
             group,
             target=chosen.target_id,
             token=token,
-            leads=leads,
+            leads=term is not None,
             took_ms=round(self._clock.now_ms() - started_ms),
         )
-        if leads:
-            claim.term = leadership.term
+        if term is not None:
+            claim.term = term
             await self._finish_claim(group, token, claim, ClaimPhase.DONE)
 
     def _order_may_be_pending(self, group: GroupState) -> bool:
@@ -718,21 +718,32 @@
             await self._clock.sleep_ms(CATCH_UP_POLL_MS)
         return False
 
-    async def _wait_until_leading(self, group: GroupState, target_id: str) -> bool:
+    async def _wait_until_leading(self, group: GroupState, claim: Claim) -> int | None:
+        """Wait until a claim's target leads in the newest term; return the term.
+
+        A target that was replaced earlier may report that it leads in an older one
+        before it is promoted again.
+        """
+        leadership = group.leadership
         deadline_ms = self._clock.now_ms() + PROMOTION_TIMEOUT_MS
         while self._clock.now_ms() < deadline_ms:
-            if group.leadership.leader_id == target_id:
-                return True
-            target = group.targets.get(target_id)
+            followed = leadership.leader_id == claim.target and leadership.fence is None
+            if followed and leadership.term > claim.previous_term:
+                return leadership.term
+            target = group.targets.get(claim.target)
             if target is None:
-                return False
+                return None
             probed_ms = self._clock.now_ms()
             status = await self.status(target)
-            if status is not None and status.leads:
-                group.leadership.confirm_leader(target_id, status.term, probed_ms)
-                return True
+            if (
+                status is not None
+                and status.leads
+                and status.term >= claim.previous_term
+            ):
+                leadership.confirm_leader(claim.target, status.term, probed_ms)
+                return status.term
             await self._clock.sleep_ms(PROMOTION_POLL_MS)
-        return False
+        return None
 
     def _record(self, kind: str, group: GroupState, **detail: object) -> None:
         self._events.record(
--- a/scenarios/test_sessions.py
+++ b/scenarios/test_sessions.py
@@ -330,6 +330,40 @@
     simulation.drivers[0].unreachable_targets = set()
 
 
+async def former_leader_is_promoted_again(simulation):
+    """A replaced leader that still reports that it leads is the only one left."""
+    await simulation.clock.sleep_ms(800)
+    model = simulation.groups["g0"]
+    former = model.leader
+    simulation.partition(set(), {former.id})
+    while model.leader is former:
+        await simulation.clock.sleep_ms(20)
+    await simulation.clock.sleep_ms(1_500)
+    new = model.leader
+    third = next(
+        target for target in model.targets.values() if target not in (former, new)
+    )
+    third.crash()
+    await simulation.clock.sleep_ms(800)
+    for driver in simulation.drivers:
+        driver.unreachable_targets = set()
+    assert former.leads
+    new.crash()
+
+
+class TestFinishedClaim:
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    def test_names_no_target_that_leads_in_an_older_term(self, seed):
+        traits = Traits(old_leader_goes_on=True)
+        fault = former_leader_is_promoted_again
+        simulation, violations = run_under_load(
+            seed, fault, 4, traits=traits, load_ms=9_000.0
+        )
+        assert violations == []
+        claim = simulation.store.rows["g0"].claim
+        assert (claim.phase, claim.term) == (ClaimPhase.DONE, 3)
+
+
 class TestAbandonedClaim:
     """A claim that was abandoned gives no leader back that was replaced before."""
 
