fix: a host that can't finish an open claim leaves it to the others

What callers saw: after a host had stopped with an open claim, the group was served by nobody for as long as one other host could not reach its leader. Cause: that host took the claim over, could not see that a replica had caught up, left the claim open and made the next one at once; each new version let the others wait another 4.5 s. Ruled out: the fence; the hosts that reach the leader were never asked. Change: a claim that can't be completed is released: other hosts may take it over at once, and its holder leaves it to them for 1.5 s. A status that fails no longer ends the wait for a replica, so attempts on a group stay under one a second. Conclusion: whoever can complete a replacement gets to.

--- a/packages/fennelhilld/src/fennelhilld/promotion/claims.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/claims.py
@@ -127,8 +127,8 @@
         Returns
         -------
         bool
-            False if there is no claim, if it is finished or this host's own, or once
-            `CLAIM_TAKEOVER_MS` have passed since this host first saw it.
+            False if there is no claim, if it is finished, released or this host's own,
+            or once `CLAIM_TAKEOVER_MS` have passed since this host first saw it.
         """
         row, seen_ms = self._rows.get(group, (ClaimRow(), 0.0))
         claim = row.claim
@@ -136,6 +136,7 @@
             claim is None
             or claim.phase is not ClaimPhase.CLAIMED
             or claim.holder == host
+            or claim.released
         ):
             return False
         return now_ms - seen_ms < CLAIM_TAKEOVER_MS
--- a/packages/fennelhilld/src/fennelhilld/promotion/messages.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/messages.py
@@ -41,6 +41,9 @@
         Term of the previous leader; 0 if it is unknown.
     term : int
         Term of the new leader; 0 until the replacement is finished.
+    released : bool
+        Whether the holder could not finish an open claim, so that any other host may
+        take it over at once.
     """
 
     holder: str
@@ -52,6 +55,7 @@
     previous_term: int = 0
     previous_leader_term: int = 0
     term: int = 0
+    released: bool = False
 
 
 class ClaimRow(msgspec.Struct):
--- a/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
@@ -67,6 +67,8 @@
 # A target that the platform refused to promote is not chosen for this long, unless no
 # other one can be.
 REFUSED_TARGET_MS = 3_000.0
+# A host that could not finish an open claim leaves it to the others for this long.
+RELEASED_CLAIM_MS = 1_500.0
 TOO_FEW_HOSTS = "too few hosts can be reached to replace it"
 
 GiveLeaseUp = Callable[[GroupClaim], Awaitable[bool]]
@@ -123,6 +125,8 @@
         self._directory = directory
         self._collector = collector
         self._refused_ms: dict[str, float] = {}
+        # By group: until when this host leaves the open claim to the others.
+        self._released_until_ms: dict[str, float] = {}
         self._replacing = 0
         self._clock = clock
         self._events = events
@@ -145,7 +149,8 @@
         """
         leader = group.leader()
         started_ms = self._clock.now_ms()
-        if self.claims.held_by_other(group.name, self.host, started_ms):
+        held = self.claims.held_by_other(group.name, self.host, started_ms)
+        if held or self._has_released(group.name, started_ms):
             await self._look_for_promoted(group, started_ms)
             return
         if leader is None or leader.entry.leaving:
@@ -539,6 +544,16 @@
             claim.term = term
             await self._finish_claim(group, token, claim, ClaimPhase.DONE)
 
+    def _has_released(self, name: str, now_ms: float) -> bool:
+        """Return whether this host leaves a group's open claim to the others."""
+        claim = self.claims.get(name).claim
+        return (
+            claim is not None
+            and claim.holder == self.host
+            and claim.phase is ClaimPhase.CLAIMED
+            and now_ms < self._released_until_ms.get(name, float("-inf"))
+        )
+
     def _order_may_be_pending(self, group: GroupState) -> bool:
         """Return whether an order under the group's newest claim may be carried out.
 
@@ -557,10 +572,15 @@
 
         If an order of an earlier holder is pending, the claim stays open until a host
         completes the replacement: a promotion that no host expects would leave the old
-        leader in use.
+        leader in use.  Other hosts may try at once.
         """
         if order_pending:
-            self._record("promotion.left_open", group, target=claim.target, token=token)
+            self._record("promotion.released", group, target=claim.target, token=token)
+            now_ms = self._clock.now_ms()
+            self._released_until_ms[group.name] = now_ms + RELEASED_CLAIM_MS
+            await self._replace_row(
+                group, token, msgspec.structs.replace(claim, released=True)
+            )
             return
         await self._finish_claim(group, token, claim, ClaimPhase.ABANDONED)
 
@@ -616,16 +636,20 @@
     ) -> None:
         """Write the end of a replacement, so that all hosts use the leader again."""
         finished = msgspec.structs.replace(claim, phase=phase)
+        await self._replace_row(group, token, finished)
+
+    async def _replace_row(self, group: GroupState, token: int, claim: Claim) -> None:
+        """Write a new state of this host's claim, and announce it to all hosts."""
         try:
-            version = await self.store.swap_claim(group.name, token, finished)
+            version = await self.store.swap_claim(group.name, token, claim)
         except StoreUnavailableError as error:
             # Other hosts ignore the claim after CLAIM_TAKEOVER_MS and find the
             # new leader by probing.
             self._record("promotion.unannounced", group, reason=str(error))
             return
         if version is not None:
-            self.apply_claim(group.name, ClaimRow(version, finished))
-            row = GroupClaim(group.name, version, finished)
+            self.apply_claim(group.name, ClaimRow(version, claim))
+            row = GroupClaim(group.name, version, claim)
             self._tasks.spawn(self._collector.announce(row))
 
     async def _write_claim(self, group: GroupState, claim: Claim) -> int | None:
@@ -700,7 +724,7 @@
         Returns
         -------
         bool
-            False if it has not in time, or if the leader gives no status.
+            False if it has not in time, or if they give no status.
         """
         replica = group.targets[chosen.target_id]
         deadline_ms = self._clock.now_ms() + CATCH_UP_TIMEOUT_MS
@@ -708,10 +732,9 @@
             leader_status, replica_status = await asyncio.gather(
                 self.status(leader), self.status(replica)
             )
-            if leader_status is None:
-                return False
             if (
-                replica_status is not None
+                leader_status is not None
+                and replica_status is not None
                 and replica_status.received >= leader_status.received
             ):
                 return True
--- a/scenarios/test_sessions.py
+++ b/scenarios/test_sessions.py
@@ -279,6 +279,20 @@
         kept = {entry.position for entry in model.leader.log}
         assert kept.issuperset(p for _, p in simulation.observer.acknowledged["g0"])
 
+    @pytest.mark.parametrize("blind", [0, 1, 2, 3])
+    def test_is_finished_though_one_host_cannot_reach_the_leader(self, blind):
+        async def fault(simulation):
+            await holder_stops_after_its_claim(simulation)
+            leader_id = simulation.groups["g0"].leader.id
+            simulation.drivers[blind].unreachable_targets = {leader_id}
+            simulation.drivers[blind].silence_links()
+
+        simulation, violations = run_under_load(1, fault, hosts=4, load_ms=12_000.0)
+        assert violations == []
+        finish_limit_ms = CLAIM_TAKEOVER_MS + 2 * PROMOTION_TIMEOUT_MS
+        assert served_share(simulation, from_ms=700 + finish_limit_ms) > 0.95
+        assert len(simulation.groups["g0"].promotions) == 1
+
 
 class TestHostThatLostItsLeader:
     """Another target leads; this host gets no connection to it, the others do."""
