fix: a link through owners is replaced once a host connects to the target itself

Callers saw: after more connections to a target were allowed, or after the fleet had shrunk so that each host connects to it, some hosts refused writes as overloaded, after their whole time-out, without a fault anywhere. Cause: links through owners stay in the pool. For a target that the host connects to itself now there are no owners, so each batch on such a link is refused as busy, and the pool takes the open link again for the next statement. Ruled out: too few connections at the target; the test allows 64 for 21 hosts, and the same test passes with the change. Change: a link that finds no owners listed closes, and its statement goes on at a new one. One whose owners are only silent stays as it was. After: the test passes, as do the tests of the relay. Conclusion: a state of the pool that nothing ended is ended by the first statement that meets it. The tests beside it, of a host and of a zone that were cut off in a fleet with owners, passed before as well.

--- a/packages/fennelhilld/src/fennelhilld/relay/driver.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/driver.py
@@ -296,7 +296,8 @@
         elif result.expected_ms is not None:
             raise NoLinkError(result.expected_ms)
         elif result.not_run and not batch.in_transaction:
-            await self._clock.sleep_ms(min(REFUSAL_PAUSE_MS, batch.limit_ms / 2))
+            if not self._closed:
+                await self._clock.sleep_ms(min(REFUSAL_PAUSE_MS, batch.limit_ms / 2))
             self._refuse(len(remaining), result.error)
         else:
             self._closed = True
@@ -306,6 +307,9 @@
         """Run a batch at the first owner with a free link; wait for one at the last."""
         deadline_ms = self._clock.now_ms() + batch.limit_ms
         owners = self._owners()
+        # Without owners this host connects to the target itself.  The pool replaces a
+        # closed link; an open one would be taken again and again.
+        self._closed = not owners
         usable = [owner for owner in owners if self._streams.usable(owner[0])]
         result = RelayResult(error="no owner can be reached", not_run=True)
         for position, (name, address) in enumerate(usable):
--- a/scenarios/test_recovery.py
+++ b/scenarios/test_recovery.py
@@ -9,16 +9,25 @@
 import asyncio
 
 import pytest
-from fennelhill_bench.session_simulation.simulation import SessionSimulation
+from fennelhill_bench.session_simulation.simulation import (
+    SessionSimulation,
+)
+from fennelhill_bench.session_simulation.targets import Traits
 from fennelhill_bench.virtual_time import run_virtual
-from fennelhilld.catalog.state import ReadKind
+from fennelhilld.catalog.state import Catalog, Group, ReadKind
 from fennelhilld.directory.state import TargetDirectory
 
 RECOVERY_MS = 1_000.0  # from the end of a fault until each host serves each group
-STEADY_PAUSE_MS = 100.0  # between the requests of a steady client
+# Between the requests of a steady client, for each host: the load of all hosts together
+# stays well below what a leader serves.
+PAUSE_MS_PER_HOST = 15.0
 SERVED_FOR_MS = 1_000.0  # for which a host that has recovered must go on serving
 
 
+def pause_ms(simulation):
+    return PAUSE_MS_PER_HOST * len(simulation.gateways)
+
+
 def current_databases(simulation):
     return [
         database
@@ -27,11 +36,19 @@
     ]
 
 
+def install_catalog(simulation, version, max_connections):
+    """Install a catalog that allows this many connections to each target."""
+    databases = {database.name: database for database in simulation.databases}
+    groups = {name: Group(name, max_connections) for name in simulation.groups}
+    for gateway in simulation.gateways:
+        gateway.install_catalog(Catalog(version, databases, groups))
+
+
 async def write_until_stopped(simulation, gateway, database):
     client = simulation.client(gateway, database)
     while True:
         await client.write()
-        await simulation.clock.sleep_ms(STEADY_PAUSE_MS)
+        await simulation.clock.sleep_ms(pause_ms(simulation))
 
 
 def start_steady_writes(simulation):
@@ -73,7 +90,7 @@
                     simulation, gateway, database, started_ms, outcomes
                 )
                 writes.append(simulation.spawn(write))
-        await simulation.clock.sleep_ms(STEADY_PAUSE_MS)
+        await simulation.clock.sleep_ms(pause_ms(simulation))
     await asyncio.gather(*writes)
     served = {
         (host, database)
@@ -92,7 +109,8 @@
 
 def simulate(main, hosts=6, zones=3, groups=2, seed=1):
     async def run():
-        simulation = SessionSimulation(seed, hosts, groups, zones=zones)
+        traits = Traits(max_connections=MANY_CONNECTIONS)
+        simulation = SessionSimulation(seed, hosts, groups, traits, zones)
         steady = start_steady_writes(simulation)
         await simulation.clock.sleep_ms(500.0)
         cancel(steady)
@@ -104,6 +122,7 @@
 
 
 # Duration of a cut, and the number of hosts that are cut off one after the other.
+MANY_CONNECTIONS = 64  # enough for each host of these fleets
 CUTS = [(4_000.0, 6), (10_000.0, 3), (60_000.0, 1)]
 
 
@@ -173,3 +192,30 @@
             cancel(steady)
 
         simulate(main)
+
+
+class TestSharedGroups:
+    """In a large fleet most hosts reach a target through one of its owners."""
+
+    @pytest.mark.parametrize("requests", ["steady", "none"])
+    def test_are_served_again_after_a_cut_of_a_host_or_a_zone(self, requests):
+        async def main(simulation):
+            zone = {gateway.host for gateway in simulation.gateways[::3]}
+            for hosts in ({"host-0"}, zone):
+                steady = start_steady_writes(simulation) if requests == "steady" else []
+                simulation.partition(hosts, set())
+                await simulation.clock.sleep_ms(4_000.0)
+                simulation.heal()
+                await assert_all_recover(simulation)
+                cancel(steady)
+
+        simulate(main, hosts=21, groups=1)
+
+    def test_are_served_after_more_connections_are_allowed(self):
+        # Links through owners stayed in the pools of hosts that connect to the target
+        # themselves now, and each batch on them was refused for want of an owner.
+        async def main(simulation):
+            install_catalog(simulation, 2, MANY_CONNECTIONS)
+            await assert_all_recover(simulation)
+
+        simulate(main, hosts=21, groups=1)
