fix: a host that is no owner any more looks whether a lost leader answers

Callers saw: after a leader had not answered for seconds while the store accepted no claim, and fewer connections per target were allowed in the meantime, some hosts refused every write and current read of the group at once as `no_primary`, although the leader answered again. Cause: a host that can't replace a lost leader notes an obstacle and then refuses statements at once. Its checks of the leader end the state, but only owners of a shared group check it; a host that is no owner any more looked only for a leader that it does not know. Change: such a host looks once a second whether a target of the group leads while an obstacle is noted. Before: "AssertionError: [('host-20', 'g0-current', 3780, 3780, 'no_primary')]", refused from the return of the leader to the end of the play. After: the test passes, with 3 s instead of 1 s for the recovery, since these hosts look once a second and then set up links through owners; an owner that was silent is used after 2 s. Conclusion: each state in which statements are refused at once has a check that can end it.

--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -579,8 +579,14 @@
             self._tasks.spawn(self._check_leader(group))
 
     def _follow_leader(self, group: GroupState, now_ms: float) -> None:
-        """Look for a leader that this host does not know, at a low rate."""
-        if group.leader() is not None and group.leadership.fence is None:
+        """Look for a leader that this host does not know or use, at a low rate."""
+        leadership = group.leadership
+        # An obstacle is left over from a time when this host replaced the leader.
+        if (
+            group.leader() is not None
+            and leadership.fence is None
+            and not leadership.obstacle
+        ):
             return
         self._next_check_ms[group.name] = now_ms + FOLLOWER_CHECK_INTERVAL_MS
         self._tasks.spawn(self.replacement.find_leader(group))
--- a/scenarios/test_recovery.py
+++ b/scenarios/test_recovery.py
@@ -10,6 +10,7 @@
 
 import pytest
 from fennelhill_bench.session_simulation.simulation import (
+    CONNECTIONS_PER_TARGET,
     SessionSimulation,
 )
 from fennelhill_bench.session_simulation.targets import Traits
@@ -122,6 +123,7 @@
 
 
 # Duration of a cut, and the number of hosts that are cut off one after the other.
+SHARED_RECOVERY_MS = 3_000.0
 MANY_CONNECTIONS = 64  # enough for each host of these fleets
 CUTS = [(4_000.0, 6), (10_000.0, 3), (60_000.0, 1)]
 
@@ -219,3 +221,26 @@
             await assert_all_recover(simulation)
 
         simulate(main, hosts=21, groups=1)
+
+    def test_use_a_leader_again_that_an_owner_failed_to_replace(self):
+        # Fewer connections were allowed while the leader did not answer and the store
+        # accepted no claim.  A host that was no owner any more went on refusing.
+        async def main(simulation):
+            install_catalog(simulation, 2, MANY_CONNECTIONS)
+            await simulation.clock.sleep_ms(1_000.0)
+            simulation.store.down = True
+            model = simulation.groups["g0"]
+            simulation.partition(set(), {model.leader.id})
+            steady = start_steady_writes(simulation)
+            await simulation.clock.sleep_ms(4_000.0)
+            install_catalog(simulation, 3, CONNECTIONS_PER_TARGET)
+            assert any(
+                gateway.groups["g0"].leadership.obstacle
+                and not gateway.owns(simulation.target_entry(model, model.leader.id))
+                for gateway in simulation.gateways
+            )
+            cancel(steady)
+            simulation.heal()
+            await assert_all_recover(simulation, SHARED_RECOVERY_MS)
+
+        simulate(main, hosts=21, groups=1)
