fix: a slow replica is tried again after a while

Callers saw: nothing failed; a replica that had once been slow got no more reads from a host with little load, however fast it was afterwards, so its neighbours and other zones served them. Cause: only a target's own answers to reads change how slow a host takes it to be, and a slow one gets none while the others have no queue. Ruled out: the exclusion for 300 ms after a failure and the estimate of the lag, which both end with time. Change: without answers, half of what is known of a target's speed is forgotten in 5 s. Before: with the constant added to the old code, "AssertionError: assert 'far' == 'near'". After: the test passes. The two older tests that record a slowness name its time now.

--- a/packages/fennelhilld/src/fennelhilld/placement/policies.py
+++ b/packages/fennelhilld/src/fennelhilld/placement/policies.py
@@ -84,7 +84,7 @@
         parallel_requests = max(1, min(target.entry.slots, pool.open))
         cost_ms = (
             mean_response_ms
-            * target.slowness
+            * target.slowness(now_ms)
             * (1 + requests_ahead / parallel_requests)
         )
         if is_leader:
--- a/packages/fennelhilld/src/fennelhilld/placement/state.py
+++ b/packages/fennelhilld/src/fennelhilld/placement/state.py
@@ -14,6 +14,9 @@
 INITIAL_RESPONSE_MS = 15.0  # assumed for a database before the first answer
 # Bounds on the slowness of a single answer, as multiples of the mean response time.
 MIN_SLOWNESS, MAX_SLOWNESS = 0.3, 6.0
+# Without answers, half of what is known of a target's speed is forgotten in this time.
+# A slow target may get no reads, and could never show that it has become faster.
+SLOWNESS_HALF_LIFE_MS = 5_000.0
 MIN_MEAN_RESPONSE_MS = 0.1  # lower bound on a mean that a response time is divided by
 # How long a target is tried last after it refused a request or a connection, a link to
 # it was lost, no link to it was free in time or its answer was overdue.
@@ -75,7 +78,14 @@
 class TargetState:
     """A target, with the lag and the slowness that this host has observed."""
 
-    __slots__ = ("avoid_until_ms", "entry", "lag", "pool", "slowness")
+    __slots__ = (
+        "_slowness",
+        "_slowness_updated_ms",
+        "avoid_until_ms",
+        "entry",
+        "lag",
+        "pool",
+    )
 
     def __init__(
         self, entry: TargetEntry, open_pool: Callable[[TargetState], TargetPool]
@@ -83,19 +93,40 @@
         self.entry = entry
         self.pool = open_pool(self)
         self.lag = LagEstimate(self.pool.created_ms)
-        self.slowness = 1.0
+        self._slowness = 1.0
+        self._slowness_updated_ms = self.pool.created_ms
         self.avoid_until_ms = 0.0
 
-    def record_slowness(self, slowness: float) -> None:
+    def slowness(self, now_ms: float) -> float:
+        """Return the mean slowness; without answers it approaches 1.
+
+        Parameters
+        ----------
+        now_ms : float
+            Time on this host's clock.
+
+        Returns
+        -------
+        float
+            Response time as a multiple of the mean of the database.
+        """
+        half_lives = (now_ms - self._slowness_updated_ms) / SLOWNESS_HALF_LIFE_MS
+        return 1.0 + (self._slowness - 1.0) * 0.5**half_lives
+
+    def record_slowness(self, slowness: float, now_ms: float) -> None:
         """Update the mean slowness with that of one answer.
 
         Parameters
         ----------
         slowness : float
             Response time as a multiple of the mean of the database.
+        now_ms : float
+            Time on this host's clock.
         """
         bounded = min(MAX_SLOWNESS, max(MIN_SLOWNESS, slowness))
-        self.slowness += NEWEST_WEIGHT * (bounded - self.slowness)
+        mean = self.slowness(now_ms)
+        self._slowness = mean + NEWEST_WEIGHT * (bounded - mean)
+        self._slowness_updated_ms = now_ms
 
     def avoid(self, now_ms: float) -> None:
         """Try this target last until `AVOID_MS` have passed.
--- a/packages/fennelhilld/src/fennelhilld/placement/tests/test_state.py
+++ b/packages/fennelhilld/src/fennelhilld/placement/tests/test_state.py
@@ -6,7 +6,12 @@
 from fennelhilld.directory.state import TargetEntry
 from fennelhilld.freshness.positions import MinimumPosition
 from fennelhilld.placement.policies import ExpectedTime
-from fennelhilld.placement.state import GroupState, ResponseTimes, TargetState
+from fennelhilld.placement.state import (
+    SLOWNESS_HALF_LIFE_MS,
+    GroupState,
+    ResponseTimes,
+    TargetState,
+)
 
 MEAN_RESPONSE_MS = 20.0
 MINIMUM = MinimumPosition(Position(1, 5), 1_000.0)
@@ -32,8 +37,8 @@
     return state
 
 
-def choose(state, tried=(), minimum=MINIMUM):
-    chosen = state.choose_reader(minimum, MEAN_RESPONSE_MS, "a", set(tried), 0.0)
+def choose(state, tried=(), minimum=MINIMUM, now_ms=0.0):
+    chosen = state.choose_reader(minimum, MEAN_RESPONSE_MS, "a", set(tried), now_ms)
     return chosen.entry.id if chosen else None
 
 
@@ -67,9 +72,17 @@
     def test_avoids_a_slow_replica(self):
         state = group(leader="c", near="a", far="b")
         for _ in range(30):
-            state.targets["near"].record_slowness(5.0)
+            state.targets["near"].record_slowness(5.0, 0.0)
         assert choose(state) == "far"
 
+    def test_tries_a_slow_replica_again_after_a_while(self):
+        # Only its own answers made it look faster, and it got no reads to answer.
+        state = group(leader="c", near="a", far="b")
+        for _ in range(30):
+            state.targets["near"].record_slowness(5.0, 0.0)
+        assert choose(state, now_ms=SLOWNESS_HALF_LIFE_MS) == "far"
+        assert choose(state, now_ms=6 * SLOWNESS_HALF_LIFE_MS) == "near"
+
     def test_avoids_a_replica_with_a_queue(self):
         state = group(leader="c", near="a", far="b")
         state.targets["near"].pool.idle = 0
@@ -87,6 +100,6 @@
         times = ResponseTimes()
         state = group(leader="a", near="a")
         for _ in range(50):
-            state.targets["near"].record_slowness(times.observe("heavy", 40.0))
-            state.targets["leader"].record_slowness(times.observe("light", 5.0))
+            state.targets["near"].record_slowness(times.observe("heavy", 40.0), 0.0)
+            state.targets["leader"].record_slowness(times.observe("light", 5.0), 0.0)
         assert choose(state) == "near"
--- a/packages/fennelhilld/src/fennelhilld/statements/reading.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/reading.py
@@ -239,7 +239,8 @@
     ) -> Reply:
         env, group, database = self._env, self._group, self._database
         target.record_slowness(
-            env.response_times.observe(database.name, exchange.took_ms)
+            env.response_times.observe(database.name, exchange.took_ms),
+            env.clock.now_ms(),
         )
         env.counters.served += 1
         env.counters.record_read(
