test: after random faults each host serves writes to each group

Cause: the simulated sessions checked what is promised and the share that is served, not that each host serves each group again once the faults have ended. Ruled out: nothing. Change: `LivenessCheck`, a step of the simulated sessions: writes at a steady rate at each host to each group, one served within the time limit and none refused after it. Six plays of four random faults each (a zone, a host, a leader cut off, a crash, the store down for all or for a host, a zone cut off while the store is down); a mutant in which a host asks only while its lease is used. Conclusion: a host that stays behind after a fault is found, whatever state keeps it there.

--- a/scenarios/test_recovery.py
+++ b/scenarios/test_recovery.py
@@ -6,9 +6,13 @@
 
 from __future__ import annotations
 
-import asyncio
+import random
 
 import pytest
+from fennelhill_bench.session_simulation.liveness import (
+    PAUSE_MS_PER_HOST,
+    LivenessCheck,
+)
 from fennelhill_bench.session_simulation.simulation import (
     CONNECTIONS_PER_TARGET,
     SessionSimulation,
@@ -17,16 +21,9 @@
 from fennelhill_bench.virtual_time import run_virtual
 from fennelhilld.catalog.state import Catalog, Group, ReadKind
 from fennelhilld.directory.state import TargetDirectory
+from fennelhilld.leader_lease.renewal import UNUSED_AFTER_MS, LeaseRenewal
 
 RECOVERY_MS = 1_000.0  # from the end of a fault until each host serves each group
-# Between the requests of a steady client, for each host: the load of all hosts together
-# stays well below what a leader serves.
-PAUSE_MS_PER_HOST = 15.0
-SERVED_FOR_MS = 1_000.0  # for which a host that has recovered must go on serving
-
-
-def pause_ms(simulation):
-    return PAUSE_MS_PER_HOST * len(simulation.gateways)
 
 
 def current_databases(simulation):
@@ -49,7 +46,7 @@
     client = simulation.client(gateway, database)
     while True:
         await client.write()
-        await simulation.clock.sleep_ms(pause_ms(simulation))
+        await simulation.clock.sleep_ms(PAUSE_MS_PER_HOST * len(simulation.gateways))
 
 
 def start_steady_writes(simulation):
@@ -66,46 +63,9 @@
         task.cancel()
 
 
-async def write_in_turn(simulation, gateway, database, started_ms, outcomes):
-    """Write once with a new session; note when it began and ended, and how."""
-    began_ms = simulation.clock.now_ms() - started_ms
-    reply = await simulation.client(gateway, database).write()
-    ended_ms = simulation.clock.now_ms() - started_ms
-    code = "served" if reply.code is None else reply.code.name
-    record = gateway.host, database.name, round(began_ms), round(ended_ms), code
-    outcomes.append(record)
-
-
 async def assert_all_recover(simulation, limit_ms=RECOVERY_MS):
-    """Each host serves writes to each group within a time, and goes on doing so.
-
-    Writes begin at a steady rate, whether or not earlier ones have been answered.
-    """
-    started_ms = simulation.clock.now_ms()
-    outcomes = []
-    writes = []
-    while simulation.clock.now_ms() < started_ms + limit_ms + SERVED_FOR_MS:
-        for gateway in simulation.gateways:
-            for database in current_databases(simulation):
-                write = write_in_turn(
-                    simulation, gateway, database, started_ms, outcomes
-                )
-                writes.append(simulation.spawn(write))
-        await simulation.clock.sleep_ms(pause_ms(simulation))
-    await asyncio.gather(*writes)
-    served = {
-        (host, database)
-        for host, database, _, ended_ms, code in outcomes
-        if code == "served" and ended_ms <= limit_ms
-    }
-    expected = {
-        (gateway.host, database.name)
-        for gateway in simulation.gateways
-        for database in current_databases(simulation)
-    }
-    refused = [record for record in outcomes if record[4] != "served"]
-    assert expected - served == set(), refused[-1:]
-    assert [record for record in refused if record[2] >= limit_ms] == []
+    """Each host serves writes to each group within a time, and goes on doing so."""
+    assert await LivenessCheck(simulation, limit_ms).run() == []
 
 
 def simulate(main, hosts=6, zones=3, groups=2, seed=1):
@@ -124,6 +84,9 @@
 
 # Duration of a cut, and the number of hosts that are cut off one after the other.
 SHARED_RECOVERY_MS = 3_000.0
+FAULTS_PER_PLAY = 4
+# From the last of several faults until each host serves each group.
+FAULTS_RECOVERY_MS = 3_000.0
 MANY_CONNECTIONS = 64  # enough for each host of these fleets
 CUTS = [(4_000.0, 6), (10_000.0, 3), (60_000.0, 1)]
 
@@ -244,3 +207,112 @@
             await assert_all_recover(simulation, SHARED_RECOVERY_MS)
 
         simulate(main, hosts=21, groups=1)
+
+
+class Faults:
+    """Random faults of a simulation, one after the other, each with its end."""
+
+    def __init__(self, simulation, seed):
+        self.simulation = simulation
+        self.random = random.Random(seed)
+
+    async def run(self, count):
+        for _ in range(count):
+            fault = self.random.choice(
+                [
+                    self.cut_zone,
+                    self.cut_host,
+                    self.cut_leader,
+                    self.crash_leader,
+                    self.store_down,
+                    self.store_down_for_a_host,
+                    self.cut_while_store_is_down,
+                ]
+            )
+            await fault(self.random.choice([1_500.0, 4_000.0, 9_000.0]))
+            await self.simulation.clock.sleep_ms(self.random.choice([0.0, 1_000.0]))
+
+    def zone(self):
+        number = self.random.randrange(self.simulation.zones)
+        hosts = {
+            gateway.host
+            for gateway in self.simulation.gateways[number :: self.simulation.zones]
+        }
+        targets = {
+            target_id
+            for model in self.simulation.groups.values()
+            for target_id in model.targets
+            if int(target_id[-1]) % self.simulation.zones == number
+        }
+        return hosts, targets
+
+    async def cut_zone(self, duration_ms):
+        self.simulation.partition(*self.zone())
+        await self.simulation.clock.sleep_ms(duration_ms)
+        self.simulation.heal()
+
+    async def cut_host(self, duration_ms):
+        host = self.random.choice(self.simulation.gateways).host
+        self.simulation.partition({host}, set())
+        await self.simulation.clock.sleep_ms(duration_ms)
+        self.simulation.heal()
+
+    async def cut_leader(self, duration_ms):
+        model = self.simulation.groups["g0"]
+        self.simulation.partition(set(), {model.leader.id})
+        await self.simulation.clock.sleep_ms(duration_ms)
+        self.simulation.heal()
+
+    async def crash_leader(self, duration_ms):
+        crashed = self.simulation.groups["g0"].leader
+        crashed.crash()
+        await self.simulation.clock.sleep_ms(duration_ms)
+        crashed.restart()
+
+    async def store_down(self, duration_ms):
+        self.simulation.store.down = True
+        await self.simulation.clock.sleep_ms(duration_ms)
+        self.simulation.store.down = False
+
+    async def store_down_for_a_host(self, duration_ms):
+        host = self.random.choice(self.simulation.gateways).host
+        self.simulation.hosts_without_store = {host}
+        await self.simulation.clock.sleep_ms(duration_ms)
+        self.simulation.hosts_without_store = set()
+
+    async def cut_while_store_is_down(self, duration_ms):
+        self.simulation.store.down = True
+        await self.cut_zone(duration_ms)
+        self.simulation.store.down = False
+
+
+async def recover_from_faults(simulation, seed):
+    steady = start_steady_writes(simulation) if seed % 2 else []
+    await Faults(simulation, seed).run(FAULTS_PER_PLAY)
+    await assert_all_recover(simulation, FAULTS_RECOVERY_MS)
+    cancel(steady)
+
+
+class TestRandomFaults:
+    @pytest.mark.parametrize("seed", range(6))
+    def test_leave_no_host_that_refuses_writes(self, seed):
+        async def main(simulation):
+            await recover_from_faults(simulation, seed)
+
+        simulate(main, seed=seed)
+
+    def test_are_caught_if_a_host_asks_only_while_its_lease_is_used(self, monkeypatch):
+        def used(renewal):
+            return renewal._clock.now_ms() - renewal._used_ms <= UNUSED_AFTER_MS
+
+        monkeypatch.setattr(LeaseRenewal, "_wanted", used)
+
+        async def main(simulation):
+            simulation.partition({"host-0"}, set())
+            await simulation.clock.sleep_ms(2 * UNUSED_AFTER_MS)
+            simulation.heal()
+            violations = await LivenessCheck(simulation, FAULTS_RECOVERY_MS).run()
+            assert {violation.host for violation in violations} == {"host-0"}
+            assert {violation.code for violation in violations} == {"leader_unproven"}
+
+        simulate(main)
