feat: a host that refuses for want of a lease says which sources it asked

Callers saw: 1030; operators saw `lease.not_renewed` once and then nothing, while thousands of requests were refused. Cause: only the change from renewed to failed and back was logged. Ruled out: a line for each refusal; `request.refused` has the age and source of the last proof, not what the sources answer now. Change: event `lease.missing`, at most once in 5 s while statements are refused: how many, for how long, age, whether registered, failed attempts, each source's answer, confirmations; `lease.renewed` counts the rest. Metrics `fennelhill_lease_missing_ms` and `fennelhill_lease_refusals_total`. Before: there is neither the event nor the metric. After: the test passes: 4 or 5 lines in 20 s of refusals, with the answers in them. Conclusion: one line and one gauge tell a host that waits for a lease from one that has none to wait for.

--- a/packages/fennelhill-core/src/fennelhill_core/codes.py
+++ b/packages/fennelhill-core/src/fennelhill_core/codes.py
@@ -255,7 +255,7 @@
     "leader_unproven",
     503,
     "This entry host can't prove that the primary still leads; connect again.",
-    "It reaches neither the store nor most other hosts; see lease.not_renewed.",
+    "It reaches neither the store nor most other hosts; see lease.missing.",
 )
 CONNECTION_LOST = _register(
     2001,
--- a/packages/fennelhilld/src/fennelhilld/leader_lease/renewal.py
+++ b/packages/fennelhilld/src/fennelhilld/leader_lease/renewal.py
@@ -58,6 +58,8 @@
 # Hosts of each zone that are asked to read the store if this host can't.
 HELPERS_PER_ZONE = 2
 CHECK_INTERVAL_MS = 50.0
+# Between log lines of a host that refuses statements for want of a lease.
+REFUSAL_LOG_MS = 5_000.0
 # Bounds the size of a datagram; the rest follows with the next query.
 MAX_CLAIMS_PER_ANSWER = 8
 
@@ -179,6 +181,8 @@
         self.failing = False
         self.renewal_count = 0
         self.failure_count = 0
+        # Statements that were refused because this host has no lease.
+        self.refusal_count = 0
         self._host = host
         self._zone = zone
         self._roster = roster
@@ -192,6 +196,12 @@
         self._failed_ms = float("-inf")
         self._store_failed_ms = float("-inf")
         self._unconfirmed_ms = float("-inf")
+        self._failing_since_ms = float("-inf")
+        # What the last attempt got from each source, for the log.
+        self._answers: dict[str, str] = {}
+        self._confirmations = "not asked"
+        self._refusal_logged_ms = float("-inf")
+        self._unlogged_refusals = 0
         self._silent_since_ms: dict[str, float] = {}
         self._helper = ""
         self._sources: tuple[int, list[str]] = (-1, [])
@@ -228,6 +238,39 @@
         """Record that the lease is needed."""
         self._used_ms = self._clock.now_ms()
 
+    @property
+    def missing_ms(self) -> float:
+        """How long this host has refused statements for want of a lease; else 0."""
+        if not self.failing or self._valid():
+            return 0.0
+        since_ms = max(self._failing_since_ms, self.lease.expires_ms)
+        return max(0.0, self._clock.boottime_ms() - since_ms)
+
+    def record_refusal(self) -> None:
+        """Count a statement that was refused for want of a lease.
+
+        At most once in `REFUSAL_LOG_MS` this logs what the sources have answered.
+        """
+        self.refusal_count += 1
+        self._unlogged_refusals += 1
+        now_ms = self._clock.now_ms()
+        if now_ms < self._refusal_logged_ms + REFUSAL_LOG_MS:
+            return
+        self._refusal_logged_ms = now_ms
+        self._events.record(
+            "lease.missing",
+            refused=self._unlogged_refusals,
+            missing_ms=round(self.missing_ms),
+            age_ms=_finite(self.lease.age_ms),
+            registered=self.registered,
+            failures=self.failure_count,
+            sources=", ".join(
+                f"{name}: {answer}" for name, answer in sorted(self._answers.items())
+            ),
+            confirmations=self._confirmations,
+        )
+        self._unlogged_refusals = 0
+
     async def answer(self, query: LeaseQuery) -> LeaseAnswer:
         """Answer another host's query for a proof.
 
@@ -294,6 +337,7 @@
         pause_ms = self._failed_ms + RETRY_MS - self._clock.now_ms()
         if pause_ms > 0:
             await self._clock.sleep_ms(pause_ms)
+        self._answers = {}
         if self.failing:
             renewed = await self._try_all_sources()
         else:
@@ -304,12 +348,15 @@
         self.failure_count += not renewed
         if renewed == self.failing:
             self.failing = not renewed
+            self._failing_since_ms = self._clock.boottime_ms()
             self._events.record(
                 "lease.renewed" if renewed else "lease.not_renewed",
                 source=self.lease.source,
                 age_ms=_finite(self.lease.age_ms),
                 hosts=len(self._roster) + 1,
+                refused=self._unlogged_refusals,
             )
+            self._unlogged_refusals = 0
         elif not had_lease and renewed:
             self._events.record(
                 "lease.acquired",
@@ -373,13 +420,15 @@
         """Read all claims from the store."""
         started_ms = self._clock.now_ms()
         if self.store is None or started_ms < self._store_failed_ms + STORE_RETRY_MS:
+            self._answers["store"] = "not asked so soon after a failure"
             return False
         sent_ms = self._clock.boottime_ms()
         try:
             async with asyncio.timeout(STORE_LIMIT_MS / MS_PER_S):
                 await self.store.refresh()
-        except (StoreUnavailableError, TimeoutError):
+        except (StoreUnavailableError, TimeoutError) as error:
             self._store_failed_ms = self._clock.now_ms()
+            self._answers["store"] = str(error) or "no answer"
             return False
         self.lease.extend(sent_ms, "store")
         return self._lasts()
@@ -434,6 +483,7 @@
             query.cancel()
         if not is_majority(confirming, listed):
             self._unconfirmed_ms = self._clock.now_ms()
+            self._confirmations = f"{confirming} of {listed} hosts"
             return False
         self.lease.extend(sent_ms, "most hosts")
         return self._lasts()
@@ -450,6 +500,8 @@
         answer = await self.peers.ask(address, query, HOST_QUERY_MS)
         if not isinstance(answer, LeaseAnswer):
             self._silent_since_ms[name] = self._clock.now_ms()
+            if source is not ProofSource.CONFIRMATION:
+                self._answers[name] = "no answer"
             return None, sent_ms
         self._silent_since_ms.pop(name, None)
         return answer, sent_ms
@@ -461,8 +513,10 @@
         by the time until the host answered, and right however late the answer is read.
         """
         if not self._apply(answer):
+            self._answers[name] = "has no proof" if answer.complete else "incomplete"
             return False
         self.lease.extend(sent_ms - answer.age_ms, name)
+        self._answers[name] = f"a proof {answer.age_ms:.0f} ms old"
         return self._lasts()
 
     def _apply(self, answer: LeaseAnswer) -> bool:
--- a/packages/fennelhilld/src/fennelhilld/leader_lease/tests/test_renewal.py
+++ b/packages/fennelhilld/src/fennelhilld/leader_lease/tests/test_renewal.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import re
 from collections import Counter
 
 import pytest
 from fennelhill_bench.session_simulation.simulation import SessionSimulation
 from fennelhill_bench.virtual_time import run_virtual
+from fennelhill_core import codes
 from fennelhill_core.clock import MS_PER_S
 from fennelhill_core.platform import StoreFault, StoreUnavailableError
 from fennelhilld.leader_lease.messages import LeaseAnswer, LeaseQuery, ProofSource
@@ -15,6 +17,7 @@
     FRESH_AGE_MS,
     HELPERS_PER_ZONE,
     MAX_CLAIMS_PER_ANSWER,
+    REFUSAL_LOG_MS,
     RENEWAL_AGE_MS,
     RETRY_MS,
     STORE_RETRY_MS,
@@ -23,6 +26,7 @@
     lease_sources,
 )
 from fennelhilld.leader_lease.state import LEASE_MS
+from fennelhilld.observability.gateway_metrics import render_metrics
 from fennelhilld.promotion.messages import Claim, ClaimRow
 
 
@@ -249,6 +253,44 @@
 
         simulate(main, hosts, zones, groups)
 
+    def test_says_every_few_seconds_which_sources_it_asked(self):
+        # It said `lease.not_renewed` once, and nothing in the hours after that.
+        async def main(simulation):
+            gateway = simulation.gateways[0]
+            renewal = gateway.renewal
+            client = simulation.client(gateway, simulation.databases[0])
+            await client.write()
+            assert renewal.missing_ms == 0.0
+            simulation.isolated_hosts = simulation.hosts_without_store = {"host-0"}
+            await simulation.clock.sleep_ms(2 * LEASE_MS)
+            started_ms = simulation.clock.now_ms()
+            refused = 0
+            while simulation.clock.now_ms() < started_ms + 4 * REFUSAL_LOG_MS:
+                reply = await client.write()
+                refused += reply.code is codes.LEADER_UNPROVEN
+                await simulation.clock.sleep_ms(100.0)
+            lines = [
+                event.detail
+                for event in gateway._events.since(0)
+                if event.kind == "lease.missing"
+            ]
+            assert refused > 100
+            assert renewal.refusal_count == refused
+            assert 4 <= len(lines) <= 5
+            last = lines[-1]
+            assert "store: " in last["sources"]
+            assert "host-1: no answer" in last["sources"]
+            assert last["confirmations"] == "1 of 6 hosts"
+            assert last["age_ms"] - LEASE_MS >= last["missing_ms"] > REFUSAL_LOG_MS
+            assert last["refused"] >= 40
+            metrics = render_metrics(gateway).decode()
+            assert re.search(r"fennelhill_lease_missing_ms{.*} \d{5}", metrics)
+            simulation.isolated_hosts = simulation.hosts_without_store = set()
+            await simulation.clock.sleep_ms(1_000.0)
+            assert renewal.missing_ms == 0.0
+
+        simulate(main)
+
     def test_reads_a_store_that_is_away_at_most_once_a_second(self):
         async def main(simulation):
             renewal = simulation.gateways[0].renewal
--- a/packages/fennelhilld/src/fennelhilld/observability/gateway_metrics.py
+++ b/packages/fennelhilld/src/fennelhilld/observability/gateway_metrics.py
@@ -70,6 +70,15 @@
     renewals = gauge("fennelhill_lease_renewals_total", "Renewals of the lease.")
     renewals.set({"result": "renewed"}, gateway.renewal.renewal_count)
     renewals.set({"result": "failed"}, gateway.renewal.failure_count)
+    missing = gauge(
+        "fennelhill_lease_missing_ms",
+        "How long statements have been refused for want of a lease.",
+    )
+    missing.set({}, gateway.renewal.missing_ms)
+    refusals = gauge(
+        "fennelhill_lease_refusals_total", "Statements refused for want of a lease."
+    )
+    refusals.set({}, gateway.renewal.refusal_count)
     version = gauge("fennelhill_catalog_version", "Configuration in force.")
     version.set({}, gateway.catalog.version)
     content, _ = render(registry, [])
--- a/packages/fennelhilld/src/fennelhilld/statements/environment.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/environment.py
@@ -600,6 +600,8 @@
         if hint_ms is not None:
             detail = f"{detail}; try again in {hint_ms:.0f} ms"
         self.counters.record_failure(code.number)
+        if code is codes.LEADER_UNPROVEN:
+            self.renewal.record_refusal()
         self.events.record(
             "request.refused",
             group=group,
