fix: the other loops of the daemon are started again after an error

Callers saw: nothing yet; these loops fail in the same way as the renewal of a lease and the periodic checks did: checks of a primary, review of the owned targets, control connections, samples, checks of idle connections, following of settings and of the list of hosts. Cause: an unexpected error ends a loop, and with it what only the loop does. Ruled out: nothing; no such error was seen. Conclusion: `spawn` is left for work that ends.

--- a/packages/fennelhilld/src/fennelhilld/daemon.py
+++ b/packages/fennelhilld/src/fennelhilld/daemon.py
@@ -231,7 +231,7 @@
         self.target_service.start()
         self.follower.start()
         if self._host_list is not None:
-            self._tasks.spawn(self._follow_host_list())
+            self._tasks.keep_running(self._follow_host_list)
         self.events.record("daemon.started")
 
     def listen(self, sockets: list[socket.socket] | None = None) -> None:
--- a/packages/fennelhilld/src/fennelhilld/failover/coordinator.py
+++ b/packages/fennelhilld/src/fennelhilld/failover/coordinator.py
@@ -138,7 +138,7 @@
 
     def start(self) -> None:
         """Start to check the primary and the followers."""
-        self._tasks.spawn(self._run())
+        self._tasks.keep_running(self._run)
 
     def close(self) -> None:
         """Stop.  A promotion attempt in progress is abandoned, which is safe."""
--- a/packages/fennelhilld/src/fennelhilld/pooling/connections.py
+++ b/packages/fennelhilld/src/fennelhilld/pooling/connections.py
@@ -127,7 +127,7 @@
         """Open the first connections, up to one per slot; start to check idle ones."""
         if not self._started:
             self._started = True
-            self._tasks.spawn(self._check_idle_periodically())
+            self._tasks.keep_running(self._check_idle_periodically)
             for _ in range(min(self._target.slots, self._max_connections)):
                 self._try_open()
 
--- a/packages/fennelhilld/src/fennelhilld/pooling/target_service.py
+++ b/packages/fennelhilld/src/fennelhilld/pooling/target_service.py
@@ -135,8 +135,8 @@
 
     def start(self) -> None:
         """Start the periodic review of owned targets and the clean-up of keys."""
-        self._tasks.spawn(self._review_periodically())
-        self._tasks.spawn(self._delete_expired_keys_periodically())
+        self._tasks.keep_running(self._review_periodically)
+        self._tasks.keep_running(self._delete_expired_keys_periodically)
 
     def close(self) -> None:
         """Close all owned targets, monitors and coordinators."""
--- a/packages/fennelhilld/src/fennelhilld/primary_monitor/monitor.py
+++ b/packages/fennelhilld/src/fennelhilld/primary_monitor/monitor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 
 from fennelhill_core.clock import Clock, timeout_ms
 from fennelhill_core.events import EventLog
@@ -133,8 +134,8 @@
     def start(self) -> None:
         """Start the control connections and the periodic samples."""
         for member in self.members.values():
-            self._tasks.spawn(self._maintain_control(member))
-        self._tasks.spawn(self._sample_periodically())
+            self._tasks.keep_running(partial(self._maintain_control, member))
+        self._tasks.keep_running(self._sample_periodically)
 
     def close(self) -> None:
         """Stop monitoring; writes that wait for a confirmation are not confirmed."""
--- a/packages/fennelhilld/src/fennelhilld/settings_sync/follower.py
+++ b/packages/fennelhilld/src/fennelhilld/settings_sync/follower.py
@@ -90,7 +90,7 @@
     def start(self) -> None:
         """Start polling, if there is a table service."""
         if self._store is not None:
-            self._tasks.spawn(self._follow())
+            self._tasks.keep_running(self._follow)
 
     def close(self) -> None:
         """Stop polling."""
