fix: owners that answer again are used within a second

Callers saw: in a large fleet, after all owners of a target had been out of reach, writes of the other hosts were refused for up to two seconds more, though owners and target answered. Cause: an owner that did not answer is passed over for 2 s, and while all are, nobody asks them. Ruled out: the links; a new one is opened as soon as an owner is usable. Change: while a target has no usable owner, its owners are dialled and pinged in the background, each at most four times a second; one that answers is used at once (`relay.owner_back`). After: the test passes, as do the tests of the relay and of recovery. Conclusion: this exclusion ends with the fault; where one owner is usable, the others still wait 2 s.

--- a/packages/fennelhilld/src/fennelhilld/relay/driver.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/driver.py
@@ -13,6 +13,7 @@
 from fennelhill_core.rpc import NoAnswer, NotSent, RpcClient, RpcError
 from fennelhill_core.streams import Dialer, DialError, dial_within
 from fennelhill_core.tasks import Tasks
+from loguru import logger
 
 from fennelhilld.links.messages import (
     Command,
@@ -39,6 +40,8 @@
 DIAL_TIMEOUT_MS = 300.0
 # An owner that did not answer is not used for this long.
 OWNER_RETRY_MS = 2_000.0
+# While a target has no usable owner, each is looked for at most this often.
+OWNER_CHECK_MS = 250.0
 # An owner that has left a batch unanswered is asked for a sign of life, which takes a
 # few milliseconds.
 PING_TIMEOUT_MS = 250.0
@@ -73,8 +76,9 @@
         self._locks: dict[str, asyncio.Lock] = {}
         self._silent_since_ms: dict[str, float] = {}
         self._numbers = itertools.count(1)
-        # Hosts that are being checked.
+        # Hosts that are being checked or looked for, and when each was last looked for.
         self._checked: set[str] = set()
+        self._looked_for_ms: dict[str, float] = {}
         self._tasks = Tasks()
 
     def new_link_number(self) -> int:
@@ -97,6 +101,24 @@
         since_ms = self._silent_since_ms.get(host, float("-inf"))
         return self._clock.now_ms() - since_ms >= OWNER_RETRY_MS
 
+    def usable_of(self, owners: list[tuple[str, str]]) -> list[tuple[str, str]]:
+        """Return the usable owners of a target; look for them if there are none.
+
+        Parameters
+        ----------
+        owners : list of tuple of str
+            Name and address of each owner, in the order of use.
+
+        Returns
+        -------
+        list of tuple of str
+            Those that have not failed to answer a moment ago.
+        """
+        usable = [owner for owner in owners if self.usable(owner[0])]
+        if not usable:
+            self.look_for(owners)
+        return usable
+
     async def connect(self, host: str, address: str) -> RpcClient | None:
         """Return the stream to a host; open one if there is none.
 
@@ -160,6 +182,45 @@
             self._checked.add(host)
             self._tasks.spawn(self._ping(host, client))
 
+    def look_for(self, owners: list[tuple[str, str]]) -> None:
+        """Find out in the background whether silent hosts answer again.
+
+        Requests are refused while a target has no usable owner, so none of them would
+        find out before `OWNER_RETRY_MS` have passed.
+
+        Parameters
+        ----------
+        owners : list of tuple of str
+            Name and address of each host.
+        """
+        now_ms = self._clock.now_ms()
+        for host, address in owners:
+            since_ms = self._looked_for_ms.get(host, float("-inf"))
+            if host not in self._checked and now_ms >= since_ms + OWNER_CHECK_MS:
+                self._looked_for_ms[host] = now_ms
+                self._checked.add(host)
+                self._tasks.spawn(self._look_for(host, address))
+
+    async def _look_for(self, host: str, address: str) -> None:
+        client = None
+        try:
+            stream = await dial_within(self._dialer, address, DIAL_TIMEOUT_MS)
+            client = RpcClient(stream)
+            await client.call(PING, None, PING_TIMEOUT_MS)
+        except (DialError, NoAnswer, NotSent, RpcError) as error:
+            logger.debug("owner {} does not answer yet: {}", host, error)
+            if client is not None:
+                client.close()
+        else:
+            self._silent_since_ms.pop(host, None)
+            previous = self._clients.pop(host, None)
+            if previous is not None:
+                previous.close()
+            self._clients[host] = client
+            self._events.record("relay.owner_back", owner=host)
+        finally:
+            self._checked.discard(host)
+
     async def _ping(self, host: str, client: RpcClient) -> None:
         try:
             await client.call(PING, None, PING_TIMEOUT_MS)
@@ -310,7 +371,7 @@
         # Without owners this host connects to the target itself.  The pool replaces a
         # closed link; an open one would be taken again and again.
         self._closed = not owners
-        usable = [owner for owner in owners if self._streams.usable(owner[0])]
+        usable = self._streams.usable_of(owners)
         result = RelayResult(error="no owner can be reached", not_run=True)
         for position, (name, address) in enumerate(usable):
             client = await self._streams.connect(name, address)
@@ -463,7 +524,7 @@
         owners = self._owners(target_id)
         if not owners:
             return await self._direct.open(group, target_id, address, limit_ms)
-        usable = [owner for owner in owners if self._streams.usable(owner[0])]
+        usable = self._streams.usable_of(owners)
         for name, owner_address in usable:
             if await self._streams.connect(name, owner_address) is not None:
                 return RelayLink(
--- a/packages/fennelhilld/src/fennelhilld/relay/tests/test_relay.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/tests/test_relay.py
@@ -145,6 +145,28 @@
 
         simulate(main)
 
+    def test_owners_that_were_silent_are_used_again_within_a_second(self):
+        # They were passed over for two seconds, though all of them answered again.
+        async def main(simulation, dialer):
+            gateway = relaying_host(simulation)
+            assert (await client_of(simulation, gateway).write()).code is None
+            owners = gateway.owners(gateway.directory.get("g0-0"))
+            dialer.unreachable = set(owners)
+            for address, _, far in dialer.streams:
+                far.silent = far.silent or address in owners
+            for _ in range(20):
+                client = client_of(simulation, gateway)
+                reply = await client.write()
+                assert reply.code is not None
+                await simulation.clock.sleep_ms(100.0)
+            dialer.unreachable = set()
+            healed_ms = simulation.clock.now_ms()
+            while (await client_of(simulation, gateway).write()).code is not None:
+                await simulation.clock.sleep_ms(20.0)
+            assert simulation.clock.now_ms() - healed_ms < 1_000.0
+
+        simulate(main)
+
     def test_a_write_through_an_owner_that_falls_silent_is_in_doubt(self):
         async def main(simulation, dialer):
             gateway = relaying_host(simulation)
