test: zones cut off with the primary in the session simulation, judged by the rule

The simulation can cut hosts and targets off with the platform on either side (silent, reset, lost in one direction), suspend and restart hosts, carry orders and claims out late, and cut streams between hosts. Replicas beside a replaced primary go on following it until they reach the new one.

The checker took every commit of an earlier term that the new primary lacks for rolled back, also one that the old primary made after the promotion, and it did not check commits of transactions. Now only commits from before the promotion are excepted, a read needs exactly the acknowledged commit, and all commits of a session count for its reads.

--- a/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/checks.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/checks.py
@@ -60,8 +60,8 @@
         Whether the client had a transaction open.
     started_ms : float
         Start of the statement, or of its transaction.
-    last_own_commit : Position or None
-        Last commit of the session that was acknowledged before the statement.
+    own_commits : frozenset of Position
+        Commits of the session that were acknowledged before the statement.
     """
 
     database: Database
@@ -69,15 +69,15 @@
     prepared: tuple[bool, str]
     in_transaction: bool
     started_ms: float
-    last_own_commit: Position | None
+    own_commits: frozenset[Position]
 
 
 class Observer:
     """Records runs, commits and replies, and collects violations of the guarantees."""
 
     def __init__(self) -> None:
-        # By group: term of the last promotion, and positions in the promoted log.
-        self._kept_by_promotion: dict[str, tuple[int, set[Position]]] = {}
+        # By group: commits that a promotion has rolled back.
+        self._rolled_back: dict[str, set[Position]] = {}
         self.violations: list[str] = []
         self.expected: dict[str, ExpectedRun] = {}
         self.runs: dict[str, list[Run]] = {}
@@ -120,11 +120,23 @@
         self.deposed_writes.update(requests)
 
     def record_promotion(self, group: str, target: TargetModel) -> None:
-        """Drop acknowledged commits that a promotion has rolled back."""
+        """Drop the commits that a promotion has rolled back.
+
+        What a replaced leader commits after it is not rolled back by the promotion:
+        such a commit must not be acknowledged.
+        """
         kept = {entry.position for entry in target.log}
-        self._kept_by_promotion[group] = (target.term, kept)
+        committed = {
+            entry.position
+            for other in target.group.targets.values()
+            for entry in other.log
+        }
+        rolled_back = self._rolled_back.setdefault(group, set())
+        rolled_back |= committed - kept
         self.acknowledged[group] = [
-            entry for entry in self.acknowledged.get(group, []) if entry[1] in kept
+            entry
+            for entry in self.acknowledged.get(group, [])
+            if entry[1] not in rolled_back
         ]
 
     def check_reply(self, statement: Statement, reply: Reply, now_ms: float) -> None:
@@ -150,10 +162,16 @@
         recorded.  With seed 8 and twelve hosts, for example, a commit 0.7 ms before
         the promotion is answered 2.3 ms after it.
         """
-        term, kept = self._kept_by_promotion.get(group, (0, set()))
-        if position.term < term and position not in kept:
-            return
-        self.acknowledged.setdefault(group, []).append((now_ms, position))
+        if position not in self._rolled_back.get(group, ()):
+            self.acknowledged.setdefault(group, []).append((now_ms, position))
+
+    def check_commit(self, statement: Statement, written: list[str]) -> None:
+        """Check a commit that was acknowledged."""
+        deposed = self.deposed_writes.intersection(written)
+        if deposed:
+            self.violations.append(
+                f"acknowledged by a replaced leader: {statement} of {sorted(deposed)}"
+            )
 
     def check_final_logs(self, groups: dict[str, GroupModel]) -> list[str]:
         """Check the final logs; return all violations."""
@@ -183,9 +201,9 @@
             required = acknowledged_ms < expected.started_ms - allowed_ms
             is_own_write = (
                 database.reads is ReadKind.OWN_WRITES
-                and expected.last_own_commit == position
+                and position in expected.own_commits
             )
-            if (required or is_own_write) and not target.has_applied(position):
+            if (required or is_own_write) and not target.holds(position):
                 age_ms = expected.started_ms - acknowledged_ms
                 self.violations.append(
                     f"stale read: {run} lacks {position}, {age_ms} ms old"
--- a/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/simulation.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/simulation.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import inspect
 import random
 from collections.abc import Callable
 
 import msgspec
+from fennelhill_core import codes
 from fennelhill_core.clock import MS_PER_S
 from fennelhill_core.codes import Outcome
 from fennelhill_core.events import EventLog
 from fennelhill_core.platform import StoreFault, StoreUnavailableError
 from fennelhill_core.streams import Stream
+from fennelhill_core.tokens import Position
 from fennelhilld.admission.policies import LoadPolicies, PolicyNames
 from fennelhilld.catalog.state import Catalog, Database, Group, ReadKind
 from fennelhilld.directory.state import TargetEntry
@@ -32,11 +35,12 @@
 )
 
 from fennelhill_bench.session_simulation.checks import ExpectedRun, Observer
-from fennelhill_bench.session_simulation.streams import MemoryDialer
+from fennelhill_bench.session_simulation.streams import HostDialer, MemoryDialer
 from fennelhill_bench.session_simulation.targets import (
     TARGETS_PER_GROUP,
     DriverModel,
     GroupModel,
+    TargetModel,
     Traits,
 )
 from fennelhill_bench.virtual_time import VirtualClock
@@ -45,6 +49,9 @@
 DATAGRAM_MS = 0.5  # one way
 STORE_TIMEOUT_MS = 500.0  # until a lost answer is reported
 ORDER_CALL_MS = 3.0
+ORDER_TIMEOUT_MS = 1_200.0  # until a lost answer is reported
+UNLISTED_AFTER_MS = 3_000.0  # without a heartbeat of a target
+PAUSE_CHECK_MS = 10.0
 SURVEY_TIMEOUT_MS = 450.0  # wait for hosts that do not answer
 FEED_DELAY_MS = 5.0  # time until subscribed hosts receive a change
 STATEMENT_TIMEOUT_MS = 800.0
@@ -66,6 +73,44 @@
 ROLLBACK_SHARE = 0.15
 
 
+class CutKind(enum.Enum):
+    """What happens to packets between the two sides of a cut."""
+
+    SILENT = "silent"  # lost in both directions
+    RESET = "reset"  # answered by a reset
+    OUTWARD = "outward"  # lost if sent by the inner side
+    INWARD = "inward"  # lost if sent to the inner side
+
+    def delivers(self, from_inside: bool, to_inside: bool) -> bool:
+        """Return whether a packet arrives."""
+        if from_inside == to_inside:
+            return True
+        if self is CutKind.OUTWARD:
+            return to_inside
+        return self is CutKind.INWARD and from_inside
+
+
+class Cut(msgspec.Struct, frozen=True):
+    """A part of the network that is cut off from the rest.
+
+    Parameters
+    ----------
+    hosts : frozenset of str
+        Hosts on the inner side.
+    targets : frozenset of str
+        Targets on the inner side.
+    kind : CutKind
+        What happens to packets between the sides.
+    store_inside : bool
+        Whether the platform is on the inner side.
+    """
+
+    hosts: frozenset[str] = frozenset()
+    targets: frozenset[str] = frozenset()
+    kind: CutKind = CutKind.SILENT
+    store_inside: bool = False
+
+
 class StoreModel:
     """Model of the platform's store, reduced to claims."""
 
@@ -75,6 +120,8 @@
         self.version = 0
         self.down = False
         self.lose_answers = False
+        # Delay of a claim whose write got no answer; None if it is written at once.
+        self.late_write_ms: float | None = None
         self.call_ms = STORE_CALL_MS
 
     async def read_claim(self, group: str) -> ClaimRow:
@@ -85,17 +132,31 @@
     async def swap_claim(self, group: str, expected: int, claim: Claim) -> int | None:
         """Write a claim if its version is the expected one; return the new version."""
         await self.call()
-        if self.rows.get(group, ClaimRow()).version != expected:
+        if self.late_write_ms is not None:
+            copy = msgspec.structs.replace(claim)
+            self._simulation.spawn(self._write_late(group, expected, copy))
+            await self._simulation.clock.sleep_ms(STORE_TIMEOUT_MS)
+            raise StoreUnavailableError(StoreFault.NO_ANSWER)
+        if not self._write(group, expected, claim):
             return None
-        self.version += 1
-        row = ClaimRow(self.version, msgspec.structs.replace(claim))
-        self.rows[group] = row
-        self._simulation.spawn(self._notify(group, row))
         if self.lose_answers:
             await self._simulation.clock.sleep_ms(STORE_TIMEOUT_MS)
             raise StoreUnavailableError(StoreFault.NO_ANSWER)
         return self.version
 
+    def _write(self, group: str, expected: int, claim: Claim) -> bool:
+        if self.rows.get(group, ClaimRow()).version != expected:
+            return False
+        self.version += 1
+        row = ClaimRow(self.version, msgspec.structs.replace(claim))
+        self.rows[group] = row
+        self._simulation.spawn(self._notify(group, row))
+        return True
+
+    async def _write_late(self, group: str, expected: int, claim: Claim) -> None:
+        await self._simulation.clock.sleep_ms(self.late_write_ms)
+        self._write(group, expected, claim)
+
     async def call(self) -> None:
         """Take the time of a call; raises `StoreUnavailableError` if it fails."""
         await self._simulation.clock.sleep_ms(self.call_ms)
@@ -106,7 +167,13 @@
         await self._simulation.clock.sleep_ms(FEED_DELAY_MS)
         for gateway in self._simulation.gateways:
             if gateway.host not in self._simulation.hosts_without_store:
-                gateway.update_claim(group, row)
+                self._simulation.spawn(self._deliver(gateway, group, row))
+
+    async def _deliver(
+        self, gateway: SessionGateway, group: str, row: ClaimRow
+    ) -> None:
+        await self._simulation.awake(gateway)
+        gateway.update_claim(group, row)
 
 
 class HostStore:
@@ -122,6 +189,7 @@
         await self._check()
         version, rows = store.version, dict(store.rows)
         await store.call()
+        await self._simulation.awake(self._gateway)
         for group, row in rows.items():
             self._gateway.update_claim(group, row)
         self._gateway.replacement.claims.raise_complete_version(version)
@@ -137,6 +205,7 @@
         return await self._simulation.store.swap_claim(group, expected, claim)
 
     async def _check(self) -> None:
+        await self._simulation.awake(self._gateway)
         if self._gateway.host in self._simulation.hosts_without_store:
             raise StoreUnavailableError(StoreFault.DOWN)
 
@@ -156,14 +225,20 @@
         try:
             async with asyncio.timeout(limit_ms / MS_PER_S):
                 await simulation.clock.sleep_ms(DATAGRAM_MS)
-                if not simulation.connected(self._gateway.host, address):
+                await simulation.awake(self._gateway)
+                if not simulation.delivers(self._gateway.host, address):
                     await simulation.clock.sleep_ms(limit_ms)
                     return None
                 other = simulation.gateway(address)
+                await simulation.awake(other)
                 answer = other.host_queries.handle(query)
                 if inspect.isawaitable(answer):
                     answer = await answer
                 await simulation.clock.sleep_ms(DATAGRAM_MS)
+                if not simulation.delivers(address, self._gateway.host):
+                    await simulation.clock.sleep_ms(limit_ms)
+                    return None
+                await simulation.awake(self._gateway)
                 return answer
         except TimeoutError:
             return None
@@ -175,6 +250,10 @@
     def __init__(self, simulation: SessionSimulation) -> None:
         self._simulation = simulation
         self.calls: list[tuple[str, str, str, int]] = []
+        # Whether orders are not received at all.
+        self.down = False
+        # Delay of an order that gets no answer; None if orders are answered.
+        self.late_order_ms: float | None = None
 
     async def promote(
         self,
@@ -189,7 +268,26 @@
         if not may_send():
             return PromotionResult.NOT_SENT
         await self._simulation.clock.sleep_ms(ORDER_CALL_MS)
+        if self.down or holder in self._simulation.hosts_without_store:
+            return PromotionResult.UNAVAILABLE
         self.calls.append((group, target_id, holder, fencing_token))
+        if self.late_order_ms is not None:
+            self._simulation.spawn(
+                self._carry_out_late(model, target_id, fencing_token)
+            )
+            await self._simulation.clock.sleep_ms(ORDER_TIMEOUT_MS)
+            return PromotionResult.NO_ANSWER
+        return self._carry_out(model, target_id, fencing_token)
+
+    async def _carry_out_late(
+        self, model: GroupModel, target_id: str, fencing_token: int
+    ) -> None:
+        await self._simulation.clock.sleep_ms(self.late_order_ms)
+        self._carry_out(model, target_id, fencing_token)
+
+    def _carry_out(
+        self, model: GroupModel, target_id: str, fencing_token: int
+    ) -> PromotionResult:
         if fencing_token < model.highest_token or not model.targets[target_id].up:
             return PromotionResult.REFUSED
         model.highest_token = fencing_token
@@ -217,7 +315,9 @@
             for gateway in simulation.gateways
             if gateway is not self._gateway
             and simulation.connected(self._gateway.host, gateway.host)
+            and gateway.host not in simulation.paused_hosts
         ]
+        await simulation.awake(self._gateway)
         if len(others) < len(simulation.gateways) - 1:
             await simulation.clock.sleep_ms(SURVEY_TIMEOUT_MS)
         views = await asyncio.gather(
@@ -299,6 +399,10 @@
         ]
         self.isolated_hosts: set[str] = set()
         self.hosts_without_store: set[str] = set()
+        self.paused_hosts: set[str] = set()
+        # Statements in progress at each host.
+        self.executions: dict[SessionGateway, set[asyncio.Task[Reply]]] = {}
+        self._cut = Cut()
         self.drivers_by_host: dict[str, DriverModel] = {}
         self.store = StoreModel(self)
         self.orders = OrdersModel(self)
@@ -320,7 +424,23 @@
 
     def connected(self, host: str, other_host: str) -> bool:
         """Return whether two hosts reach each other."""
-        return (host in self.isolated_hosts) == (other_host in self.isolated_hosts)
+        return self.delivers(host, other_host) and self.delivers(other_host, host)
+
+    def delivers(self, host: str, other_host: str) -> bool:
+        """Return whether a message from one host to another arrives."""
+        if (host in self.isolated_hosts) != (other_host in self.isolated_hosts):
+            return False
+        cut = self._cut
+        return cut.kind.delivers(host in cut.hosts, other_host in cut.hosts)
+
+    async def awake(self, gateway: SessionGateway) -> None:
+        """Wait while a host is suspended."""
+        while gateway.host in self.paused_hosts:
+            await self.clock.sleep_ms(PAUSE_CHECK_MS)
+
+    def alive(self, gateway: SessionGateway) -> bool:
+        """Return whether a host has not been replaced by a restarted one."""
+        return gateway in self.gateways
 
     def spawn(self, work: object) -> asyncio.Task:
         """Start a background task and keep a reference to it."""
@@ -341,7 +461,8 @@
             if gateway.host in self.hosts_without_store:
                 continue
             for target in model.targets.values():
-                gateway.put_target(self.target_entry(model, target.id))
+                if self._cut == Cut() or (target.isolated == self._cut.store_inside):
+                    gateway.put_target(self.target_entry(model, target.id))
 
     def partition(self, hosts: set[str], targets: set[str]) -> None:
         """Cut hosts and targets off from all others, and from the store.
@@ -366,6 +487,80 @@
         """End a partition."""
         self.partition(set(), set())
 
+    def cut(self, cut: Cut) -> None:
+        """Cut a part of the network off; packets that it holds up are sent again.
+
+        Without an argument's hosts and targets the network is whole again.
+        """
+        self._cut = cut
+        names = {gateway.host for gateway in self.gateways}
+        outside = names - cut.hosts
+        self.hosts_without_store = set(outside if cut.store_inside else cut.hosts)
+        if not cut.hosts and not cut.targets:
+            self.hosts_without_store = set()
+        for model in self.groups.values():
+            for target in model.targets.values():
+                target.isolated = target.id in cut.targets
+            model.catch_up()
+        for driver in self.drivers_by_host.values():
+            driver.resets = cut.kind is CutKind.RESET
+            if driver.resets:
+                driver.reset_links()
+        self.spawn(self._list_targets(cut))
+
+    async def _list_targets(self, cut: Cut) -> None:
+        """List the targets that reach the store; the others are unlisted later."""
+        listed = [
+            target
+            for model in self.groups.values()
+            for target in model.targets.values()
+            if cut == Cut() or (target.id in cut.targets) == cut.store_inside
+        ]
+        await self.clock.sleep_ms(FEED_DELAY_MS)
+        for gateway in self.gateways:
+            if gateway.host not in self.hosts_without_store:
+                for target in listed:
+                    gateway.put_target(self.target_entry(target.group, target.id))
+        await self.clock.sleep_ms(UNLISTED_AFTER_MS)
+        if self._cut is not cut:
+            return
+        kept = {target.id for target in listed}
+        for gateway in self.gateways:
+            if gateway.host not in self.hosts_without_store:
+                for model in self.groups.values():
+                    for target_id in model.targets.keys() - kept:
+                        gateway.remove_target(target_id)
+
+    async def pause_host(self, host: str, duration_ms: float) -> None:
+        """Suspend a host: what it sends and receives waits."""
+        self.paused_hosts.add(host)
+        self.drivers_by_host[host].paused = True
+        await self.clock.sleep_ms(duration_ms)
+        self.drivers_by_host[host].paused = False
+        self.paused_hosts.discard(host)
+
+    async def restart_host(self, host: str, down_ms: float) -> None:
+        """Kill a host, and start it again without what it knew."""
+        old = self.gateway(host)
+        number = self.gateways.index(old)
+        self.paused_hosts.add(host)
+        for execution in self.executions.pop(old, ()):
+            execution.cancel()
+        for model in self.groups.values():
+            for target in model.targets.values():
+                for link in list(target.links):
+                    if link.driver is self.drivers_by_host[host]:
+                        link.cut()
+        old.close()
+        await self.clock.sleep_ms(down_ms)
+        self.gateways[number] = self._create_host(host, number)
+        self.paused_hosts.discard(host)
+        for other in self.gateways:
+            self.gateways[number].put_member(other.host, other.host, other.zone)
+        for group, row in self.store.rows.items():
+            if host not in self.hosts_without_store:
+                self.gateways[number].update_claim(group, row)
+
     def target_entry(
         self, model: GroupModel, target_id: str, leaving: bool = False
     ) -> TargetEntry:
@@ -425,6 +620,14 @@
 
     def _create_host(self, name: str, number: int) -> SessionGateway:
         driver = self.drivers_by_host[name] = DriverModel(self.groups)
+
+        def delivers(target: TargetModel, to_target: bool) -> bool:
+            cut = self._cut
+            sides = (name in cut.hosts, target.id in cut.targets)
+            return cut.kind.delivers(*(sides if to_target else sides[::-1]))
+
+        driver.delivers = delivers
+        driver.resets = self._cut.kind is CutKind.RESET
         zone = f"zone-{number % self.zones}"
         events = EventLog(name, zone, self.clock)
         gateway = SessionGateway(
@@ -434,7 +637,7 @@
             self.clock,
             events,
             LoadPolicies.from_config(self.policies),
-            self.dialer,
+            HostDialer(self.dialer, name, self.delivers),
         )
         gateway.install_catalog(
             Catalog(
@@ -463,11 +666,12 @@
         self, simulation: SessionSimulation, gateway: SessionGateway, database: Database
     ) -> None:
         self.simulation = simulation
+        self.gateway = gateway
         self.database = database
         self.session = gateway.open_session(database.name)
         self.values: dict[str, str] = {}
         self.prepared: dict[str, tuple[bool, str]] = {}
-        self.last_own_commit = None
+        self.own_commits: frozenset[Position] = frozenset()
         self.transaction_started_ms: float | None = None
         self.written: list[str] = []
         self.last_request_id = ""
@@ -559,9 +763,10 @@
         request_id = self.simulation.new_request_id()
         self.simulation.observer.requested_commits.add(request_id)
         statement = Statement(request_id, StatementKind.COMMIT, "COMMIT")
-        reply = await self.session.execute(statement)
+        reply = await self._send(statement)
         self.transaction_started_ms = None
         if reply.code is None and self.written:
+            self.simulation.observer.check_commit(statement, self.written)
             self._record_own_commit(reply)
         if reply.code is not None and reply.code.outcome is Outcome.NOT_RUN:
             self.simulation.observer.refused_writes.update(self.written)
@@ -618,10 +823,10 @@
                 prepared_form,
                 in_transaction,
                 self.transaction_started_ms if in_transaction else started_ms,
-                self.last_own_commit,
+                self.own_commits,
             ),
         )
-        reply = await self.session.execute(statement)
+        reply = await self._send(statement)
         now_ms = simulation.clock.now_ms()
         simulation.observer.check_reply(statement, reply, now_ms)
         simulation.replies.append((started_ms, now_ms, self.database, reply))
@@ -632,9 +837,25 @@
                 self._record_own_commit(reply)
         return reply
 
+    async def _send(self, statement: Statement) -> Reply:
+        """Send a statement; a host that is suspended reads and answers it later."""
+        simulation = self.simulation
+        await simulation.awake(self.gateway)
+        if not simulation.alive(self.gateway):
+            return Reply(code=codes.CONNECTION_LOST, state=TransactionState.FAILED)
+        execution = asyncio.ensure_future(self.session.execute(statement))
+        executions = simulation.executions.setdefault(self.gateway, set())
+        executions.add(execution)
+        await asyncio.wait({execution})
+        executions.discard(execution)
+        await simulation.awake(self.gateway)
+        if execution.cancelled() or not simulation.alive(self.gateway):
+            return Reply(code=codes.CONNECTION_LOST, state=TransactionState.FAILED)
+        return execution.result()
+
     def _record_own_commit(self, reply: Reply) -> None:
         if reply.position is not None:
-            self.last_own_commit = reply.position
+            self.own_commits |= {reply.position}
             self.simulation.observer.record_acknowledgement(
                 self.database.group, reply.position, self.simulation.clock.now_ms()
             )
--- a/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/targets.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/targets.py
@@ -35,6 +35,9 @@
 
 # Time after which a replaced leader that reaches the new one becomes a replica.
 NOTICE_MS = 1_000.0
+REACH_CHECK_MS = 20.0
+# A lost packet is sent again until it arrives, or for this long.
+RETRANSMISSION_MS = 3_000.0
 
 
 class LogEntry(msgspec.Struct, frozen=True):
@@ -105,8 +108,10 @@
         self.applied = 0  # number of log entries that are visible to reads
         self.up = True
         self.silent = False
-        # Whether it reaches no other target.
+        # Isolated targets reach each other, but no other target.
         self.isolated = False
+        # The leader whose log it receives; None for a leader.
+        self.upstream: TargetModel | None = None
         self.answer_loss_probability = 0.0
         self.links: set[LinkModel] = set()
         self.running = 0
@@ -123,6 +128,17 @@
         """Last position in the log."""
         return self.log[-1].position if self.log else Position(1, 0)
 
+    def reaches(self, other: TargetModel) -> bool:
+        """Return whether the network connects it with another target."""
+        return self.isolated == other.isolated
+
+    def holds(self, position: Position) -> bool:
+        """Return whether exactly the commit at a position is visible to reads."""
+        return (
+            0 < position.index <= self.applied
+            and self.log[position.index - 1].position == position
+        )
+
     def has_applied(self, position: Position) -> bool:
         """Return whether a position is visible to reads."""
         if position.index == 0:
@@ -142,10 +158,11 @@
         self.up = True
         if self.group.leader is not self:
             self.leads = False
-            self.follow(self.group.leader)
+            self.group.follow_when_reached(self)
 
     def follow(self, leader: TargetModel) -> None:
         """Follow a leader: take over its log and drop entries that it lacks."""
+        self.upstream = leader
         self.term = leader.term
         kept = 0
         for own_entry, leader_entry in zip(self.log, leader.log, strict=False):
@@ -198,6 +215,8 @@
         }
         self.leader = self.targets[f"{name}-0"]
         self.leader.leads = True
+        for target in self.targets.values():
+            target.upstream = None if target is self.leader else self.leader
         # Returns the time of a command in a slot; if None, the time is random.
         self.work_ms: Callable[[Command], float] | None = None
         self.highest_token = 0
@@ -229,9 +248,7 @@
         target.log.append(LogEntry(position, requests))
         target.applied = len(target.log)
         for other in self.targets.values():
-            if target.isolated or target is not self.leader:
-                break
-            if other is not target and other.id not in self.replication_stopped:
+            if other.upstream is target and other.id not in self.replication_stopped:
                 self.spawn(self._replicate(target, other, len(target.log)))
         return position
 
@@ -252,12 +269,13 @@
             old_leader.leads = False
         target.term = max(model.term for model in self.targets.values()) + 1
         target.leads = True
+        target.upstream = None
         target.applied = len(target.log)
         self.observer.record_promotion(self.name, target)
         for other in self.targets.values():
             if other is not target and not other.leads:
                 if other.up:
-                    other.follow(target)
+                    self.follow_when_reached(other)
                 for link in list(other.links):
                     link.leadership_lost = True
 
@@ -268,12 +286,36 @@
         target.leads = False
         for link in list(target.links):
             link.leadership_lost = True
-        if self.leader is not target and not target.isolated:
+        if self.leader is not target:
+            self.follow_when_reached(target)
+
+    def follow_when_reached(self, target: TargetModel) -> None:
+        """Make a target follow the leader as soon as they reach each other.
+
+        Until then a replica goes on receiving the log of the leader that it follows.
+        """
+        if target.reaches(self.leader):
             target.follow(self.leader)
+        else:
+            self.spawn(self._follow_later(target))
+
+    async def _follow_later(self, target: TargetModel) -> None:
+        while not target.reaches(self.leader):
+            await self.clock.sleep_ms(REACH_CHECK_MS)
+        current = target.upstream is self.leader
+        if target.up and not target.leads and not current:
+            target.follow(self.leader)
+
+    def catch_up(self) -> None:
+        """Send each replica what it missed while it did not reach its leader."""
+        for target in self.targets.values():
+            if target.upstream is not None:
+                length = len(target.upstream.log)
+                self.spawn(self._replicate(target.upstream, target, length))
 
     async def _notice_new_leader(self, old_leader: TargetModel) -> None:
         await self.clock.sleep_ms(NOTICE_MS)
-        while old_leader.isolated:
+        while not old_leader.reaches(self.leader):
             await self.clock.sleep_ms(NOTICE_MS)
         self.demote(old_leader, self.leader.term)
 
@@ -281,7 +323,10 @@
         self, source: TargetModel, replica: TargetModel, length: int
     ) -> None:
         await self.clock.sleep_ms(replica.traits.network_ms)
-        if not replica.up or not source.leads or replica.id in self.replication_stopped:
+        stopped = replica.id in self.replication_stopped
+        if not replica.up or not source.leads or stopped:
+            return
+        if replica.upstream is not source or not replica.reaches(source):
             return
         if len(replica.log) < length:
             replica.log = source.log[:length]
@@ -360,6 +405,8 @@
         while True:
             command = await self._commands.get()
             await clock.sleep_ms(self.target.traits.network_ms)
+            if not await self._delivered(to_target=True):
+                return
             answer = await self._run(command)
             answer_lost = (
                 self.target.group.random.random() < self.target.answer_loss_probability
@@ -367,9 +414,22 @@
             if self.silent or self.target.silent or (answer_lost and answer.signature):
                 return  # The link delivers no further answers.
             await clock.sleep_ms(self.target.traits.network_ms)
+            if not await self._delivered(to_target=False):
+                return
             self._answers.append(answer)
             self._answer_available.set()
 
+    async def _delivered(self, to_target: bool) -> bool:
+        """Wait until a packet arrives; return False if the connection is given up."""
+        clock = self.target.group.clock
+        given_up_ms = clock.now_ms() + RETRANSMISSION_MS
+        while self.driver.paused or not self.driver.delivers(self.target, to_target):
+            if not self.driver.paused and clock.now_ms() >= given_up_ms:
+                self.target.links.discard(self)
+                return False
+            await clock.sleep_ms(REACH_CHECK_MS)
+        return True
+
     async def _run(self, command: Command) -> TargetAnswer:
         kind = command.kind
         if kind in _IN_SLOT:
@@ -510,6 +570,24 @@
     def __init__(self, groups: dict[str, GroupModel]) -> None:
         self.groups = groups
         self.unreachable_targets: set[str] = set()
+        # Whether the host is suspended: what it sends and receives waits.
+        self.paused = False
+        # Whether a packet between the host and a target arrives; the second argument
+        # says whether the target is the receiver.
+        self.delivers: Callable[[TargetModel, bool], bool] = lambda *_: True
+        # Whether packets that don't arrive are answered by a reset.
+        self.resets = False
+
+    def reset_links(self) -> None:
+        """Break the open links to targets that the host does not reach."""
+        for group in self.groups.values():
+            for target in group.targets.values():
+                for link in list(target.links):
+                    if link.driver is self and not self._reaches(target):
+                        link.cut()
+
+    def _reaches(self, target: TargetModel) -> bool:
+        return self.delivers(target, True) and self.delivers(target, False)
 
     def silence_links(self) -> None:
         """Make the open links to unreachable targets deliver no more answers."""
@@ -525,7 +603,11 @@
         """Open a link; raises `LinkRefusedError`."""
         model = self.groups[group]
         target = model.targets[target_id]
-        if target.silent or target_id in self.unreachable_targets:
+        if self.resets and not self._reaches(target):
+            await model.clock.sleep_ms(2 * target.traits.network_ms)
+            raise LinkRefusedError(TargetFault.OTHER, "connection reset")
+        silent = target.silent or target_id in self.unreachable_targets
+        if silent or self.paused or not self._reaches(target):
             await model.clock.sleep_ms(limit_ms)
             raise LinkRefusedError(TargetFault.OTHER, "no answer in time")
         await model.clock.sleep_ms(2 * target.traits.network_ms)
--- /dev/null
+++ b/scenarios/test_stale_reads.py
@@ -0,0 +1,79 @@
+"""Tests that no read misses a commit that was acknowledged before it began."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from fennelhill_bench.session_simulation.simulation import (
+    Cut,
+    CutKind,
+    SessionSimulation,
+)
+from fennelhill_bench.session_simulation.targets import Traits
+from fennelhill_bench.virtual_time import run_virtual
+from fennelhilld.leader_lease.state import LeaderLease
+
+CLIENTS = 20
+ZONES = 3
+
+
+def cut_off_with_primary(
+    seed, kind=CutKind.SILENT, hosts=6, goes_on=True, store_inside=False
+):
+    """Cut a zone off for 4 s, with the primary and hosts whose clients go on."""
+
+    async def main():
+        traits = Traits(old_leader_goes_on=goes_on, service_ms=3.0)
+        simulation = SessionSimulation(seed, hosts, traits=traits, zones=ZONES)
+        load = asyncio.ensure_future(simulation.run_clients(CLIENTS, 7_000.0))
+        await simulation.clock.sleep_ms(800)
+        inside = [
+            gateway.host
+            for gateway in simulation.gateways
+            if gateway.zone == simulation.gateways[0].zone
+        ]
+        primary = simulation.groups["g0"].leader.id
+        simulation.cut(Cut(frozenset(inside), frozenset({primary}), kind, store_inside))
+        await simulation.clock.sleep_ms(4_000)
+        simulation.cut(Cut())
+        await load
+        violations = simulation.observer.check_final_logs(simulation.groups)
+        simulation.close()
+        return simulation, violations
+
+    return run_virtual(main())
+
+
+class TestZoneCutOffWithThePrimary:
+    @pytest.mark.parametrize("goes_on", [True, False])
+    @pytest.mark.parametrize("kind", CutKind)
+    def test_acknowledges_nothing_that_the_new_primary_lacks(self, kind, goes_on):
+        simulation, violations = cut_off_with_primary(1, kind, goes_on=goes_on)
+        assert violations == []
+        assert len(simulation.groups["g0"].promotions) == 1
+        assert simulation.observer.reads > 500
+
+    @pytest.mark.parametrize("seed", [1, 2])
+    def test_may_be_the_only_one_that_reaches_the_store(self, seed):
+        simulation, violations = cut_off_with_primary(seed, store_inside=True)
+        assert violations == []
+        assert simulation.observer.reads > 500
+
+    def test_has_a_new_primary_also_if_owners_relay_the_statements(self):
+        simulation, violations = cut_off_with_primary(2, hosts=12)
+        assert violations == []
+        assert len(simulation.groups["g0"].promotions) == 1
+
+    def test_that_acknowledges_writes_without_a_lease_is_noticed(self, monkeypatch):
+        # What the checks find is what users saw on code without leases.
+        monkeypatch.setattr(LeaderLease, "valid_at", lambda *_: True)
+        simulation, violations = cut_off_with_primary(1)
+        promoted = simulation.groups["g0"].leader.id
+        stale = [text for text in violations if text.startswith("stale read")]
+        print(len(violations), violations[0], stale[0], sep="\n")
+        assert "acknowledged by a replaced leader" in " ".join(violations)
+        assert any(
+            f"target='{promoted}'" in text and "lacks Position(term=1" in text
+            for text in stale
+        )
