--- a/scenarios/test_stale_reads.py
+++ b/scenarios/test_stale_reads.py
@@ -13,6 +13,8 @@
 from fennelhill_bench.session_simulation.targets import Traits
 from fennelhill_bench.virtual_time import run_virtual
 from fennelhilld.leader_lease.state import LeaderLease
+from fennelhilld.links.messages import CommandKind
+from fennelhilld.promotion.messages import ClaimPhase
 
 CLIENTS = 20
 ZONES = 3
@@ -77,3 +79,60 @@
             f"target='{promoted}'" in text and "lacks Position(term=1" in text
             for text in stale
         )
+
+
+class TestOrderCarriedOutLate:
+    def test_does_not_promote_beside_a_leader_that_is_used_again(self):
+        # The first order gets no answer, and runs after a second claim was abandoned.
+        async def main():
+            traits = Traits(old_leader_goes_on=True, slots=8, max_connections=32)
+            simulation = SessionSimulation(1, hosts=4, traits=traits)
+            model, store = simulation.groups["g0"], simulation.store
+
+            def work_ms(command):
+                claimed_again = "g0" in store.rows and store.rows["g0"].version > 1
+                slow = command.kind is CommandKind.DEMOTE or (
+                    command.kind is CommandKind.STATUS and claimed_again
+                )
+                return 400.0 if slow else 3.0
+
+            model.work_ms = work_ms
+            load = asyncio.ensure_future(simulation.run_clients(CLIENTS, 9_000.0))
+            await simulation.clock.sleep_ms(800)
+            simulation.orders.late_order_ms = 5_000.0
+            await simulation.announce_shutdown(model, model.leader.id)
+            await load
+            assert model.promotions
+            violations = simulation.observer.check_final_logs(simulation.groups)
+            simulation.close()
+            assert violations == []
+
+        run_virtual(main())
+
+
+class TestClaimWrittenLate:
+    def test_does_not_keep_the_fleet_from_a_leader_that_serves(self):
+        # The write of the claim gets no answer, and takes effect 2 s later.
+        async def main():
+            traits = Traits(old_leader_goes_on=True, service_ms=3.0)
+            simulation = SessionSimulation(1, hosts=4, traits=traits)
+            leader = simulation.groups["g0"].leader
+            load = asyncio.ensure_future(simulation.run_clients(CLIENTS, 20_000.0))
+            await simulation.clock.sleep_ms(800)
+            simulation.store.late_write_ms = 2_000.0
+            leader.silent = True
+            await simulation.clock.sleep_ms(1_000)
+            leader.silent = False
+            simulation.store.late_write_ms = None
+            await load
+            served = [
+                reply.code is None
+                for started_ms, _, _, reply in simulation.replies
+                if started_ms > 12_000
+            ]
+            claim = simulation.store.rows["g0"].claim
+            simulation.close()
+            assert claim.phase is not ClaimPhase.CLAIMED
+            assert sum(served) > 0.9 * len(served)
+
+        run_virtual(main())
