--- a/scenarios/test_stale_reads.py
+++ b/scenarios/test_stale_reads.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 
 import pytest
 from fennelhill_bench.session_simulation.simulation import (
@@ -81,6 +82,117 @@
         )
 
 
+def random_cut(simulation, random_state):
+    """Return a cut of a zone, or of any hosts, mostly with the primary inside."""
+    model = simulation.groups["g0"]
+    hosts = [gateway.host for gateway in simulation.gateways]
+    inside = hosts[random_state.randrange(ZONES) :: ZONES]
+    if random_state.random() < 0.4:
+        count = random_state.choice([1, 2, len(hosts) // 2])
+        inside = random_state.sample(hosts, count)
+    targets = {name for name in model.targets if random_state.random() < 0.25}
+    targets.discard(model.leader.id)
+    if random_state.random() < 0.85:
+        targets.add(model.leader.id)
+    return Cut(
+        frozenset(inside),
+        frozenset(targets),
+        random_state.choice(list(CutKind)),
+        random_state.random() < 0.2,
+    )
+
+
+async def cut_at_random(simulation, random_state):
+    clock = simulation.clock
+    while True:
+        await clock.sleep_ms(random_state.uniform(100, 1_500))
+        simulation.cut(random_cut(simulation, random_state))
+        await clock.sleep_ms(random_state.choice([400, 1_200, 2_500, 5_000]))
+        simulation.cut(Cut())
+
+
+async def stop_hosts_at_random(simulation, random_state):
+    """Suspend and restart hosts, also those that hold an open claim."""
+    clock = simulation.clock
+    while True:
+        await clock.sleep_ms(random_state.uniform(200, 2_500))
+        host = random_state.choice(simulation.gateways).host
+        row = simulation.store.rows.get("g0")
+        if row is not None and random_state.random() < 0.5:
+            host = row.claim.holder
+        duration_ms = random_state.choice([100, 400, 1_500, 3_000])
+        stop = random_state.choice([simulation.pause_host, simulation.restart_host])
+        await stop(host, duration_ms)
+
+
+async def fail_platform_at_random(simulation, random_state):
+    """Carry orders and claims out late, or lose the answers of the store."""
+    clock, store = simulation.clock, simulation.store
+    if random_state.random() < 0.5:
+        simulation.orders.late_order_ms = random_state.uniform(0, 5_000)
+    fault = random_state.choice(["", "", "lose_answers", "down"])
+    await clock.sleep_ms(random_state.uniform(0, 2_000))
+    if fault:
+        setattr(store, fault, True)
+    await clock.sleep_ms(random_state.uniform(300, 3_000))
+    store.lose_answers = store.down = False
+    simulation.orders.late_order_ms = None
+
+
+async def fail_targets_at_random(simulation, random_state):
+    clock, model = simulation.clock, simulation.groups["g0"]
+    await clock.sleep_ms(random_state.uniform(500, 3_000))
+    fault = random_state.choice(["", "leaving", "crash", "behind"])
+    target = random_state.choice(list(model.targets.values()))
+    if fault == "leaving":
+        await simulation.announce_shutdown(model, model.leader.id)
+    elif fault == "crash":
+        target.crash()
+        await clock.sleep_ms(random_state.uniform(500, 4_000))
+        target.restart()
+    elif fault == "behind":
+        target.traits.lag_ms *= 30
+
+
+FAULTS = (
+    cut_at_random,
+    stop_hosts_at_random,
+    fail_platform_at_random,
+    fail_targets_at_random,
+)
+
+
+class TestRandomFaults:
+    @pytest.mark.parametrize("seed", range(1, 11))
+    def test_leave_no_acknowledged_commit_unread(self, seed):
+        async def main():
+            random_state = random.Random(seed)
+            traits = Traits(
+                old_leader_goes_on=seed % 4 > 0, service_ms=3.0, lag_ms=150.0
+            )
+            hosts = (6, 5, 4, 12)[seed % 4]
+            simulation = SessionSimulation(seed, hosts, traits=traits, zones=ZONES)
+            load = asyncio.ensure_future(simulation.run_clients(CLIENTS, 7_500.0))
+            faults = [
+                asyncio.ensure_future(fault(simulation, random_state))
+                for fault in FAULTS
+            ]
+            await load
+            for fault in faults:
+                fault.cancel()
+            results = await asyncio.gather(*faults, return_exceptions=True)
+            violations = simulation.observer.check_final_logs(simulation.groups)
+            simulation.close()
+            assert {type(result) for result in results} <= {
+                asyncio.CancelledError,
+                type(None),
+            }
+            assert violations == []
+            assert simulation.observer.reads > 100
+
+        run_virtual(main())
+
+
 class TestOrderCarriedOutLate:
     def test_does_not_promote_beside_a_leader_that_is_used_again(self):
         # The first order gets no answer, and runs after a second claim was abandoned.
