--- a/scenarios/test_stale_reads.py
+++ b/scenarios/test_stale_reads.py
@@ -15,7 +15,7 @@
 from fennelhill_bench.virtual_time import run_virtual
 from fennelhilld.leader_lease.state import LeaderLease
 from fennelhilld.links.messages import CommandKind
-from fennelhilld.promotion.messages import ClaimPhase
+from fennelhilld.promotion.messages import Claim, ClaimPhase, ClaimRow
 
 CLIENTS = 20
 ZONES = 3
@@ -193,6 +193,24 @@
         run_virtual(main())
 
 
+class TestReplacedLeaderThatIsPromotedAgain:
+    def test_does_not_count_as_promoted_before_it_leads_in_a_new_term(self):
+        # It has not noticed that it was replaced, and still says that it leads.
+        async def main():
+            simulation = SessionSimulation(1, hosts=3)
+            gateway = simulation.gateways[0]
+            group = gateway.groups["g0"]
+            replaced = Claim("host-1", "a", "g0-2", ClaimPhase.DONE, term=2)
+            gateway.update_claim("g0", ClaimRow(4, replaced))
+            claim = Claim("host-0", "b", "g0-0", previous_term=2)
+            gateway.update_claim("g0", ClaimRow(5, claim))
+            leads = await gateway.replacement._wait_until_leading(group, "g0-0")
+            simulation.close()
+            assert not leads
+
+        run_virtual(main())
+
+
 class TestOrderCarriedOutLate:
     def test_does_not_promote_beside_a_leader_that_is_used_again(self):
         # The first order gets no answer, and runs after a second claim was abandoned.
