--- a/scenarios/test_stale_reads.py
+++ b/scenarios/test_stale_reads.py
@@ -204,7 +204,7 @@
             gateway.update_claim("g0", ClaimRow(4, replaced))
             claim = Claim("host-0", "b", "g0-0", previous_term=2)
             gateway.update_claim("g0", ClaimRow(5, claim))
-            leads = await gateway.replacement._wait_until_leading(group, "g0-0")
+            leads = await gateway.replacement._wait_until_leading(group, claim)
             simulation.close()
             assert not leads
 
