test: a call of the store that hangs delays no recovery

Cause: in the simulation the store refuses a host that is cut off at once; on a network its calls hang, and an attempt to renew a lease waits for its read for up to 700 ms. Ruled out: a delay beyond the second: attempts without a read of the store lie between, since it is not read again for 1 s after a failure. Change: one scenario, eight cuts of 4 to 4.9 s of a host whose calls of the store hang for 5 s. After: all of the file pass. Conclusion: the second from the heal holds with a store that hangs, too.

--- a/scenarios/test_recovery.py
+++ b/scenarios/test_recovery.py
@@ -15,10 +15,12 @@
 )
 from fennelhill_bench.session_simulation.simulation import (
     CONNECTIONS_PER_TARGET,
+    HostStore,
     SessionSimulation,
 )
 from fennelhill_bench.session_simulation.targets import Traits
 from fennelhill_bench.virtual_time import run_virtual
+from fennelhill_core.platform import StoreFault, StoreUnavailableError
 from fennelhilld.catalog.state import Catalog, Group, ReadKind
 from fennelhilld.directory.state import TargetDirectory
 from fennelhilld.leader_lease.renewal import UNUSED_AFTER_MS, LeaseRenewal
@@ -110,6 +112,26 @@
 
         simulate(main)
 
+    def test_waits_for_no_call_of_the_store_that_hangs(self, monkeypatch):
+        # A call that was sent during the cut gets no answer after it either.
+        async def hang(store):
+            if store._gateway.host in store._simulation.hosts_without_store:
+                await store._simulation.clock.sleep_ms(5_000.0)
+                raise StoreUnavailableError(StoreFault.NO_ANSWER)
+
+        monkeypatch.setattr(HostStore, "_check", hang)
+
+        async def main(simulation):
+            for number in range(8):
+                steady = start_steady_writes(simulation)
+                simulation.partition({"host-0"}, set())
+                await simulation.clock.sleep_ms(4_000.0 + 130.0 * number)
+                simulation.heal()
+                await assert_all_recover(simulation)
+                cancel(steady)
+
+        simulate(main)
+
     @pytest.mark.parametrize("requests", ["steady", "none"])
     def test_needs_no_store_to_serve_after_a_split_into_halves_has_healed(
         self, requests
