fix: an open claim whose row can't be decoded any more is finished too

What callers saw: after a row of another writer took the place of an open claim, no request of the group was served, though its leader answers. Cause: hosts keep the fence of the claim that they knew, and nobody took the undecodable row for a claim to finish. Found by review. Ruled out: a host that never saw the open claim; it has no fence and goes on. Change: a fence whose newest row is open or undecodable is finished like any open claim. Conclusion: the end of a fence does not rest on what the row says.

--- a/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
@@ -457,13 +457,13 @@
         carried out, so the leader is replaced even if it answers.
         """
         row = self.claims.get(group.name)
-        if row.claim is None or row.claim.phase is not ClaimPhase.CLAIMED:
+        if group.leadership.fence is None or not self._order_may_be_pending(group):
             return False
         newer = any(view.term > group.leadership.term for view in survey.views)
         self._record(
             "promotion.unfinished",
             group,
-            holder=row.claim.holder,
+            holder=row.claim.holder if row.claim else "",
             token=row.version,
             newer_term_known=newer,
             cut_off=self.reach.cut_off,
--- a/scenarios/test_sessions.py
+++ b/scenarios/test_sessions.py
@@ -16,8 +16,14 @@
 from fennelhilld.leader_lease.state import CLOCK_MARGIN_MS, LEASE_MS, LeaderLease
 from fennelhilld.leadership.state import Fence
 from fennelhilld.promotion.claims import CLAIM_TAKEOVER_MS
-from fennelhilld.promotion.messages import Claim, ClaimPhase
-from fennelhilld.promotion.replacement import PROMOTION_TIMEOUT_MS
+from fennelhilld.promotion.messages import (
+    Claim,
+    ClaimPhase,
+    ClaimRow,
+    LeaderView,
+    Survey,
+)
+from fennelhilld.promotion.replacement import PROMOTION_TIMEOUT_MS, LeaderReplacement
 from fennelhilld.statements.environment import FAIL_FAST_AFTER_MS
 from fennelhilld.statements.messages import TransactionState
 
@@ -279,6 +285,61 @@
         kept = {entry.position for entry in model.leader.log}
         assert kept.issuperset(p for _, p in simulation.observer.acknowledged["g0"])
 
+    def test_is_finished_though_its_row_can_not_be_decoded_any_more(self):
+        async def fault(simulation):
+            await holder_stops_after_its_claim(simulation)
+            await simulation.clock.sleep_ms(100)
+            simulation.store.version += 1
+            row = simulation.store.rows["g0"] = ClaimRow(simulation.store.version)
+            for gateway in simulation.gateways:
+                gateway.update_claim("g0", row)
+
+        simulation, violations = run_under_load(1, fault, hosts=4, load_ms=10_000.0)
+        assert violations == []
+        finish_limit_ms = CLAIM_TAKEOVER_MS + PROMOTION_TIMEOUT_MS
+        assert served_share(simulation, from_ms=700 + finish_limit_ms) > 0.95
+
+    @pytest.mark.parametrize(
+        ("open_before", "phase"), [(True, "claimed"), (False, "abandoned")]
+    )
+    def test_stays_open_if_too_few_hosts_answer_the_next_holder(
+        self, open_before, phase, monkeypatch
+    ):
+        async def too_few_hosts(self, group, claim, token):
+            return False
+
+        monkeypatch.setattr(LeaderReplacement, "_fence", too_few_hosts)
+
+        async def fault(simulation):
+            if open_before:
+                await holder_stops_after_its_claim(simulation)
+            simulation.groups["g0"].leader.crash()
+
+        simulation, violations = run_under_load(
+            1, fault, hosts=4, load_ms=CLAIM_TAKEOVER_MS + 3_000.0
+        )
+        assert violations == []
+        claim = simulation.store.rows["g0"].claim
+        assert claim.holder != "outside"
+        assert claim.phase.value == phase
+        assert simulation.orders.calls == []
+
+    @pytest.mark.parametrize(("term", "cut_off"), [(9, False), (1, True)])
+    def test_is_left_to_the_hosts_that_know_better(self, term, cut_off):
+        async def main():
+            simulation = SessionSimulation(1, hosts=4)
+            await holder_stops_after_its_claim(simulation)
+            await simulation.clock.sleep_ms(100)
+            gateway = simulation.gateways[0]
+            gateway.replacement.reach.cut_off = cut_off
+            group = gateway.env.group("g0")
+            survey = Survey(3, [LeaderView("g0-1", term, False, "host-1")])
+            finishes = gateway.replacement._must_finish_claim(group, survey)
+            simulation.close()
+            return finishes
+
+        assert not run_virtual(main())
+
     @pytest.mark.parametrize("blind", [0, 1, 2, 3])
     def test_is_finished_though_one_host_cannot_reach_the_leader(self, blind):
         async def fault(simulation):
