fix: a host whose list lacks the leader asks the others before it replaces it

From 13.6 to 15.2 s a group has four leaders, one after the other. Cause: targets are replaced in turn, and one host's feed of targets is late: the leader that the last claim named is missing in its list. For that host nobody led, so it did not ask whether others see the leader, and promoted another 0.16 s after the last promotion. The same class as a host that lost its leader: a belief ('nobody leads') without a proof. Ruled out: the leader itself; all other hosts used it. The order of holders: each had claimed with the newest row. Change: the hosts are asked about the leader that this host knows by name, listed or not.

--- a/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
@@ -157,7 +157,7 @@
             candidates = await self._probe_candidates(group, leader)
             if self._adopt_new_leader(group, candidates, leader, started_ms):
                 return
-            survey = await self._survey(group, leader)
+            survey = await self._survey(group)
             self._update_reach(started_ms, survey)
             await self._replace(group, leader, candidates, survey)
             return
@@ -169,7 +169,7 @@
             return
         candidates, survey, result = await asyncio.gather(
             self._probe_candidates(group, leader),
-            self._survey(group, leader),
+            self._survey(group),
             leader_probe,
         )
         if self._confirm_leader(group, leader, result, started_ms):
@@ -245,11 +245,11 @@
             queried_ms = self._clock.now_ms()
             self._update_reach(queried_ms, await self.peers.survey("", ""))
 
-    async def _survey(self, group: GroupState, leader: TargetState | None) -> Survey:
+    async def _survey(self, group: GroupState) -> Survey:
         if self.peers is None:
             return Survey()
-        target_id = leader.entry.id if leader else ""
-        return await self.peers.survey(group.name, target_id)
+        # The leader may be missing in this host's list of targets.
+        return await self.peers.survey(group.name, group.leadership.leader_id or "")
 
     async def status(self, target: TargetState) -> TargetStatus | None:
         """Request a target's status.
@@ -364,7 +364,7 @@
             return
         if self.claims.held_by_other(name, self.host, self._clock.now_ms()):
             return
-        if not planned and not self._fleet_confirms_loss(group, leader, survey):
+        if not planned and not self._fleet_confirms_loss(group, survey):
             if leader is None or not self._must_finish_claim(group, survey):
                 return
             # The leader still answers, so nothing that it has acknowledged is lost.
@@ -409,12 +409,7 @@
                     return candidate
         return most_advanced(usable)
 
-    def _fleet_confirms_loss(
-        self,
-        group: GroupState,
-        leader: TargetState | None,
-        survey: Survey,
-    ) -> bool:
+    def _fleet_confirms_loss(self, group: GroupState, survey: Survey) -> bool:
         """Return whether the other hosts' answers allow a replacement."""
         if self.peers is None:
             return True
@@ -426,11 +421,11 @@
                     newest.leader, newest.term, self._clock.now_ms()
                 )
             return False
-        if leader is None:
+        target_id = group.leadership.leader_id
+        if target_id is None:
             # The last leader may have been replaced by a host that this one can't
             # reach, for instance if it has refused because it no longer leads.
             return not self.reach.cut_off
-        target_id = leader.entry.id
         lost = leader_is_lost(survey, target_id)
         if self.reach.cut_off:
             # The larger side of the partition decides.  If the platform is on this
--- a/scenarios/test_sessions.py
+++ b/scenarios/test_sessions.py
@@ -377,6 +377,16 @@
         assert simulation.orders.calls == []
         assert simulation.gateways[0].env.group("g0").leadership.term == 2
 
+    def test_replaces_no_leader_that_its_list_of_targets_lacks(self):
+        async def fault(simulation):
+            await simulation.clock.sleep_ms(700)
+            group = simulation.gateways[0].env.group("g0")
+            del group.targets[simulation.groups["g0"].leader.id]
+
+        simulation, violations = run_under_load(1, fault, hosts=4)
+        assert violations == []
+        assert simulation.orders.calls == []
+
 
 async def abandoned_claim_after_a_missed_replacement(simulation):
     """One host sees neither a replacement nor that its leader leads no more.
