fix: versions of the store are ordered by its era, and lost claims stay known

Cause: the store can come back from an older copy. Versions then go back and are given out again, but the product took them as rising for ever: tokens, claims, proofs of leases and feeds were ordered by bare numbers, and nothing read the era. Ruled out: see docs/design/store-era.md. Change: StoreVersion orders by era, then version; as a number it is also the fencing token. StoreClient tells EraWatch the era of each answer; hosts pass it on in their messages. In a new era feeds are read anew, lost claims stay known, nothing is ordered under a claim of an older era, the store gives no proof before more than half of the hosts have sent their claims, and lost rows are written again by those they speak of.

--- a/packages/fennelhilld/src/fennelhilld/leader_lease/renewal.py
+++ b/packages/fennelhilld/src/fennelhilld/leader_lease/renewal.py
@@ -25,6 +25,7 @@
 from fennelhilld.leader_lease.state import LEASE_MS, LeaderLease
 from fennelhilld.promotion.claims import ClaimCache
 from fennelhilld.promotion.messages import ClaimRow, ClaimStore
+from fennelhilld.store_era.state import EraWatch
 
 # A lease that is used is renewed at this age.  What remains of it covers a store that
 # is slow (some 400 ms) and the queries to other hosts after it.
@@ -127,6 +128,9 @@
     than half of all hosts must confirm that they know no other claim.  That is enough
     because a promotion is ordered only after more than half of them knew its claim.
 
+    In a new era the store may have lost claims, so its list proves nothing until more
+    than half of all hosts, in that era, have sent the claims that they know.
+
     Parameters
     ----------
     host : str
@@ -145,6 +149,8 @@
         Source of time.
     events : EventLog
         Records when the lease is lost and regained.
+    eras : EraWatch
+        The newest era of the store that is known.
     """
 
     def __init__(
@@ -157,8 +163,10 @@
         apply_claim: Callable[[str, ClaimRow], None],
         clock: Clock,
         events: EventLog,
+        eras: EraWatch,
     ) -> None:
         self.lease = lease
+        self._eras = eras
         self.store: ClaimStore | None = None
         self.peers: PeerQueries | None = None
         # A host that is not listed may hold no lease: it would not be asked to give
@@ -228,10 +236,13 @@
         LeaseAnswer
             The proof of this host, if it has one.
         """
+        if not self._eras.notice(query.era, "another host"):
+            # The asking host learns of the era, and asks again.
+            return self._reply(query, False, 0.0)
         if query.source is ProofSource.CONFIRMATION:
             # A host that knows a newer list may count other hosts as a majority.
             current = query.members_version >= self._roster.version
-            return self._reply(query, current, 0.0)
+            return self._reply(query, current and self._eras.may_vouch, 0.0)
         if self.lease.age_ms > FRESH_AGE_MS:
             if query.source is ProofSource.STORE:
                 await self._read_store()
@@ -249,6 +260,7 @@
             self._claims.complete_version,
             [GroupClaim(group, row.version, row.claim) for group, row in sent],
             len(sent) == len(newer),
+            self._eras.current,
         )
 
     def _valid(self) -> bool:
@@ -337,6 +349,8 @@
         except (StoreUnavailableError, TimeoutError):
             self._store_failed_ms = self._clock.now_ms()
             return False
+        if self._claims.complete_version.era < self._eras.current:
+            return False  # The store may have lost claims that others know.
         self.lease.extend(sent_ms, "store")
         return self._lasts()
 
@@ -368,6 +382,9 @@
 
     async def _ask_for_confirmation(self) -> bool:
         """Ask all hosts which claims they know; more than half must confirm."""
+        if not self._eras.may_vouch:
+            return False  # This host may have forgotten claims and hosts.
+        era = self._eras.current
         sent_ms = self._clock.boottime_ms()
         names = list(self._roster.addresses)
         listed = len(names) + 1
@@ -385,8 +402,9 @@
                 confirming += answer is not None and self._apply(answer)
         for query in pending:
             query.cancel()
-        if not is_majority(confirming, listed):
+        if not is_majority(confirming, listed) or self._eras.current != era:
             return False
+        self._claims.complete_era(era)
         self.lease.extend(sent_ms, "most hosts")
         return self._lasts()
 
@@ -397,13 +415,20 @@
         address = self._roster.addresses.get(name)
         if self.peers is None or address is None:
             return None, 0.0
-        query = LeaseQuery(source, self._claims.complete_version, self._roster.version)
+        query = LeaseQuery(
+            source,
+            self._claims.complete_version,
+            self._roster.version,
+            self._eras.current,
+        )
         sent_ms = self._clock.boottime_ms()
         answer = await self.peers.ask(address, query, HOST_QUERY_MS)
         if not isinstance(answer, LeaseAnswer):
             self._silent_since_ms[name] = self._clock.now_ms()
             return None, sent_ms
         self._silent_since_ms.pop(name, None)
+        if not self._eras.notice(answer.era, name):
+            return None, sent_ms  # A message from an older era proves nothing.
         return answer, sent_ms
 
     def _use_answer(self, answer: LeaseAnswer, sent_ms: float, name: str) -> bool:
@@ -412,7 +437,7 @@
         The proof's age is counted from the sending of the query.  That is too early
         by the time until the host answered, and right however late the answer is read.
         """
-        if not self._apply(answer):
+        if not self._apply(answer) or not self.registered:
             return False
         self.lease.extend(sent_ms - answer.age_ms, name)
         return self._lasts()
