--- a/packages/fennelhilld/src/fennelhilld/leader_lease/renewal.py
+++ b/packages/fennelhilld/src/fennelhilld/leader_lease/renewal.py
@@ -38,6 +38,8 @@
 # A host of the same region answers within some milliseconds, after a renewal of its
 # own within `SHARED_RENEWAL_MS`.
 HOST_QUERY_MS = 130.0
+# Time for a host of any region, also a busy one, to answer at all.
+REACH_QUERY_MS = 500.0
 # If the store has not answered after this time, other hosts are asked too.
 STORE_HEAD_START_MS = 120.0
 STORE_LIMIT_MS = 700.0  # beyond the answers of a slow store; then no use for a lease
@@ -223,6 +225,30 @@
         """Record that the lease is needed."""
         self._used_ms = self._clock.now_ms()
 
+    async def reaches(self, name: str) -> bool:
+        """Return whether a host answers a query.
+
+        Parameters
+        ----------
+        name : str
+            A listed host.
+
+        Returns
+        -------
+        bool
+            False also if it is not listed.
+        """
+        address = self._roster.addresses.get(name)
+        if self.peers is None or address is None:
+            return False
+        query = LeaseQuery(
+            ProofSource.CONFIRMATION,
+            self._claims.complete_version,
+            self._roster.version,
+            self._eras.current,
+        )
+        return await self.peers.ask(address, query, REACH_QUERY_MS) is not None
+
     async def answer(self, query: LeaseQuery) -> LeaseAnswer:
         """Answer another host's query for a proof.
 
--- a/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
@@ -697,9 +697,9 @@
         self.apply_claim(name, ClaimRow(token, claim))
         if claim.era != self._eras.current:
             # The store may have lost the claim, or have written it under a condition
-            # on a row that this host had not seen.
+            # on a row that this host had not seen.  It stays open until this host
+            # claims the group again, since another lost claim may still be ordered.
             self._record("promotion.claim_of_older_era", group, token=token)
-            await self._finish_claim(group, token, claim, ClaimPhase.ABANDONED)
             return None
         return token
 
