test: a host that was cut off without requests never serves writes again

While a lease can't be renewed, requests are refused at once and don't count as a use of it; three seconds after the last use no renewal is tried. Ruled out: a return of the store; there is none in this test. Time: writes every 100 ms were refused for 4 s after the cut had ended. Conclusion: a fault of the product that is still to be traced and mended.

--- a/scenarios/test_sessions.py
+++ b/scenarios/test_sessions.py
@@ -674,6 +674,23 @@
 
         run_virtual(main())
 
+    def test_serves_again_after_a_cut_without_requests(self):
+        async def main():
+            simulation = SessionSimulation(1, hosts=3)
+            gateway = simulation.gateways[0]
+            client = simulation.client(gateway, simulation.database(ReadKind.CURRENT))
+            await client.write()
+            simulation.partition({"host-0"}, set())
+            await simulation.clock.sleep_ms(5_000)
+            simulation.heal()
+            for _ in range(40):
+                await simulation.clock.sleep_ms(100)
+                reply = await client.write()
+            assert reply.code is None
+            simulation.close()
+
+        run_virtual(main())
+
     def test_promotes_no_target_even_if_the_store_serves_it(self):
         # The store accepts the host's claims; only its own check of the other hosts
         # prevents a promotion.
