--- a/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/simulation.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/simulation.py
@@ -317,7 +317,7 @@
         self._simulation.spawn(self._read_anew(self._gateway.eras.current))
 
     def tell_era(self, era: int, version: int) -> None:
-        """Pass the era of an answer on; the store names none before its first return."""
+        """Pass the era of an answer on; before the first return there is none."""
         self._gateway.eras.notice(era if era > FIRST_ERA else 0)
 
     async def _read_anew(self, era: int) -> None:
