--- a/packages/fennelhilld/src/fennelhilld/directory/follower.py
+++ b/packages/fennelhilld/src/fennelhilld/directory/follower.py
@@ -144,6 +144,7 @@
     async def _follow_once(self) -> None:
         """Read once, and apply what was read."""
         restarting = self._outdated
+        previous_version = self._last_version
         is_snapshot = restarting or self._last_version is None
         try:
             rows = await self._read()
@@ -167,6 +168,7 @@
                     "store.read_anew",
                     table=self._table,
                     rows=len(rows),
+                    before=previous_version,
                     version=self._last_version,
                 )
             self._apply_rows(rows, is_snapshot, after_outage)
