fix: a write answered in a newer era leaves no trace of a row that may be lost

Cause: the number of such a claim was taken for the store's row of the group; if the row is lost, all later claims of this host would fail on their condition. Found by reading.

--- a/packages/fennelhilld/src/fennelhilld/directory/follower.py
+++ b/packages/fennelhilld/src/fennelhilld/directory/follower.py
@@ -134,9 +134,12 @@
     def restart(self) -> None:
         """Read the table anew, because the store came back in a new era.
 
-        A poll or a pause in progress ends.
+        A poll or a pause in progress ends.  A first read goes on, since what it reads
+        is of the era of its answer.
         """
-        self._outdated = self._last_version is not None
+        if self._last_version is None:
+            return
+        self._outdated = True
         self._retry_delay_ms = RETRY_MIN_MS
         if self._step is not None:
             self._step.cancel()
--- a/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
@@ -77,6 +77,7 @@
 # and if it does not, by some other hosts, one after the other.
 RESTORE_TURN_MS = 600.0
 RESTORING_HOSTS = 3
+RESTORE_ATTEMPTS = 3
 ERA_CHECK_MS = 100.0
 
 GiveLeaseUp = Callable[[GroupClaim], Awaitable[bool]]
@@ -652,18 +653,21 @@
                 self._tasks.spawn(work)
 
     async def _restore_claim(self, group: GroupState, row: ClaimRow, turn: int) -> None:
-        await self._clock.sleep_ms(turn * RESTORE_TURN_MS)
-        if (group.name, row) not in self.claims.unstored():
-            return
-        try:
-            finished = msgspec.structs.replace(row.claim)
-            written = await self._write_end(group, row.version, finished)
-        except StoreUnavailableError as error:
-            self._record("store.claim_not_restored", group, reason=str(error))
+        for _ in range(RESTORE_ATTEMPTS):
+            await self._clock.sleep_ms(turn * RESTORE_TURN_MS)
+            if (group.name, row) not in self.claims.unstored():
+                return
+            turn = max(turn, 1)
+            try:
+                finished = msgspec.structs.replace(row.claim)
+                written = await self._write_end(group, row.version, finished)
+            except StoreUnavailableError as error:
+                self._record("store.claim_not_restored", group, reason=str(error))
+                continue
+            self._record(
+                "store.claim_restored", group, written=written, token=row.version
+            )
             return
-        self._record(
-            "store.claim_restored", group, written=written, token=row.version, turn=turn
-        )
 
     async def _write_claim(
         self, group: GroupState, claim: Claim
@@ -694,13 +698,13 @@
         if version is None:
             return None
         token = _version_in(claim.era, version)
-        self.apply_claim(name, ClaimRow(token, claim))
         if claim.era != self._eras.current:
             # The store may have lost the claim, or have written it under a condition
-            # on a row that this host had not seen.  It stays open until this host
-            # claims the group again, since another lost claim may still be ordered.
+            # on a row that this host had not seen.  If it is there, it stays open until
+            # this host claims the group again, since another lost one may be ordered.
             self._record("promotion.claim_of_older_era", group, token=token)
             return None
+        self.apply_claim(name, ClaimRow(token, claim))
         return token
 
     async def _find_written_claim(
