--- a/packages/fennelhilld/src/fennelhilld/leader_lease/renewal.py
+++ b/packages/fennelhilld/src/fennelhilld/leader_lease/renewal.py
@@ -55,6 +55,8 @@
 # Hosts of each zone that are asked to read the store if this host can't.
 HELPERS_PER_ZONE = 2
 CHECK_INTERVAL_MS = 50.0
+# While nothing else reads the store, one host looks for a new era this often.
+ERA_CHECK_INTERVAL_MS = 1_000.0
 # Bounds the size of a datagram; the rest follows with the next query.
 MAX_CLAIMS_PER_ANSWER = 8
 
@@ -104,6 +106,36 @@
     return first_hosts[: min(2, first_hosts.index(host))]
 
 
+def hosts_to_tell(host: str, zone: str, zones: dict[str, str]) -> list[str]:
+    """Return the hosts to which a host passes the news of a new era on.
+
+    Parameters
+    ----------
+    host : str
+        The host.
+    zone : str
+        Its availability zone.
+    zones : dict
+        Zone by name of the other hosts.
+
+    Returns
+    -------
+    list of str
+        The other hosts of its zone if it is the first one there, and the first hosts of
+        the other zones if it is the first of all; so each host is told once.
+    """
+    sources = lease_sources(host, zone, zones)
+    if sources and zones[sources[0]] == zone:
+        return []
+    told = [name for name, other in zones.items() if other == zone]
+    if not sources:
+        told += [
+            min((name for name, other in zones.items() if other == far), key=_rank)
+            for far in sorted(set(zones.values()) - {zone})
+        ]
+    return told
+
+
 def is_majority(confirming: int, listed: int) -> bool:
     """Return whether hosts are more than half of those that are listed.
 
@@ -189,14 +221,38 @@
         self._used_ms = float("-inf")
         self._renewal: asyncio.Task[bool] | None = None
         self._store_failed_ms = float("-inf")
+        self._store_read_ms = float("-inf")
         self._silent_since_ms: dict[str, float] = {}
         self._helper = ""
         self._sources: tuple[int, list[str]] = (-1, [])
         self._tasks = Tasks()
 
     def start(self) -> None:
-        """Start to renew the lease while it is used."""
+        """Start to renew the lease while it is used, and to look for new eras."""
         self._tasks.spawn(self._run())
+        self._tasks.spawn(self._look_for_eras())
+        self._eras.on_change.append(self._tell_others)
+
+    def _tell_others(self) -> None:
+        if self._eras.change_count:
+            for name in hosts_to_tell(self._host, self._zone, self._roster.zones):
+                self._tasks.spawn(self.reaches(name))
+
+    async def _look_for_eras(self) -> None:
+        """Read the store now and then, also if no lease is used.
+
+        A feed that waits does not tell that the store has come back.  Only the first of
+        all hosts does this, and only in a store that has eras.
+        """
+        while True:
+            await self._clock.sleep_ms(ERA_CHECK_INTERVAL_MS)
+            read_ms = self._clock.now_ms() - self._store_read_ms
+            if (
+                self._eras.current > 0
+                and read_ms >= ERA_CHECK_INTERVAL_MS
+                and not lease_sources(self._host, self._zone, self._roster.zones)
+            ):
+                await self._read_store()
 
     def close(self) -> None:
         """Cancel all tasks."""
@@ -369,6 +425,7 @@
         if self.store is None or started_ms < self._store_failed_ms + STORE_RETRY_MS:
             return False
         sent_ms = self._clock.boottime_ms()
+        self._store_read_ms = started_ms
         try:
             async with asyncio.timeout(STORE_LIMIT_MS / MS_PER_S):
                 await self.store.refresh()
