feat: clients call for an organisation, and links belong to one

Cause: the catalog knew no organisations, the second field of a client's first message was dropped, and every link to a target started with one constant name, so that each statement ran under the wrong name on deployments whose configuration names organisations. Ruled out: a link for whoever comes next, since a target may serve only the organisation that the link named. Change: organisations, their keys as digests and public databases in the catalog; result code 1034; a session resolves its key anew for each operation; requests carry the organisation through pools, leases and the relay to the target. A pool opens a link for an organisation that has none, and closes an idle one of another if it may open no more.

--- a/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/targets.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/targets.py
@@ -600,7 +600,12 @@
                         link.silent = link.silent or link.driver is self
 
     async def open(
-        self, group: str, target_id: str, address: str, limit_ms: float
+        self,
+        group: str,
+        target_id: str,
+        address: str,
+        limit_ms: float,
+        organisation: str = "",
     ) -> LinkModel:
         """Open a link; raises `LinkRefusedError`."""
         model = self.groups[group]
--- a/packages/fennelhill-core/src/fennelhill_core/codes.py
+++ b/packages/fennelhill-core/src/fennelhill_core/codes.py
@@ -257,6 +257,13 @@
     "This entry host can't prove that the primary still leads; connect again.",
     "It reaches neither the store nor most other hosts; see lease.missing.",
 )
+UNKNOWN_KEY = _register(
+    1034,
+    "unknown_key",
+    401,
+    "The key is missing, unknown or withdrawn; connect again with a valid one.",
+    "Look the organisation up in the configuration; keys are listed by digest.",
+)
 CONNECTION_LOST = _register(
     2001,
     "connection_lost",
--- a/packages/fennelhilld/src/fennelhilld/admission/order.py
+++ b/packages/fennelhilld/src/fennelhilld/admission/order.py
@@ -30,11 +30,14 @@
         When its answer is due by its latency objective, on this host's clock.
     give_up_ms : float
         When it stops waiting for a link, on this host's clock.
+    organisation : str
+        Organisation that it belongs to; empty if none.
     """
 
     priority: int
     due_ms: float
     give_up_ms: float
+    organisation: str = ""
 
 
 class QueuePolicy(Protocol):
--- a/packages/fennelhilld/src/fennelhilld/catalog/state.py
+++ b/packages/fennelhilld/src/fennelhilld/catalog/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import hashlib
 
 import msgspec
 
@@ -10,6 +11,25 @@
 DEFAULT_FIRST_MESSAGE_MS = 3_000.0  # if there is no catalog, or it gives none
 
 
+KEY_DIGEST_BYTES = 16  # long enough that two keys never have the same digest
+
+
+def key_digest(key: str) -> str:
+    """Return the digest under which a client's key is held, compared and shown.
+
+    Parameters
+    ----------
+    key : str
+        The key.
+
+    Returns
+    -------
+    str
+        Hexadecimal digits, from which the key can't be recovered.
+    """
+    return hashlib.blake2b(key.encode(), digest_size=KEY_DIGEST_BYTES).hexdigest()
+
+
 class ReadKind(enum.Enum):
     """How current the reads of a database must be."""
 
@@ -37,6 +57,8 @@
         Latency objective of an operation, in milliseconds.
     priority : int
         Priority class; a lower number is more urgent, 0 the most.
+    public : bool
+        Whether clients may use it without a key.
     """
 
     name: str
@@ -46,6 +68,28 @@
     statement_timeout_ms: float = 1_000.0
     goal_ms: float = 500.0
     priority: int = 0
+    public: bool = False
+
+
+class Organisation(msgspec.Struct, frozen=True):
+    """A customer whose clients share keys, links and a limit.
+
+    Parameters
+    ----------
+    name : str
+        Its name, as targets know it.
+    key_digests : tuple of str
+        Digests of the keys that its clients may use.
+    rate_per_s : float or None
+        Operations that it may start in a second, over all hosts; None if unlimited.
+    burst : float
+        Operations that it may start beyond that rate at once.
+    """
+
+    name: str
+    key_digests: tuple[str, ...] = ()
+    rate_per_s: float | None = None
+    burst: float = 0.0
 
 
 class Group(msgspec.Struct, frozen=True):
@@ -80,6 +124,11 @@
         Largest message that is accepted, in bytes.
     first_message_ms : float
         Time-out for the first message of a connection, in milliseconds.
+    organisations : dict or None
+        `Organisation` by name; None if the configuration knows no organisations, so
+        that no client needs a key.
+    keys : dict
+        Name of the organisation by the digest of a key.
     """
 
     version: int
@@ -88,6 +137,28 @@
     transaction_idle_ms: float = DEFAULT_TRANSACTION_IDLE_MS
     message_bytes: int = 1024 * 1024
     first_message_ms: float = DEFAULT_FIRST_MESSAGE_MS
+    organisations: dict[str, Organisation] | None = None
+    keys: dict[str, str] = {}
+
+    def caller(self, database: Database, digest: str) -> str | None:
+        """Return the organisation that a client acts for.
+
+        Parameters
+        ----------
+        database : Database
+            The database that the client uses.
+        digest : str
+            Digest of its key.
+
+        Returns
+        -------
+        str or None
+            Name of the organisation; empty if none is needed, None if the key is
+            unknown and the database requires one.
+        """
+        if self.organisations is None or database.public:
+            return ""
+        return self.keys.get(digest)
 
 
 class CatalogHolder:
@@ -125,6 +196,23 @@
         """Version in force; 0 before the first."""
         return self.current.version if self.current else 0
 
+    def caller(self, database: Database, digest: str) -> str | None:
+        """Return the organisation that a client acts for under the catalog in force.
+
+        Parameters
+        ----------
+        database : Database
+            The database that the client uses.
+        digest : str
+            Digest of its key.
+
+        Returns
+        -------
+        str or None
+            As `Catalog.caller`; None before the first catalog.
+        """
+        return self.current.caller(database, digest) if self.current else None
+
     def database(self, name: str) -> Database | None:
         """Look up a database.
 
--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+from fennelhill_core import codes
 from fennelhill_core.clock import Clock
+from fennelhill_core.codes import Code
 from fennelhill_core.events import EventLog
 from fennelhill_core.streams import Dialer
 from fennelhill_core.tasks import Tasks
 
 from fennelhilld.admission.policies import LoadPolicies
-from fennelhilld.catalog.state import Catalog, CatalogHolder
+from fennelhilld.catalog.state import Catalog, CatalogHolder, key_digest
 from fennelhilld.directory.state import TargetDirectory, TargetEntry
 from fennelhilld.fleet.roster import Roster
 from fennelhilld.freshness.sharing import SampleSource
@@ -184,22 +186,30 @@
             for target in group.targets.values():
                 target.pool.close()
 
-    def open_session(self, database_name: str) -> Session | None:
+    def open_session(self, database_name: str, key: str = "") -> Session | Code:
         """Open a session.
 
         Parameters
         ----------
         database_name : str
             The database that the client names.
+        key : str
+            The client's key; empty if it sent none.
 
         Returns
         -------
-        Session or None
-            None if the catalog in force has no such database.
+        Session or Code
+            The session, or why there is none: ``UNKNOWN_GROUP`` if the catalog in force
+            has no such database, ``UNKNOWN_KEY`` if the database requires a key that
+            the catalog knows.
         """
-        if self.catalog.database(database_name) is None:
-            return None
-        return Session(self.env, database_name)
+        database = self.catalog.database(database_name)
+        if database is None:
+            return codes.UNKNOWN_GROUP
+        digest = key_digest(key)
+        if self.catalog.caller(database, digest) is None:
+            return codes.UNKNOWN_KEY
+        return Session(self.env, database_name, digest)
 
     def install_catalog(self, catalog: Catalog) -> None:
         """Install a version of the catalog if it is newer than the one in force.
--- a/packages/fennelhilld/src/fennelhilld/links/lease.py
+++ b/packages/fennelhilld/src/fennelhilld/links/lease.py
@@ -194,7 +194,7 @@
         if request is None:
             return Urgency(limit_ms)
         due_in_ms = request.due_ms - self._clock.now_ms()
-        return Urgency(limit_ms, request.priority, due_in_ms)
+        return Urgency(limit_ms, request.priority, due_in_ms, request.organisation)
 
     def _handle_overdue(self, sent_ms: float) -> None:
         # A lost answer must not block requests that wait for a link to the target.
--- a/packages/fennelhilld/src/fennelhilld/links/messages.py
+++ b/packages/fennelhilld/src/fennelhilld/links/messages.py
@@ -183,11 +183,14 @@
         Priority class; a lower number is more urgent.
     due_in_ms : float
         Time until the answers are due by their latency objective, in milliseconds.
+    organisation : str
+        Organisation on whose link the commands must run; empty if none.
     """
 
     limit_ms: float
     priority: int = 0
     due_in_ms: float = 0.0
+    organisation: str = ""
 
 
 class TargetLink(Protocol):
@@ -213,9 +216,14 @@
     """Opens connections to targets."""
 
     async def open(
-        self, group: str, target_id: str, address: str, limit_ms: float
+        self,
+        group: str,
+        target_id: str,
+        address: str,
+        limit_ms: float,
+        organisation: str = "",
     ) -> TargetLink:
-        """Open a link to exactly this target; raises `LinkRefusedError`."""
+        """Open a link of an organisation to a target; raises `LinkRefusedError`."""
 
     async def status(self, link: TargetLink) -> TargetStatus | None:
         """Return the target's status, or None if it is busy; raises `LinkLostError`."""
--- a/packages/fennelhilld/src/fennelhilld/links/pool.py
+++ b/packages/fennelhilld/src/fennelhilld/links/pool.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 
 from fennelhill_core.clock import MS_PER_S, Clock
@@ -126,7 +126,8 @@
         self._peaks: deque[int] = deque(maxlen=PEAK_SAMPLES)
         self._on_failure = on_failure
         self._idle: list[PooledLink] = []
-        self._opening_count = 0
+        # Links being opened, by organisation.
+        self._opening: Counter[str] = Counter()
         # In order of arrival.
         self._waiters: list[tuple[QueuedRequest, asyncio.Future[PooledLink]]] = []
         self._backoff_until_ms = 0.0
@@ -136,7 +137,7 @@
     @property
     def open(self) -> int:
         """Links that are open or being opened."""
-        return len(self._idle) + self.in_use + self._opening_count
+        return len(self._idle) + self.in_use + self._opening.total()
 
     @property
     def idle(self) -> int:
@@ -208,7 +209,8 @@
                 TargetFault.WRONG_TARGET,
                 "target removed or replaced, or host stopping",
             )
-        link = self._take_idle(context) if self._window_open else None
+        organisation = self._link_organisation(request)
+        link = self._take_idle(organisation, context) if self._window_open else None
         if link is not None:
             return self._mark_in_use(link)
         limit_ms = request.give_up_ms - self._clock.now_ms()
@@ -359,7 +361,7 @@
         if (
             self.unreachable
             and not self.closed
-            and not self._opening_count
+            and not self._opening.total()
             and not in_backoff
         ):
             self._start_opening()
@@ -376,15 +378,26 @@
             "target removed or replaced, or host stopping",
         )
 
-    def _take_idle(self, context: SessionContext | None) -> PooledLink | None:
+    def _link_organisation(self, request: QueuedRequest) -> str:
+        """Return whose link a request needs; links through owners are nobody's."""
+        return "" if self._relayed() else request.organisation
+
+    def _take_idle(
+        self, organisation: str, context: SessionContext | None = None
+    ) -> PooledLink | None:
         self._idle = [link for link in self._idle if not link.connection.closed]
-        if not self._idle:
+        usable = [
+            index
+            for index, link in enumerate(self._idle)
+            if link.organisation == organisation
+        ]
+        if not usable:
             return None
-        for index in range(len(self._idle) - 1, -1, -1):
+        for index in reversed(usable):
             if context is not None and self._idle[index].matches(context):
                 return self._idle.pop(index)
         # The most recently used link is the least likely to be broken unnoticed.
-        return self._idle.pop()
+        return self._idle.pop(usable[-1])
 
     def _mark_in_use(self, link: PooledLink) -> PooledLink:
         self.in_use += 1
@@ -396,19 +409,29 @@
         link.idle_since_ms = self._clock.now_ms()
         self._idle.append(link)
         self._serve_waiters()
+        if self._waiters:
+            self._grow()
 
     def _serve_waiters(self) -> None:
         """Hand idle links to waiting requests as far as the window allows."""
         self._waiters = [item for item in self._waiters if not item[1].done()]
         while self._waiters and self._window_open:
-            queued = [request for request, _ in self._waiters]
+            idle = {
+                link.organisation for link in self._idle if not link.connection.closed
+            }
+            servable = [
+                index
+                for index, (request, _) in enumerate(self._waiters)
+                if self._link_organisation(request) in idle
+            ]
+            if not servable:
+                return
+            queued = [self._waiters[index][0] for index in servable]
             chosen = self._queue_policy.choose(
                 queued, self._clock.now_ms(), self.mean_response_ms
             )
-            link = self._take_idle(None)
-            if link is None:
-                return
-            _, waiter = self._waiters.pop(chosen)
+            request, waiter = self._waiters.pop(servable[chosen])
+            link = self._take_idle(self._link_organisation(request))
             waiter.set_result(self._mark_in_use(link))
 
     def _return_unclaimed(self, waiter: asyncio.Future[PooledLink]) -> None:
@@ -421,18 +444,42 @@
 
     def _grow(self) -> None:
         window_left = self.window - (self.in_use - self.paused)
-        links_needed = (
-            min(self.waiting, window_left) - self._opening_count - len(self._idle)
-        )
-        if links_needed <= 0 or self.closed:
+        needed = self._missing_links()[: window_left - self._opening.total()]
+        if window_left <= self._opening.total() or not needed or self.closed:
             return
         now_ms = self._clock.now_ms()
         if now_ms < self._backoff_until_ms:
             if self._no_return_expected:
                 self._schedule_grow(self._backoff_until_ms - now_ms)
             return
-        for _ in range(min(links_needed, self.link_limit - self.open)):
-            self._start_opening()
+        for organisation in needed:
+            if self.open >= self.link_limit and not self._close_idle():
+                return
+            self._start_opening(organisation)
+
+    def _missing_links(self) -> list[str]:
+        """Return the organisations of waiting requests that have no link in sight."""
+        available = Counter(link.organisation for link in self._idle) + self._opening
+        missing = []
+        for request, waiter in self._waiters:
+            organisation = self._link_organisation(request)
+            if waiter.done():
+                continue
+            if available[organisation] > 0:
+                available[organisation] -= 1
+            else:
+                missing.append(organisation)
+        return missing
+
+    def _close_idle(self) -> bool:
+        """Close an idle link that no waiting request can use; return whether."""
+        wanted = {self._link_organisation(request) for request, _ in self._waiters}
+        for link in self._idle:
+            if link.organisation not in wanted:
+                self._idle.remove(link)
+                link.connection.close()
+                return True
+        return False
 
     def _schedule_grow(self, delay_ms: float) -> None:
         """Set a timer to open links for waiting requests, unless one is set."""
@@ -445,30 +492,34 @@
         self._timer_set = False
         self._grow()
 
-    def _start_opening(self) -> None:
-        self._opening_count += 1
-        self._tasks.spawn(self._open())
+    def _start_opening(self, organisation: str = "") -> None:
+        self._opening[organisation] += 1
+        self._tasks.spawn(self._open(organisation))
 
-    async def _open(self) -> None:
+    async def _open(self, organisation: str) -> None:
         entry = self.entry
         try:
             connection = await self._driver.open(
-                entry.group, entry.id, entry.address, OPEN_TIMEOUT_MS
+                entry.group,
+                entry.id,
+                entry.address,
+                OPEN_TIMEOUT_MS,
+                organisation,
             )
         except LinkRefusedError as error:
-            self._opening_count -= 1
+            self._opening[organisation] -= 1
             self._handle_refusal(error)
             return
         except BaseException:
-            self._opening_count -= 1
+            self._opening[organisation] -= 1
             raise
-        self._opening_count -= 1
+        self._opening[organisation] -= 1
         self.counters.opened += 1
         self.unreachable = False
         if self.closed:
             connection.close()
             return
-        self._offer(PooledLink(connection, self._clock.now_ms()))
+        self._offer(PooledLink(connection, self._clock.now_ms(), organisation))
 
     def _handle_refusal(self, error: LinkRefusedError) -> None:
         now_ms = self._clock.now_ms()
--- a/packages/fennelhilld/src/fennelhilld/links/state.py
+++ b/packages/fennelhilld/src/fennelhilld/links/state.py
@@ -40,12 +40,32 @@
 
 
 class PooledLink:
-    """A pooled connection to a target, and the session state that it holds."""
+    """A pooled connection to a target, and the session state that it holds.
 
-    __slots__ = ("busy_since_ms", "connection", "idle_since_ms", "prepared", "values")
+    Parameters
+    ----------
+    connection : TargetLink
+        The connection.
+    now_ms : float
+        Time on this host's clock.
+    organisation : str
+        The organisation that it serves; empty if any.
+    """
 
-    def __init__(self, connection: TargetLink, now_ms: float) -> None:
+    __slots__ = (
+        "busy_since_ms",
+        "connection",
+        "idle_since_ms",
+        "organisation",
+        "prepared",
+        "values",
+    )
+
+    def __init__(
+        self, connection: TargetLink, now_ms: float, organisation: str = ""
+    ) -> None:
         self.connection = connection
+        self.organisation = organisation
         self.values: dict[str, str] = {}
         self.prepared: set[str] = set()
         self.idle_since_ms = now_ms
--- a/packages/fennelhilld/src/fennelhilld/links/tests/test_pool.py
+++ b/packages/fennelhilld/src/fennelhilld/links/tests/test_pool.py
@@ -35,7 +35,7 @@
         self.opened = 0
         self.fault = None
 
-    async def open(self, group, target_id, address, limit_ms):
+    async def open(self, group, target_id, address, limit_ms, organisation=""):
         await self.clock.sleep_ms(10)
         if self.fault is not None:
             raise LinkRefusedError(self.fault, "no")
--- a/packages/fennelhilld/src/fennelhilld/relay/driver.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/driver.py
@@ -348,6 +348,7 @@
         batch.shape, batch.shape_writes = self._prepared.get(
             remaining[-1].name, ("", False)
         )
+        batch.organisation = urgency.organisation
         if self._owner is not None:
             result = await self._call(*self._owner, batch)
         else:
@@ -495,7 +496,12 @@
         self._tasks = Tasks()
 
     async def open(
-        self, group: str, target_id: str, address: str, limit_ms: float
+        self,
+        group: str,
+        target_id: str,
+        address: str,
+        limit_ms: float,
+        organisation: str = "",
     ) -> TargetLink:
         """Open a link to a target.
 
@@ -509,6 +515,8 @@
             Its address.
         limit_ms : float
             Time limit in milliseconds.
+        organisation : str
+            Organisation that a connection to the target serves; empty if none.
 
         Returns
         -------
@@ -523,7 +531,9 @@
         """
         owners = self._owners(target_id)
         if not owners:
-            return await self._direct.open(group, target_id, address, limit_ms)
+            return await self._direct.open(
+                group, target_id, address, limit_ms, organisation
+            )
         usable = self._streams.usable_of(owners)
         for name, owner_address in usable:
             if await self._streams.connect(name, owner_address) is not None:
--- a/packages/fennelhilld/src/fennelhilld/relay/messages.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/messages.py
@@ -40,6 +40,8 @@
         Shape of the prepared statement that the commands execute; empty if none.
     shape_writes : bool
         Whether that statement changes data.
+    organisation : str
+        Organisation on whose link the commands run; empty if none.
     """
 
     group: str
@@ -54,6 +56,7 @@
     values: dict[str, str] = {}
     shape: str = ""
     shape_writes: bool = False
+    organisation: str = ""
 
 
 class RelayResult(msgspec.Struct, omit_defaults=True):
--- a/packages/fennelhilld/src/fennelhilld/relay/service.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/service.py
@@ -119,7 +119,10 @@
     async def _lease(self, target: TargetState, batch: RelayBatch) -> Lease | None:
         now_ms = self._env.clock.now_ms()
         request = QueuedRequest(
-            batch.priority, now_ms + batch.due_in_ms, now_ms + batch.wait_ms
+            batch.priority,
+            now_ms + batch.due_in_ms,
+            now_ms + batch.wait_ms,
+            batch.organisation,
         )
         return await self._env.lease_link(target, _context(batch), request)
 
--- a/packages/fennelhilld/src/fennelhilld/statements/environment.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/environment.py
@@ -323,7 +323,11 @@
         return self.clock.now_ms() + database.statement_timeout_ms - DEADLINE_MARGIN_MS
 
     def queued_request(
-        self, database: Database, started_ms: float, limit_ms: float
+        self,
+        database: Database,
+        started_ms: float,
+        limit_ms: float,
+        organisation: str = "",
     ) -> QueuedRequest:
         """Build the queued request of a statement that needs a link.
 
@@ -335,6 +339,8 @@
             When the statement arrived, on this host's clock.
         limit_ms : float
             Longest wait for a link, in milliseconds.
+        organisation : str
+            Organisation that the statement is run for; empty if none.
 
         Returns
         -------
@@ -342,7 +348,8 @@
             The request for the pool.
         """
         due_ms = started_ms + database.goal_ms
-        return QueuedRequest(database.priority, due_ms, self.clock.now_ms() + limit_ms)
+        give_up_ms = self.clock.now_ms() + limit_ms
+        return QueuedRequest(database.priority, due_ms, give_up_ms, organisation)
 
     async def lease_link(
         self, target: TargetState, context: SessionContext, request: QueuedRequest
--- a/packages/fennelhilld/src/fennelhilld/statements/execution.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/execution.py
@@ -58,7 +58,7 @@
         Log positions of the session's commits.
     """
 
-    __slots__ = ("context", "env", "positions")
+    __slots__ = ("context", "env", "organisation", "positions")
 
     def __init__(
         self, env: Environment, context: SessionContext, positions: SessionPositions
@@ -66,6 +66,8 @@
         self.env = env
         self.context = context
         self.positions = positions
+        # Organisation that the current operation is run for; empty if none.
+        self.organisation = ""
 
     def minimum_position(
         self, group: GroupState, database: Database
@@ -173,7 +175,9 @@
             if env.leader_unavailable(group):
                 return env.refuse_leader_unavailable(statement, group)
             try:
-                request = env.queued_request(database, started_ms, left_ms)
+                request = env.queued_request(
+                    database, started_ms, left_ms, self.organisation
+                )
                 lease, target = await self.lease_leader_link(group, request)
             except NoLinkError as error:
                 last_failure, retry_ms = str(error), error.expected_ms
--- a/packages/fennelhilld/src/fennelhilld/statements/reading.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/reading.py
@@ -152,7 +152,9 @@
         limit_ms = (
             left_ms if self._wait_until_deadline else min(left_ms, READ_LINK_WAIT_MS)
         )
-        request = self._env.queued_request(self._database, self._started_ms, limit_ms)
+        request = self._env.queued_request(
+            self._database, self._started_ms, limit_ms, self._runner.organisation
+        )
         try:
             lease = await self._env.lease_link(target, self._runner.context, request)
         except NoLinkError as error:
--- a/packages/fennelhilld/src/fennelhilld/statements/session.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/session.py
@@ -31,18 +31,22 @@
         State shared by the sessions of this host.
     database_name : str
         The database that the client named.
+    digest : str
+        Digest of the client's key; empty if it sent none.
     """
 
     __slots__ = (
         "_context",
+        "_digest",
         "_env",
         "_runner",
         "_transaction",
         "database_name",
     )
 
-    def __init__(self, env: Environment, database_name: str) -> None:
+    def __init__(self, env: Environment, database_name: str, digest: str = "") -> None:
         self.database_name = database_name
+        self._digest = digest
         self._env = env
         self._context = SessionContext()
         self._runner = StatementRunner(env, self._context, SessionPositions())
@@ -111,6 +115,12 @@
             return self._env.refuse(
                 statement, codes.UNKNOWN_GROUP, "the database was removed"
             )
+        organisation = self._env.catalog.caller(database, self._digest)
+        if organisation is None:
+            return self._env.refuse(
+                statement, codes.UNKNOWN_KEY, "the key is unknown or was withdrawn"
+            )
+        self._runner.organisation = organisation
         if kind in (StatementKind.BEGIN, StatementKind.BEGIN_READ_ONLY):
             read_only = kind is StatementKind.BEGIN_READ_ONLY
             self._transaction = Transaction(self._runner, database, read_only)
--- a/packages/fennelhilld/src/fennelhilld/statements/transaction.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/transaction.py
@@ -278,7 +278,9 @@
         left_ms = deadline_ms - env.clock.now_ms()
         started_ms = env.clock.now_ms()
         if self._at_leader:
-            request = env.queued_request(self.database, started_ms, left_ms)
+            request = env.queued_request(
+                self.database, started_ms, left_ms, runner.organisation
+            )
             lease, target = await runner.lease_leader_link(group, request)
         else:
             await env.prepare_read(group, self.database)
@@ -290,7 +292,9 @@
             if current and not await env.leader_usable(group, left_ms):
                 return False
             limit_ms = min(left_ms, READ_LINK_WAIT_MS)
-            request = env.queued_request(self.database, started_ms, limit_ms)
+            request = env.queued_request(
+                self.database, started_ms, limit_ms, runner.organisation
+            )
             try:
                 lease = await env.lease_link(target, runner.context, request)
             except NoLinkError:
