feat: withdrawn keys end sessions, and hosts pass catalogs on

Cause: a withdrawn key only took effect at the next statement; one wrong type in one organisation rejected the whole document; a host that the store turned away went on with withdrawn keys for as long as that lasted; a document with 10,000 organisations was decoded in one piece. Ruled out: looking through all sessions for each version (most withdraw nothing); keeping the keys of an organisation whose list is unreadable (they may have been withdrawn); decoding each entry in the adapter with defaults for limits (which needs the previous version, so it belongs to the product). Exceptions are logged without the values of variables.

--- a/packages/fennelhill-core/src/fennelhill_core/codes.py
+++ b/packages/fennelhill-core/src/fennelhill_core/codes.py
@@ -264,6 +264,13 @@
     "The key is missing, unknown or withdrawn; connect again with a valid one.",
     "Look the organisation up in the configuration; keys are listed by digest.",
 )
+CATALOG_OUTDATED = _register(
+    1037,
+    "catalog_outdated",
+    503,
+    "This entry host can't confirm that keys are still valid; connect again.",
+    "Neither the store nor other hosts answer it; see catalog.outdated.",
+)
 CONNECTION_LOST = _register(
     2001,
     "connection_lost",
--- a/packages/fennelhill-core/src/fennelhill_core/logs.py
+++ b/packages/fennelhill-core/src/fennelhill_core/logs.py
@@ -122,7 +122,15 @@
     """
     sink = BoundedSink((stream or sys.stderr).fileno())
     logger.remove()
-    logger.add(sink.write, level=level, format="{message}", catch=False)
+    # Diagnosis would add the values of variables, such as keys, to exceptions.
+    logger.add(
+        sink.write,
+        level=level,
+        format="{message}",
+        catch=False,
+        backtrace=False,
+        diagnose=False,
+    )
 
 
 def _encode(record: dict) -> dict:
--- a/packages/fennelhilld/src/fennelhilld/catalog/state.py
+++ b/packages/fennelhilld/src/fennelhilld/catalog/state.py
@@ -160,6 +160,33 @@
             return ""
         return self.keys.get(digest)
 
+    def withdraws_access(self, previous: Catalog) -> bool:
+        """Return whether sessions opened under an earlier version may lose access.
+
+        It is called for each new version, most of which withdraw nothing, and avoids
+        a check of all sessions for those.
+
+        Parameters
+        ----------
+        previous : Catalog
+            The earlier version.
+
+        Returns
+        -------
+        bool
+            Whether a key was withdrawn, or a database now requires a key.
+        """
+        if self.organisations is None:
+            return False
+        if previous.organisations is None or previous.keys.keys() - self.keys.keys():
+            return True
+        return any(
+            database.public
+            and name in self.databases
+            and not self.databases[name].public
+            for name, database in previous.databases.items()
+        )
+
 
 class CatalogHolder:
     """The catalog in force; an older or equal version is never installed."""
--- a/packages/fennelhilld/src/fennelhilld/directory/follower.py
+++ b/packages/fennelhilld/src/fennelhilld/directory/follower.py
@@ -87,6 +87,11 @@
         self._outage_since_ms: float | None = None
         self._retry_delay_ms = RETRY_MIN_MS
 
+    @property
+    def failing(self) -> bool:
+        """Whether the store has not served the last request."""
+        return self._outage_since_ms is not None
+
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
--- a/packages/fennelhilld/src/fennelhilld/draining/clients.py
+++ b/packages/fennelhilld/src/fennelhilld/draining/clients.py
@@ -28,10 +28,11 @@
     session: Session | None
     busy: bool
 
-    def close_if_idle(self, idle_ms: float) -> None:
+    def close_if_idle(self, idle_ms: float) -> bool:
         """Close the connection if it is idle and has no open transaction.
 
         It must have been idle for `idle_ms`, so that no statement is on its way.
+        Returns whether it is closed now.
         """
 
 
--- a/packages/fennelhilld/src/fennelhilld/fleet/http.py
+++ b/packages/fennelhilld/src/fennelhilld/fleet/http.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
+from collections.abc import Callable
 
 import msgspec
 from fennelhill_core.clock import MS_PER_S
@@ -12,8 +14,9 @@
 from loguru import logger
 from tornado.httpclient import HTTPClientError, HTTPRequest
 from tornado.iostream import StreamClosedError
-from tornado.web import Application, RequestHandler
+from tornado.web import Application, HTTPError, RequestHandler
 
+from fennelhilld.catalog.intake import CatalogIntake, PeerAnswer
 from fennelhilld.gateway import SessionGateway
 from fennelhilld.observability.gateway_metrics import render_metrics
 from fennelhilld.promotion.messages import LeaderView, Survey
@@ -21,6 +24,14 @@
 RELAY_PATH = "/relay"
 # The queried host probes the target itself, which takes up to 300 ms.
 QUERY_TIMEOUT_MS = 450.0
+# Hosts that are asked for a newer catalog at a time, of different zones if there are
+# as many.
+CATALOG_HOSTS = 3
+# A document with 10,000 organisations has about 1.5 MB, which takes 2.4 s over a link
+# of 5 Mbit/s.
+CATALOG_TIMEOUT_MS = 4_000.0
+# Time since the answering host heard from the store or from another host.
+CATALOG_AGE_HEADER = "Fennelhill-Catalog-Age-Ms"
 
 
 class _LeaderHandler(RequestHandler):
@@ -38,6 +49,27 @@
         self.finish(msgspec.json.encode(view))
 
 
+class _CatalogHandler(RequestHandler):
+    """``GET /catalog?after=VERSION``: the document in force, if it is newer."""
+
+    def initialize(self, intake: CatalogIntake) -> None:
+        self._intake = intake
+
+    def get(self) -> None:
+        try:
+            version = int(self.get_query_argument("after", "0"))
+        except ValueError as error:
+            raise HTTPError(400) from error
+        if math.isfinite(self._intake.age_ms):
+            self.set_header(CATALOG_AGE_HEADER, f"{self._intake.age_ms:.0f}")
+        document = self._intake.newer_document(version)
+        if not document:
+            self.set_status(204)
+            return
+        self.set_header("Content-Type", "application/json")
+        self.finish(document)
+
+
 class _MetricsHandler(RequestHandler):
     """``GET /metrics``: counters and gauges in the Prometheus format."""
 
@@ -49,13 +81,17 @@
         self.finish(render_metrics(self._gateway))
 
 
-def peer_application(gateway: SessionGateway) -> Application:
+def peer_application(
+    gateway: SessionGateway, intake: CatalogIntake | None = None
+) -> Application:
     """Return the routes that other hosts and the metrics collector use.
 
     Parameters
     ----------
     gateway : SessionGateway
         The session gateway of this host.
+    intake : CatalogIntake or None
+        Holds the document that other hosts may ask for; None to serve none.
 
     Returns
     -------
@@ -63,8 +99,12 @@
         The routes.
     """
     handler_arguments = {"gateway": gateway}
+    catalog_routes = []
+    if intake is not None:
+        catalog_routes.append(("/catalog", _CatalogHandler, {"intake": intake}))
     return Application(
         [
+            *catalog_routes,
             ("/leader", _LeaderHandler, handler_arguments),
             ("/metrics", _MetricsHandler, handler_arguments),
             (RELAY_PATH, StreamEndpoint, {"handler": gateway.relay.serve}),
@@ -123,6 +163,45 @@
             roster.record_answer(name, view is not None)
         return Survey(len(addresses), [view for view in views if view is not None])
 
+    async def ask_catalogs(
+        self, version: int, on_answer: Callable[[PeerAnswer], None]
+    ) -> None:
+        """Ask hosts of different zones for documents of the catalog.
+
+        Parameters
+        ----------
+        version : int
+            Version that this host has.
+        on_answer : callable
+            Called with each answer as it arrives.
+        """
+        addresses = self._gateway.roster.sample(self._random, CATALOG_HOSTS)
+        await asyncio.gather(
+            *(
+                self._ask_catalog(address, version, on_answer)
+                for address in addresses.values()
+            )
+        )
+
+    async def _ask_catalog(
+        self, address: str, version: int, on_answer: Callable[[PeerAnswer], None]
+    ) -> None:
+        timeout_s = CATALOG_TIMEOUT_MS / MS_PER_S
+        request = HTTPRequest(
+            f"http://{address}/catalog?after={version}",
+            connect_timeout=timeout_s,
+            request_timeout=timeout_s,
+        )
+        try:
+            response = await self._client.fetch(request)
+            age_ms = float(response.headers.get(CATALOG_AGE_HEADER, "inf"))
+        except (OSError, HTTPClientError, StreamClosedError, ValueError) as error:
+            logger.bind(address=address, reason=str(error)).info("neighbour.no_answer")
+            return
+        # A host that does not state an age confirms nothing.
+        stated = math.isfinite(age_ms) and age_ms >= 0
+        on_answer(PeerAnswer(age_ms if stated else math.inf, response.body))
+
     async def _query(
         self, address: str, group: str, target_id: str
     ) -> LeaderView | None:
--- a/packages/fennelhilld/src/fennelhilld/fleet/roster.py
+++ b/packages/fennelhilld/src/fennelhilld/fleet/roster.py
@@ -128,31 +128,34 @@
         for name in set(self.addresses) - names:
             self.remove(name)
 
-    def sample(self, random_state: random.Random) -> dict[str, str]:
+    def sample(
+        self, random_state: random.Random, count: int = MAX_QUERIED_HOSTS
+    ) -> dict[str, str]:
         """Choose the hosts to query, as evenly across zones as possible.
 
         Parameters
         ----------
         random_state : random.Random
             Source of randomness.
+        count : int
+            Largest number of hosts.
 
         Returns
         -------
         dict
-            Address by name; all hosts of a fleet with at most `MAX_QUERIED_HOSTS`
-            other hosts.
+            Address by name; all hosts of a fleet with at most `count` other hosts.
         """
-        if len(self.addresses) <= MAX_QUERIED_HOSTS:
+        if len(self.addresses) <= count:
             return dict(self.addresses)
         zones: dict[str, list[str]] = {}
         for name in random_state.sample(sorted(self.addresses), len(self.addresses)):
             zones.setdefault(self.zones[name], []).append(name)
         chosen: list[str] = []
-        while len(chosen) < MAX_QUERIED_HOSTS:
+        while len(chosen) < count:
             for names in zones.values():
                 chosen += names[:1]
                 del names[:1]
-        return {name: self.addresses[name] for name in chosen[:MAX_QUERIED_HOSTS]}
+        return {name: self.addresses[name] for name in chosen[:count]}
 
     def record_answer(self, name: str, answered: bool) -> None:
         """Record whether a host answered a query.
--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from fennelhill_core import codes
 from fennelhill_core.clock import Clock
 from fennelhill_core.codes import Code
@@ -155,17 +157,22 @@
         self._tasks = Tasks()
         self.env.is_cut_off = lambda: self.replacement.reach.cut_off
         self.env.on_leader_suspected = self._on_leader_suspected
+        # Called after a version was installed that may leave sessions without access.
+        self.on_access_withdrawn: Callable[[], None] = lambda: None
 
     @property
     def ready(self) -> bool:
         """Whether clients may connect to this host.
 
         It needs a catalog and at least one target, and must be neither leaving nor
-        cut off from the fleet.
+        cut off from the fleet, nor bound to refuse operations for an outdated catalog.
         """
         configured = self.catalog.current is not None and bool(self.directory.all())
         return (
-            configured and not self.env.leaving and not self.replacement.reach.cut_off
+            configured
+            and not self.env.leaving
+            and not self.replacement.reach.cut_off
+            and not self.env.catalog_outdated
         )
 
     def start(self) -> None:
@@ -201,25 +208,32 @@
         Session or Code
             The session, or why there is none: ``UNKNOWN_GROUP`` if the catalog in force
             has no such database, ``UNKNOWN_KEY`` if the database requires a key that
-            the catalog knows.
+            the catalog knows, ``CATALOG_OUTDATED`` if it may know it by now.
         """
         database = self.catalog.database(database_name)
         if database is None:
             return codes.UNKNOWN_GROUP
         digest = key_digest(key)
         if self.catalog.caller(database, digest) is None:
-            return codes.UNKNOWN_KEY
+            # The key may be new.
+            outdated = self.env.catalog_outdated
+            return codes.CATALOG_OUTDATED if outdated else codes.UNKNOWN_KEY
         return Session(self.env, database_name, digest)
 
-    def install_catalog(self, catalog: Catalog) -> None:
+    def install_catalog(self, catalog: Catalog) -> bool:
         """Install a version of the catalog if it is newer than the one in force.
 
         Parameters
         ----------
         catalog : Catalog
             The whole version, not only what has changed.
+
+        Returns
+        -------
+        bool
+            Whether it was installed.
         """
-        previous_version = self.catalog.version
+        previous, previous_version = self.catalog.current, self.catalog.version
         installed = self.catalog.install(catalog, self._clock.now_ms())
         self._events.record(
             "catalog.installed" if installed else "catalog.ignored",
@@ -227,6 +241,9 @@
             before=previous_version,
             databases=len(catalog.databases),
         )
+        if installed and previous is not None and catalog.withdraws_access(previous):
+            self.on_access_withdrawn()
+        return installed
 
     def put_target(self, entry: TargetEntry) -> None:
         """Add or update a target from the platform's list.
--- a/packages/fennelhilld/src/fennelhilld/statements/environment.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/environment.py
@@ -59,6 +59,7 @@
     codes.CONNECTIONS_EXHAUSTED.number: 100,
     codes.OWNER_UNREACHABLE.number: 0,
     codes.LEADER_UNPROVEN.number: 0,
+    codes.CATALOG_OUTDATED.number: 0,
 }
 
 
@@ -110,6 +111,8 @@
         # Fetches positions of leaders; None if this host sees enough of them itself.
         self.samples: SampleSource | None = None
         self.is_cut_off: Callable[[], bool] = lambda: False
+        # Whether the catalog was not confirmed for longer than the settings allow.
+        self.is_catalog_outdated: Callable[[], bool] = lambda: False
         self.on_leader_suspected: Callable[[GroupState], None] = lambda group: None
 
     def group(self, name: str) -> GroupState:
@@ -186,6 +189,19 @@
             return codes.OWNER_UNREACHABLE, detail
         return codes.NO_PRIMARY, f"the leader is lost, and {group.leadership.obstacle}"
 
+    @property
+    def catalog_outdated(self) -> bool:
+        """Whether withdrawn keys may still be in force, so that operations must wait.
+
+        It never holds without organisations, whose keys could be withdrawn.
+        """
+        catalog = self.catalog.current
+        return (
+            catalog is not None
+            and catalog.organisations is not None
+            and self.is_catalog_outdated()
+        )
+
     def refuse_leader_unavailable(
         self, statement: Statement, group: GroupState
     ) -> Reply:
--- a/packages/fennelhilld/src/fennelhilld/statements/session.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/session.py
@@ -17,6 +17,8 @@
 from fennelhilld.statements.positions import SessionPositions
 from fennelhilld.statements.transaction import Transaction
 
+WITHDRAWN_REASON = "the key was withdrawn; the transaction was rolled back"
+
 
 class Session:
     """One client session on one database.
@@ -36,6 +38,7 @@
     """
 
     __slots__ = (
+        "_abort_at_ms",
         "_context",
         "_digest",
         "_env",
@@ -51,6 +54,15 @@
         self._context = SessionContext()
         self._runner = StatementRunner(env, self._context, SessionPositions())
         self._transaction: Transaction | None = None
+        # When the open transaction ends if the key is still withdrawn then.
+        self._abort_at_ms: float | None = None
+
+    @property
+    def withdrawn(self) -> bool:
+        """Whether the key no longer gives access to the database."""
+        catalog = self._env.catalog
+        database = catalog.database(self.database_name)
+        return database is not None and catalog.caller(database, self._digest) is None
 
     @property
     def in_transaction(self) -> bool:
@@ -115,6 +127,12 @@
             return self._env.refuse(
                 statement, codes.UNKNOWN_GROUP, "the database was removed"
             )
+        if self._env.catalog_outdated:
+            return self._env.refuse(
+                statement,
+                codes.CATALOG_OUTDATED,
+                "this host can't confirm its configuration; another one may",
+            )
         organisation = self._env.catalog.caller(database, self._digest)
         if organisation is None:
             return self._env.refuse(
@@ -124,6 +142,7 @@
         if kind in (StatementKind.BEGIN, StatementKind.BEGIN_READ_ONLY):
             read_only = kind is StatementKind.BEGIN_READ_ONLY
             self._transaction = Transaction(self._runner, database, read_only)
+            self._abort_at_ms = None
             return Reply(state=TransactionState.OPEN)
         return await self._run_single(database, statement)
 
@@ -138,6 +157,25 @@
         if self._transaction is not None and not self._transaction.failed:
             self._transaction.abort(reason)
 
+    def limit_withdrawn_transaction(self, abort_at_ms: float) -> None:
+        """Set when the open transaction of a withdrawn key is rolled back.
+
+        A statement that arrives later is not run, a commit included; one that was
+        sent before keeps its outcome.
+
+        Parameters
+        ----------
+        abort_at_ms : float
+            Time on this host's clock.
+        """
+        self._abort_at_ms = abort_at_ms
+
+    def _abort_if_withdrawn(self) -> None:
+        if self._abort_at_ms is None or self._env.clock.now_ms() < self._abort_at_ms:
+            return
+        if self.withdrawn:
+            self.abort(WITHDRAWN_REASON)
+
     async def close(self) -> None:
         """End the session; an open transaction is rolled back."""
         if self._transaction is not None:
@@ -165,6 +203,7 @@
             self._transaction = None
             await transaction.rollback()
             return Reply()
+        self._abort_if_withdrawn()
         if transaction.failed:
             return self._reply_after_failure(transaction, statement)
         if kind is StatementKind.COMMIT:
--- a/scenarios/adapter/test_documents.py
+++ b/scenarios/adapter/test_documents.py
@@ -50,7 +50,7 @@
 
 class TestCatalog:
     def test_is_decoded_with_units_and_read_kinds(self):
-        catalog = decode_catalog(json.dumps(CONFIGURATION).encode())
+        catalog = decode_catalog(json.dumps(CONFIGURATION).encode()).catalog
         database = catalog.databases["orders"]
         assert database.reads is ReadKind.OWN_WRITES
         assert database.max_age_ms == 2500
