test: stand-ins know organisations and check whose links statements run on

Cause: the stand-ins of the platform ignored the name in a link's first message, so no test saw a statement that ran on a link of another organisation. Ruled out: checking with the daemons' catalog, which would share its faults; the check follows what clients sent and what the configuration listed. The fixture that runs daemons moved from test_daemon.py to adapter_deployment.py, since two modules use it; it now also asserts that no statement ran on a wrong link.

--- a/packages/fennelhill-bench/src/fennelhill_bench/platform_stand_ins/demo.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/platform_stand_ins/demo.py
@@ -21,6 +21,8 @@
 CRASH_AT_MS = 2_500.0
 MEAN_PAUSE_MS = 40.0
 NEXT_OPERATION_PROBABILITY = 0.9  # that a client sends one more operation
+# Organisations by key.
+KEYS = {"key-of-north": "north", "key-of-south": "south", "other-key": "south"}
 WRITE_SHARE = 0.3  # of the operations in databases that accept writes
 START_TIMEOUT_S = 15.0
 START_POLL_INTERVAL_S = 0.1
@@ -41,6 +43,10 @@
         self.duration_ms = duration_ms
         self.random = random.Random(seed)
         self.stand_ins = PlatformStandIns()
+        self.stand_ins.organisations = [
+            {"name": name, "api_keys": [key for key in KEYS if KEYS[key] == name]}
+            for name in sorted(set(KEYS.values()))
+        ]
         self.results: Counter[str] = Counter()
         self.acknowledged: list[str] = []
         self.write_times_ms: list[float] = []
@@ -53,7 +59,8 @@
         Returns
         -------
         bool
-            Whether operations were sent and no write ran twice.
+            Whether operations were sent, no write ran twice, and each statement ran on
+            a link of its organisation.
         """
         await self.stand_ins.start()
         with tempfile.TemporaryDirectory() as folder:
@@ -98,8 +105,9 @@
         clock = self.stand_ins.clock
         while clock.now_ms() < self._until_ms:
             database = self.random.choice(list(DATABASES))
-            client = await LineClient.connect(self.random.choice(addresses))
-            await client.start(database)
+            address = self.random.choice(addresses)
+            client = await LineClient.connect(address, self.stand_ins.check)
+            await client.start(database, self.random.choice(list(KEYS)))
             while (
                 clock.now_ms() < self._until_ms
                 and self.random.random() < NEXT_OPERATION_PROBABILITY
@@ -139,9 +147,12 @@
         print(
             f"platform demo: operations={total} served={served:.3f} "
             f"failover_gap_ms={gap_ms:.0f} doubled={doubled} rolled_back={lost} "
+            f"on_wrong_links={len(self.stand_ins.check.problems)} "
             f"other_results={dict(self.results - Counter(served=total))}"
         )
-        return doubled == 0 and total > 0
+        checked = self.stand_ins.check.statement_count
+        clean = not self.stand_ins.check.problems
+        return doubled == 0 and total > 0 and checked > 0 and clean
 
 
 async def _wait_for_start(address: str) -> None:
@@ -150,7 +161,7 @@
     while True:
         try:
             client = await LineClient.connect(address)
-            answer = await client.start("current")
+            answer = await client.start("current", next(iter(KEYS)))
             client.close()
         except ConnectionError:
             answer = ""
--- a/packages/fennelhill-bench/src/fennelhill_bench/platform_stand_ins/lineserver.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/platform_stand_ins/lineserver.py
@@ -51,11 +51,76 @@
 STATUS_KINDS = frozenset({CommandKind.STATUS, CommandKind.DEMOTE})
 
 
+# Sent by daemons that open a link for no organisation.
+NAMELESS_LINK = "fennelhill"
+
+
+class OrganisationCheck:
+    """Checks that links carry only statements of the organisation that they name.
+
+    It knows which key each client sent with a request, and which organisations of the
+    configuration ever had the key, so it does not depend on the daemons' own decisions.
+    """
+
+    def __init__(self) -> None:
+        # Names by key, over all versions; None while no version named organisations.
+        self._holders: dict[str, set[str]] | None = None
+        self._names: set[str] = set()
+        self._public: set[str] = set()
+        # Key and database of the clients that sent a request.
+        self._senders: dict[str, set[tuple[str, str]]] = {}
+        self.statement_count = 0
+        # Name in the first message of the link that a request ran on last.
+        self.ran_for: dict[str, str] = {}
+        self.problems: list[str] = []
+
+    def configure(self, organisations: list | None, public: set[str]) -> None:
+        """Add a version of the configuration; entries without a name are skipped."""
+        self._public |= public
+        if organisations is None:
+            return
+        self._holders = self._holders or {}
+        for entry in organisations:
+            if not isinstance(entry, dict) or "name" not in entry:
+                continue
+            self._names.add(entry["name"])
+            keys = entry.get("api_keys", [])
+            for key in keys if isinstance(keys, list) else []:
+                self._holders.setdefault(key, set()).add(entry["name"])
+
+    def record_sent(self, request_id: str, key: str, database: str) -> None:
+        """Record that a client is about to send a request."""
+        self._senders.setdefault(request_id, set()).add((key, database))
+
+    def check_link(self, who: str) -> None:
+        """Check the name in the first message of a link."""
+        if self._holders is not None and who not in self._names | {NAMELESS_LINK}:
+            self.problems.append(f"a link names the unknown organisation {who!r}")
+
+    def check_statement(self, who: str, request_id: str) -> None:
+        """Check that a client's statement may run on a link."""
+        if self._holders is None:
+            return
+        self.statement_count += 1
+        self.ran_for[request_id] = who
+        allowed = set()
+        for key, database in self._senders.get(request_id, ()):
+            if database in self._public:
+                allowed.add(NAMELESS_LINK)
+            else:
+                allowed |= self._holders.get(key, set())
+        if who not in allowed:
+            self.problems.append(f"request {request_id} ran on a link of {who!r}")
+
+
 class LineTarget:
     """Serves one target model on a socket."""
 
-    def __init__(self, model: TargetModel) -> None:
+    def __init__(
+        self, model: TargetModel, check: OrganisationCheck | None = None
+    ) -> None:
         self.model = model
+        self.check = check or OrganisationCheck()
         self.address = ""
         self.truncate_answers = False
         self._server: asyncio.Server | None = None
@@ -78,10 +143,12 @@
     ) -> None:
         link = None
         try:
-            link = await self._start(reader, writer)
+            link, who = await self._start(reader, writer)
             while link is not None:
                 line = (await reader.readuntil(b"\r\n"))[:-2].decode()
                 command = parse_command(line)
+                if command.statement is not None:
+                    self.check.check_statement(who, command.statement.request_id)
                 await link.send([command])
                 answer = await link.receive()
                 self._write(writer, command, answer)
@@ -94,21 +161,22 @@
 
     async def _start(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> LinkModel | None:
+    ) -> tuple[LinkModel | None, str]:
         line = (await reader.readuntil(b"\r\n"))[:-2].decode()
-        word, group, _caller, target_id = line.split(" ")
+        word, group, who, target_id = line.split(" ")
+        self.check.check_link(who)
         matches = (group, target_id) == (self.model.group.name, self.model.id)
         if word != "STARTUP" or not matches:
             writer.write(b"ERROR MISROUTED another target\r\n")
-            return None
+            return None, who
         if len(self.model.links) >= self.model.traits.max_connections:
             writer.write(b"ERROR TOOMANY connections\r\n")
-            return None
+            return None, who
         await self.model.group.clock.sleep_ms(self.model.traits.set_up_ms)
         writer.write(
             f"READY I {_format_position(self.model.applied_position)}\r\n".encode()
         )
-        return LinkModel(self.model, self._driver)
+        return LinkModel(self.model, self._driver), who
 
     def _write(
         self, writer: asyncio.StreamWriter, command: Command, answer: TargetAnswer
@@ -172,16 +240,23 @@
     """A client's connection in the line protocol, for tests and the demo."""
 
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        check: OrganisationCheck | None = None,
     ) -> None:
         self.reader = reader
         self.writer = writer
+        self._check = check or OrganisationCheck()
+        self._key = self._database = ""
 
     @classmethod
-    async def connect(cls, address: str) -> LineClient:
+    async def connect(
+        cls, address: str, check: OrganisationCheck | None = None
+    ) -> LineClient:
         """Open a connection."""
         ip, _, port = address.rpartition(":")
-        return cls(*await asyncio.open_connection(ip, int(port)))
+        return cls(*await asyncio.open_connection(ip, int(port)), check)
 
     def send(self, line: str) -> None:
         """Send one line."""
@@ -193,9 +268,10 @@
             return (await self.reader.readuntil(b"\r\n"))[:-2].decode()
         return ""
 
-    async def start(self, database: str) -> str:
+    async def start(self, database: str, key: str | None = "user") -> str:
         """Start a session; return the first line of the answer."""
-        self.send(f"STARTUP {database} user")
+        self._database, self._key = database, key or ""
+        self.send(f"STARTUP {database}" if key is None else f"STARTUP {database} {key}")
         return await self.line()
 
     async def ask(self, request_id: str, text: str) -> list[str]:
@@ -203,6 +279,7 @@
 
         The last line is empty if the connection closed first.
         """
+        self._check.record_sent(request_id, self._key, self._database)
         self.send(f"QUERY {request_id} {text}")
         lines = [await self.line()]
         while lines[-1] and not lines[-1].startswith("READY"):
--- a/packages/fennelhill-bench/src/fennelhill_bench/platform_stand_ins/platform.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/platform_stand_ins/platform.py
@@ -11,7 +11,10 @@
 from tornado.httpserver import HTTPServer
 
 from fennelhill_bench.loopback import ReservedPorts
-from fennelhill_bench.platform_stand_ins.lineserver import LineTarget
+from fennelhill_bench.platform_stand_ins.lineserver import (
+    LineTarget,
+    OrganisationCheck,
+)
 from fennelhill_bench.platform_stand_ins.store import StoreStandIn
 from fennelhill_bench.session_simulation.checks import RunRecorder
 from fennelhill_bench.session_simulation.targets import (
@@ -44,7 +47,14 @@
             random.Random(1),
             self.observer,
         )
-        self.targets = [LineTarget(model) for model in self.group.targets.values()]
+        self.check = OrganisationCheck()
+        self.targets = [
+            LineTarget(model, self.check) for model in self.group.targets.values()
+        ]
+        # The configuration's organisations; None for a configuration without any.
+        self.organisations: list | None = None
+        self.public: set[str] = set()
+        self.bounds: dict = {"grace_s": 4}
         self.version = 0
         self.address = ""
         self._ports = ReservedPorts()
@@ -86,6 +96,7 @@
                 "priority": 1,
                 "service": GROUP,
                 "max_staleness_ms": MAX_AGE_MS,
+                "public": name in self.public,
             }
             for name, kind in (databases or DATABASES).items()
         ]
@@ -95,6 +106,9 @@
             "services": [{"name": GROUP, "max_conns": 16}],
             "limits": {"tx_idle_ms": 400, "header_timeout_ms": 500},
         }
+        if self.organisations is not None:
+            document["tenants"] = self.organisations
+        self.check.configure(self.organisations, self.public)
         self.store.put("op", "config", document)
         return self.version
 
@@ -131,7 +145,7 @@
             ],
             "platform": {"address": self.address, "form": "table"},
             "cloud_api": {"address": self.address},
-            "bounds": {"grace_s": 4},
+            "bounds": self.bounds,
         }
         path = folder / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings))
--- /dev/null
+++ b/scenarios/adapter/adapter_deployment.py
@@ -0,0 +1,72 @@
+"""Daemons on sockets with stand-ins for the users' platform, for tests."""
+
+from __future__ import annotations
+
+import asyncio
+
+from adapter.node import load_node_settings
+from fennelhill_bench.platform_stand_ins.lineserver import LineClient
+from fennelhill_bench.platform_stand_ins.platform import PlatformStandIns, until
+from fennelhill_bench.session_simulation.targets import Traits
+from fennelhill_core.sockets import http_client
+from main import PlatformDaemon
+
+FAST_TRAITS = {"set_up_ms": 1.0, "service_ms": 1.0, "lag_ms": 5.0, "promote_ms": 200.0}
+
+
+class DeploymentFixture:
+    def __init__(self, stand_ins, daemons):
+        self.stand_ins = stand_ins
+        self.daemons = daemons
+
+    async def start(self, database="current", daemon=0, key="user"):
+        address = self.daemons[daemon].settings.listen.clients
+        client = await LineClient.connect(address, self.stand_ins.check)
+        return client, await client.start(database, key)
+
+    async def connect(self, database="current", daemon=0, key="user"):
+        client, answer = await self.start(database, daemon, key)
+        assert answer == "READY I -"
+        return client
+
+    def events(self, kind, daemon=0):
+        events = self.daemons[daemon].events.since(0)
+        return [event for event in events if event.kind == kind]
+
+    async def ready_status(self, daemon=0):
+        address = self.daemons[daemon].settings.listen.ready_probe
+        url = f"http://{address}/-/readyz"
+        return (await http_client().fetch(url, raise_error=False)).code
+
+
+def run_deployed(tmp_path, check, hosts=1, prepare=None, **traits):
+    async def run():
+        stand_ins = PlatformStandIns(Traits(**{**FAST_TRAITS, **traits}))
+        if prepare is not None:
+            prepare(stand_ins)
+        await stand_ins.start()
+        daemons = []
+        for number in range(hosts):
+            path, _ = stand_ins.node_file(tmp_path, f"h{number}")
+            daemons.append(PlatformDaemon(load_node_settings(str(path))))
+        for daemon in daemons:
+            await daemon.start()
+        try:
+            await until(lambda: all(daemon.gateway.ready for daemon in daemons))
+            await until(
+                lambda: all(
+                    len(daemon.gateway.roster) == hosts - 1 for daemon in daemons
+                )
+            )
+            await check(DeploymentFixture(stand_ins, daemons))
+        finally:
+            for daemon in daemons:
+                daemon.feeds.close()
+                daemon.intake.close()
+                daemon.revocation.close()
+                daemon.tasks.cancel()
+                daemon.gateway.close()
+            stand_ins.stop()
+        assert stand_ins.check.problems == []
+
+    asyncio.run(run())
--- a/scenarios/adapter/test_daemon.py
+++ b/scenarios/adapter/test_daemon.py
@@ -6,63 +6,14 @@
 import time
 
 import pytest
-from adapter.node import load_node_settings
 from adapter.targets import LineDriver
+from adapter_deployment import run_deployed
 from fennelhill_bench.platform_stand_ins.lineserver import LineClient
-from fennelhill_bench.platform_stand_ins.platform import PlatformStandIns, until
-from fennelhill_bench.session_simulation.targets import Traits
-from fennelhill_core.sockets import http_client
+from fennelhill_bench.platform_stand_ins.platform import until
 from fennelhilld.draining.clients import BALANCER_NOTICE_MS
 from fennelhilld.fleet.roster import UNRESPONSIVE_AFTER_MS
 from fennelhilld.links.messages import LinkRefusedError
 from fennelhilld.statements.transaction import Transaction
-from main import PlatformDaemon
-
-FAST_TRAITS = {"set_up_ms": 1.0, "service_ms": 1.0, "lag_ms": 5.0, "promote_ms": 200.0}
-
-
-class DeploymentFixture:
-    def __init__(self, stand_ins, daemons):
-        self.stand_ins = stand_ins
-        self.daemons = daemons
-
-    async def connect(self, database="current", daemon=0):
-        address = self.daemons[daemon].settings.listen.clients
-        client = await LineClient.connect(address)
-        assert await client.start(database) == "READY I -"
-        return client
-
-    async def ready_status(self, daemon=0):
-        address = self.daemons[daemon].settings.listen.ready_probe
-        url = f"http://{address}/-/readyz"
-        return (await http_client().fetch(url, raise_error=False)).code
-
-
-def run_deployed(tmp_path, check, hosts=1, **traits):
-    async def run():
-        stand_ins = PlatformStandIns(Traits(**{**FAST_TRAITS, **traits}))
-        await stand_ins.start()
-        daemons = []
-        for number in range(hosts):
-            path, _ = stand_ins.node_file(tmp_path, f"h{number}")
-            daemons.append(PlatformDaemon(load_node_settings(str(path))))
-        for daemon in daemons:
-            await daemon.start()
-        try:
-            await until(lambda: all(daemon.gateway.ready for daemon in daemons))
-            await until(
-                lambda: all(
-                    len(daemon.gateway.roster) == hosts - 1 for daemon in daemons
-                )
-            )
-            await check(DeploymentFixture(stand_ins, daemons))
-        finally:
-            for daemon in daemons:
-                daemon.feeds.close()
-                daemon.gateway.close()
-            stand_ins.stop()
-
-    asyncio.run(run())
 
 
 class TestStatements:
