--- a/packages/fennelhill/src/fennelhill/cli.py
+++ b/packages/fennelhill/src/fennelhill/cli.py
@@ -7,17 +7,31 @@
 import sys
 import time
 from pathlib import Path
+from urllib.parse import urlencode
 
 import fire
 import msgspec
 import yaml
 from fennelhill_core.codes import CODES
+from fennelhill_core.digest import key_digest
 from fennelhill_core.platform import StoreUnavailableError
 from fennelhill_core.platform_clients import HttpTableService
-from fennelhill_core.settings import Settings, SettingsError, Team, hash_token
+from fennelhill_core.settings import (
+    EntryHost,
+    Settings,
+    SettingsError,
+    Team,
+    hash_token,
+)
 from fennelhill_core.subtrees import SubtreeStore
 
-from fennelhill.fleet import MS_PER_S, fetch_from_all, merge_events, render_event
+from fennelhill.fleet import (
+    MS_PER_S,
+    fetch_from_all,
+    fetch_from_hosts,
+    merge_events,
+    render_event,
+)
 from fennelhill.loglines import (
     STANDARD_INPUT,
     LogLine,
@@ -25,6 +39,11 @@
     request_history,
     timeline,
 )
+from fennelhill.organisations import (
+    describe_organisation,
+    organisation_name,
+    organisation_samples,
+)
 
 EXIT_PROBLEM = 1
 EXIT_BAD_INPUT = 2
@@ -48,6 +67,8 @@
         fennelhill team_put fleet.yaml TEAM F.yaml --expect=REVISION
         fennelhill explain 2002                   what does a result code mean?
         fennelhill token                          a bearer token for a customer team
+        fennelhill organisation NAME HOST:PORT... its keys by digest, limit and use
+        fennelhill key_digest                     the digest of a key (standard input)
     """
 
     def check(self, settings: str) -> None:
@@ -214,6 +235,38 @@
         print(f"  for the caller:   {result_code.caller}")
         print(f"  for the operator: {result_code.operator}")
 
+    def organisation(self, name: str, *hosts: str) -> None:
+        """Print an organisation's keys by digest, its limit, and what it used.
+
+        Exit 1 if a host does not answer.
+
+        Parameters
+        ----------
+        name : str
+            Name of the organisation, or the digest of one of its keys.
+        *hosts : str
+            ``ip:port`` of the hosts' metrics: their first internal ports.
+        """
+        addresses = [EntryHost(id=host, zone="", address=host) for host in hosts]
+        path = f"/organisation?{urlencode({'name': name})}"
+        replies = asyncio.run(fetch_from_hosts(addresses, path))
+        for line in describe_organisation(replies):
+            print(line)
+        metrics = asyncio.run(fetch_from_hosts(addresses, "/metrics"))
+        listed_name = organisation_name(replies) or str(name)
+        for reply in metrics:
+            for line in organisation_samples(reply, listed_name):
+                print(line)
+        if any(reply.problem for reply in replies + metrics):
+            raise SystemExit(EXIT_PROBLEM)
+
+    def key_digest(self) -> None:
+        """Read a client's key from the standard input and print its digest.
+
+        The key itself is not an argument, since arguments are visible to others.
+        """
+        print(key_digest(sys.stdin.readline().rstrip("\r\n")))
+
     def token(self, token: str = "") -> None:
         """Print a bearer token and its hash for the settings.
 
--- a/packages/fennelhill/src/fennelhill/fleet.py
+++ b/packages/fennelhill/src/fennelhill/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Sequence
 
 import msgspec
 from fennelhill_core.events import Event
@@ -49,6 +50,24 @@
         a problem instead of a body; the replies of the others are still returned.
         An HTTP error with a body counts as an answer.
     """
+    return await fetch_from_hosts(settings.entry_hosts, path)
+
+
+async def fetch_from_hosts(hosts: Sequence[EntryHost], path: str) -> list[HostReply]:
+    """Fetch the same path from some daemons.
+
+    Parameters
+    ----------
+    hosts : sequence of EntryHost
+        The entry hosts.
+    path : str
+        The path.
+
+    Returns
+    -------
+    list of HostReply
+        As `fetch_from_all`.
+    """
     client = AsyncHTTPClient()
 
     async def ask(host: EntryHost) -> HostReply:
@@ -63,7 +82,7 @@
             return HostReply(host, problem=str(response.error))
         return HostReply(host, response.body)
 
-    return list(await asyncio.gather(*(ask(host) for host in settings.entry_hosts)))
+    return list(await asyncio.gather(*(ask(host) for host in hosts)))
 
 
 def merge_events(replies: list[HostReply]) -> list[Event]:
--- a/packages/fennelhill/src/fennelhill/loglines.py
+++ b/packages/fennelhill/src/fennelhill/loglines.py
@@ -9,11 +9,13 @@
 from typing import Any
 
 import msgspec
+from fennelhill_core import codes
 
 STANDARD_INPUT = "-"
 # State changes are included from this long before a request's first line.  The loss
 # of a leader is detected within 1 s, and it is replaced within 2 s.
 CONTEXT_WINDOW_S = 3.0
+KEY_REFUSED_CODE = codes.UNKNOWN_KEY.number
 # Kinds of lines on the state of a host or of the fleet, not on a single request.
 STATE_CHANGE_PREFIXES = (
     "leadership.",
@@ -175,7 +177,8 @@
     list of LogLine
         The request's own lines, and the state changes shortly before and between
         them that concern its groups or no group: all that its hosts logged, and the
-        steps of a promotion on any host.  Empty if no line names the request.
+        steps of a promotion on any host.  For a refused key also the installation of
+        the configuration that was in force.  Empty if no line names the request.
     """
     all_lines = list(lines)
     request_lines = [line for line in all_lines if line.request == request]
@@ -194,9 +197,30 @@
         and (line.group in groups or not line.group)
         and (line.host in hosts or line.message.startswith(PROMOTION_STEP_PREFIXES))
     ]
+    context += _versions_of_refused_keys(request_lines, all_lines, first_at)
     return sorted(request_lines + context, key=lambda line: line.at)
 
 
+def _versions_of_refused_keys(
+    request_lines: list[LogLine], all_lines: list[LogLine], before: datetime.datetime
+) -> list[LogLine]:
+    """Return the installations that decided on refused keys, however long ago."""
+    versions: dict[str, LogLine] = {}
+    refused = [
+        line for line in request_lines if line.detail.get("code") == KEY_REFUSED_CODE
+    ]
+    for host in {line.host for line in refused}:
+        installed = [
+            line
+            for line in all_lines
+            if line.host == host and line.message == "catalog.installed"
+            if line.at < before
+        ]
+        if installed:
+            versions[host] = max(installed, key=lambda line: line.at)
+    return list(versions.values())
+
+
 def _decode(texts: Iterable[str]) -> Iterator[LogLine]:
     for text in texts:
         line = LogLine.from_text(text)
--- a/packages/fennelhill/tests/test_loglines.py
+++ b/packages/fennelhill/tests/test_loglines.py
@@ -50,6 +50,16 @@
             "request.refused",
         ]
 
+    def test_of_a_refused_key_names_the_configuration_in_force(self):
+        log = [
+            line(1.0, "catalog.installed", version=4),
+            line(2.0, "catalog.installed", version=7),
+            line(2.5, "catalog.installed", host="h2", version=8),
+            line(20.2, "request.refused", request="a1", code=1034, key_digest="d"),
+        ]
+        history = request_history(decoded(log), "a1")
+        assert [entry.detail.get("version") for entry in history] == [7, None]
+
     def test_holds_the_lease_of_the_host_and_the_steps_of_a_promotion(self):
         log = [
             line(20.0, "lease.not_renewed", age_ms=900),
--- a/packages/fennelhilld/src/fennelhilld/catalog/organisations.py
+++ b/packages/fennelhilld/src/fennelhilld/catalog/organisations.py
@@ -6,8 +6,9 @@
 from typing import Any
 
 import msgspec
+from fennelhill_core.digest import key_digest
 
-from fennelhilld.catalog.state import Organisation, key_digest
+from fennelhilld.catalog.state import Organisation
 
 MAX_NAME_CHARS = 200
 MAX_QUOTED_CHARS = 40  # of a name, in a log line
--- a/packages/fennelhilld/src/fennelhilld/catalog/state.py
+++ b/packages/fennelhilld/src/fennelhilld/catalog/state.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import enum
-import hashlib
 
 import msgspec
 
@@ -11,25 +10,6 @@
 DEFAULT_FIRST_MESSAGE_MS = 3_000.0  # if there is no catalog, or it gives none
 
 
-KEY_DIGEST_BYTES = 16  # long enough that two keys never have the same digest
-
-
-def key_digest(key: str) -> str:
-    """Return the digest under which a client's key is held, compared and shown.
-
-    Parameters
-    ----------
-    key : str
-        The key.
-
-    Returns
-    -------
-    str
-        Hexadecimal digits, from which the key can't be recovered.
-    """
-    return hashlib.blake2b(key.encode(), digest_size=KEY_DIGEST_BYTES).hexdigest()
-
-
 class ReadKind(enum.Enum):
     """How current the reads of a database must be."""
 
--- a/packages/fennelhilld/src/fennelhilld/catalog/tests/test_organisations.py
+++ b/packages/fennelhilld/src/fennelhilld/catalog/tests/test_organisations.py
@@ -4,12 +4,12 @@
 
 import msgspec
 import pytest
+from fennelhill_core.digest import key_digest
 from fennelhilld.catalog.organisations import OrganisationEntry, OrganisationTable
 from fennelhilld.catalog.state import (
     Catalog,
     Database,
     Organisation,
-    key_digest,
 )
 from hypothesis import given
 from hypothesis import strategies as st
--- a/packages/fennelhilld/src/fennelhilld/fleet/http.py
+++ b/packages/fennelhilld/src/fennelhilld/fleet/http.py
@@ -70,6 +70,29 @@
         self.finish(document)
 
 
+class _OrganisationHandler(RequestHandler):
+    """``GET /organisation?name=NAME``, for operators.
+
+    The name may also be the digest of one of the organisation's keys.
+    """
+
+    def initialize(self, gateway: SessionGateway) -> None:
+        self._gateway = gateway
+
+    def get(self) -> None:
+        catalog = self._gateway.catalog.current
+        name = self.get_query_argument("name", "")
+        found = None
+        if catalog is not None and catalog.organisations is not None:
+            organisations = catalog.organisations
+            found = organisations.get(name) or organisations.get(catalog.keys.get(name))
+        body = {
+            "version": self._gateway.catalog.version,
+            "organisation": msgspec.to_builtins(found),
+        }
+        self.finish(msgspec.json.encode(body))
+
+
 class _MetricsHandler(RequestHandler):
     """``GET /metrics``: counters and gauges in the Prometheus format."""
 
@@ -107,6 +130,7 @@
             *catalog_routes,
             ("/leader", _LeaderHandler, handler_arguments),
             ("/metrics", _MetricsHandler, handler_arguments),
+            ("/organisation", _OrganisationHandler, handler_arguments),
             (RELAY_PATH, StreamEndpoint, {"handler": gateway.relay.serve}),
         ],
         log_function=_no_access_log,
--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -7,12 +7,13 @@
 from fennelhill_core import codes
 from fennelhill_core.clock import Clock
 from fennelhill_core.codes import Code
+from fennelhill_core.digest import key_digest
 from fennelhill_core.events import EventLog
 from fennelhill_core.streams import Dialer
 from fennelhill_core.tasks import Tasks
 
 from fennelhilld.admission.policies import LoadPolicies
-from fennelhilld.catalog.state import Catalog, CatalogHolder, key_digest
+from fennelhilld.catalog.state import Catalog, CatalogHolder
 from fennelhilld.directory.state import TargetDirectory, TargetEntry
 from fennelhilld.fleet.roster import Roster
 from fennelhilld.freshness.sharing import SampleSource
@@ -240,6 +241,8 @@
             version=catalog.version,
             before=previous_version,
             databases=len(catalog.databases),
+            organisations=len(catalog.organisations or ()),
+            keys=len(catalog.keys),
         )
         if installed and previous is not None and catalog.withdraws_access(previous):
             self.on_access_withdrawn()
--- a/packages/fennelhilld/src/fennelhilld/statements/session.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/session.py
@@ -136,7 +136,10 @@
         organisation = self._env.catalog.caller(database, self._digest)
         if organisation is None:
             return self._env.refuse(
-                statement, codes.UNKNOWN_KEY, "the key is unknown or was withdrawn"
+                statement,
+                codes.UNKNOWN_KEY,
+                "the key is unknown or was withdrawn",
+                key_digest=self._digest,
             )
         self._runner.organisation = organisation
         if kind in (StatementKind.BEGIN, StatementKind.BEGIN_READ_ONLY):
--- a/scenarios/adapter/test_organisations.py
+++ b/scenarios/adapter/test_organisations.py
@@ -16,6 +16,7 @@
 )
 from fennelhill_bench.platform_stand_ins.platform import DATABASES, until
 from fennelhill_core.clock import MS_PER_S
+from fennelhill_core.digest import key_digest
 from fennelhill_core.logs import configure_logs
 from fennelhill_core.sockets import http_client
 from fennelhilld.gateway import STARTUP_PHASE_MS
@@ -159,9 +160,12 @@
                 answer = await client.ask(f"w{number}", "WRITE item data")
                 assert answer[-1].startswith("READY T")
                 await asyncio.sleep(0.1)
-            await asyncio.sleep(changed_s + 2.05 - loop.time())
+            # Longer than an idle transaction is waited for, so that this wait ends in a
+            # transaction that was aborted meanwhile.
+            await asyncio.sleep(changed_s + 2.5 - loop.time())
             answer = await client.ask("last", last)
             assert answer[0].startswith("ERROR ABORTED")
+            assert "withdrawn" in answer[0]
             if last != "COMMIT":
                 assert (await client.ask("e", "ROLLBACK"))[-1] == "READY I -"
             assert await asyncio.wait_for(client.line(), 1.0) == ""
@@ -414,6 +418,20 @@
         run(tmp_path, check)
 
 
+class TestOperators:
+    @pytest.mark.parametrize("name", ["south", key_digest(SPARE_KEY)])
+    def test_see_digests_and_limits_and_no_keys(self, tmp_path, name):
+        async def check(deployment):
+            address = deployment.daemons[0].settings.peer_address
+            url = f"http://{address}/organisation?name={name}"
+            body = json.loads((await http_client().fetch(url)).body)
+            assert body["version"] == deployment.stand_ins.version
+            digests = [key_digest(SOUTH_KEY), key_digest(SPARE_KEY)]
+            assert body["organisation"]["key_digests"] == digests
+
+        run(tmp_path, check)
+
+
 class TestStandIns:
     """Guards against a check of links that accepts everything."""
 
