fix: NaN in one limit rejects no other organisation, and other hosts are asked sooner

Cause: text that is not JSON in one entry (NaN as a rate, which common programs write; a lone surrogate in a key) rejected the whole document. A host whose long poll for the configuration still waited did not ask other hosts, although the store already turned away its other requests. An address of a target with a port beyond 65,535 or with digits of other scripts was accepted. Ruled out: replacing such values in the text, which can change the content of keys. A list of organisations that is missing its end still rejects the document. A failed refresh of a table counts as a failing store. Tests of entries of targets without a required field.

--- a/packages/fennelhilld/src/fennelhilld/catalog/organisations.py
+++ b/packages/fennelhilld/src/fennelhilld/catalog/organisations.py
@@ -88,7 +88,7 @@
         if not isinstance(keys, list | tuple):
             self._record(name, "its keys are not a list; nobody can call as it")
             return ()
-        valid = [key for key in keys if isinstance(key, str) and key]
+        valid = [key for key in keys if _is_key(key)]
         if len(valid) < len(keys):
             self._record(name, "some of its keys are not texts, or are empty")
         return tuple(dict.fromkeys(map(key_digest, valid)))
@@ -121,6 +121,17 @@
         self.defects.append(f"organisation {name[:MAX_QUOTED_CHARS]!r}: {problem}")
 
 
+def _is_key(key: Any) -> bool:
+    """Return whether a client can send this key: a text without lone surrogates."""
+    if not isinstance(key, str) or not key:
+        return False
+    try:
+        key.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _is_name(name: Any) -> bool:
     """Return whether targets can be told this name, in one field of a line."""
     return (
--- a/packages/fennelhilld/src/fennelhilld/directory/follower.py
+++ b/packages/fennelhilld/src/fennelhilld/directory/follower.py
@@ -85,12 +85,17 @@
         self._random = random_state
         self._last_version: int | None = None
         self._outage_since_ms: float | None = None
+        self._refresh_failed = False
         self._retry_delay_ms = RETRY_MIN_MS
 
     @property
     def failing(self) -> bool:
-        """Whether the store has not served the last request."""
-        return self._outage_since_ms is not None
+        """Whether the store has not served the last request.
+
+        A long poll that began before the store became unavailable does not show it, so
+        refreshes count as well.
+        """
+        return self._outage_since_ms is not None or self._refresh_failed
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
@@ -109,6 +114,7 @@
                 self._record_store_return()
                 self._apply_or_read_again(rows, is_snapshot)
                 self._outage_since_ms = None
+                self._refresh_failed = False
                 self._retry_delay_ms = RETRY_MIN_MS
                 if rows and not is_snapshot:
                     await self._clock.sleep_ms(self._pause_ms())
@@ -141,6 +147,10 @@
         except HistoryGoneError:
             rows, _ = await self._source.read_table(self._table)
             is_snapshot = True
+        except StoreUnavailableError:
+            self._refresh_failed = True
+            raise
+        self._refresh_failed = False
         self._apply_rows(rows, is_snapshot, self._outage_since_ms is not None)
 
     async def _read(self) -> list[Any]:
--- a/scenarios/adapter/test_documents.py
+++ b/scenarios/adapter/test_documents.py
@@ -8,7 +8,9 @@
 import pytest
 from adapter.documents import decode_catalog, decode_target
 from adapter.node import load_node_settings
-from fennelhilld.catalog.state import ReadKind
+from fennelhill_core.digest import key_digest
+from fennelhilld.catalog.organisations import OrganisationTable
+from fennelhilld.catalog.state import Organisation, ReadKind
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -58,6 +60,41 @@
         assert catalog.groups["s1"].max_connections == 16
         assert catalog.transaction_idle_ms == 3000
 
+    def test_without_organisations_has_no_entries(self):
+        assert decode_catalog(json.dumps(CONFIGURATION).encode()).entries is None
+
+    @pytest.mark.parametrize(
+        "defective",
+        [
+            b"7",
+            b"null",
+            b'{"name": "b", "rate_per_s": 1e999, "api_keys": ["x"]}',
+            b'{"name": "b", "rate_per_s": NaN, "api_keys": ["x"]}',
+            b'{"name": "b", "burst": -Infinity, "api_keys": ["x"]}',
+            b'{"name": "b", "api_keys": ["\xff"]}',
+            b'{"name": "b", "api_keys": ["\\ud800"]}',
+            b'{"name": "b", "api_keys": {"x": 1}}',
+        ],
+    )
+    def test_a_defect_in_one_organisation_affects_no_other(self, defective):
+        good = b'{"name": "a", "api_keys": ["k"], "rate_per_s": 2, "burst": 3}'
+        document = b'{"version": 4, "tenants": [%s, %s]}' % (defective, good)
+        table = OrganisationTable(None)
+        for entry in decode_catalog(document).entries:
+            table.add(entry)
+        assert len(table.defects) == 1
+        digest = key_digest("k")
+        assert table.organisations["a"] == Organisation("a", (digest,), 2.0, 3.0)
+        if b'"x"]' in defective:
+            assert table.keys == {digest: "a", key_digest("x"): "b"}
+
+    @pytest.mark.parametrize(
+        "organisations", [b"null", b"{}", b"5", b'"a"', b"[1", b"[NaN}"]
+    )
+    def test_organisations_that_are_not_a_list_reject_the_document(self, organisations):
+        with pytest.raises(msgspec.DecodeError):
+            decode_catalog(b'{"version": 4, "tenants": %s}' % organisations)
+
     @given(st.binary(max_size=60))
     def test_any_bytes_are_decoded_or_rejected(self, document):
         try:
@@ -84,6 +121,9 @@
             {"db_role": "witness"},
             {"slots": "two"},
             {"address": "nowhere"},
+            {"address": "10.128.0.9:99999"},
+            {"address": "10.128.0.9:\u00b2"},
+            {"address": 8080},
             {"service": None},
             {"born": "yesterday"},
         ],
@@ -92,6 +132,12 @@
         with pytest.raises((msgspec.DecodeError, ValueError)):
             decode_target("i-1", encode_entry(**changes))
 
+    @pytest.mark.parametrize("name", ["service", "address", "zone", "state", "db_role"])
+    def test_without_a_required_field_is_rejected(self, name):
+        entry = {field: ENTRY[field] for field in ENTRY if field != name}
+        with pytest.raises(msgspec.DecodeError):
+            decode_target("i-1", json.dumps(entry).encode())
+
     @given(st.recursive(st.none() | st.integers() | st.text(), st.lists, max_leaves=5))
     def test_any_json_is_decoded_or_rejected(self, document):
         try:
