--- a/scenarios/adapter/test_daemon.py
+++ b/scenarios/adapter/test_daemon.py
@@ -274,7 +274,7 @@
             await until(lambda: "ghost" in roster.addresses)
             await daemon.gateway.replacement.refresh_reach()
             roster._silent_since_ms["ghost"] -= UNRESPONSIVE_AFTER_MS
-            await daemon.feeds.remove_silent_hosts()
+            await daemon.feeds.sweep.remove_silent_hosts()
             await until(lambda: "ghost" not in roster.addresses)
             assert len(roster) == 1
 
@@ -292,7 +292,7 @@
             roster._silent_since_ms["ghost"] -= UNRESPONSIVE_AFTER_MS
             # This host has not received the new row when it decides.
             store.put("fennelhill", "member/ghost", {**ghost_row, "zone": "b"})
-            await daemon.feeds.remove_silent_hosts()
+            await daemon.feeds.sweep.remove_silent_hosts()
             assert ("fennelhill", "", "member/ghost") in store.tables.rows
 
         run_deployed(tmp_path, check, hosts=2)
