feat: limits of organisations hold over the whole fleet

Cause: an organisation's rate_per_s and burst were read but had no effect.

Ruled out: counts in the store (it may be unreachable, and takes a call for each operation), a fixed part for each host (most of it would lie unused).

Change: the package quotas. An operation needs a permit before it is first sent to a target. One issuer for each zone and partition gives permits out from token buckets, moves tokens between zones on demand, and issues only under promises of most hosts of its zone. Result codes 1035 and 1036. Without quota_window_s under bounds, or without organisations with a rate, no message is sent. Queries between hosts are one union in fleet/messages.py; HostQueryService passes queries on to registered handlers.

--- a/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/simulation.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/simulation.py
@@ -19,8 +19,8 @@
 from fennelhilld.admission.policies import LoadPolicies, PolicyNames
 from fennelhilld.catalog.state import Catalog, Database, Group, ReadKind
 from fennelhilld.directory.state import TargetEntry
+from fennelhilld.fleet.messages import HostAnswer, HostQuery
 from fennelhilld.gateway import SessionGateway
-from fennelhilld.leader_lease.messages import HostAnswer, HostQuery
 from fennelhilld.promotion.messages import (
     Claim,
     ClaimRow,
--- a/packages/fennelhill-core/src/fennelhill_core/codes.py
+++ b/packages/fennelhill-core/src/fennelhill_core/codes.py
@@ -264,6 +264,20 @@
     "The key is missing, unknown or withdrawn; connect again with a valid one.",
     "Look the organisation up in the configuration; keys are listed by digest.",
 )
+QUOTA_EXCEEDED = _register(
+    1035,
+    "quota_exceeded",
+    429,
+    "Your organisation has used up its limit; come back after Retry-After.",
+    "Compare the organisation's rate_per_s and burst with what it sends.",
+)
+QUOTA_UNAVAILABLE = _register(
+    1036,
+    "quota_unavailable",
+    503,
+    "No entry host could grant a permit in time; come back after Retry-After.",
+    "Look for quota.unanswered, and for the issuer of the partition in this zone.",
+)
 CONNECTION_LOST = _register(
     2001,
     "connection_lost",
--- a/packages/fennelhilld/src/fennelhilld/fleet/datagrams.py
+++ b/packages/fennelhilld/src/fennelhilld/fleet/datagrams.py
@@ -12,7 +12,7 @@
 from fennelhill_core.events import EventLog
 from fennelhill_core.tasks import Tasks
 
-from fennelhilld.leader_lease.messages import HostAnswer, HostQuery
+from fennelhilld.fleet.messages import HostAnswer, HostQuery
 
 # Datagrams that can't be sent or decoded are logged at most this often for each peer.
 MAX_LOGGED_FAULTS = 20
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/fleet/messages.py
@@ -0,0 +1,9 @@
+"""All queries between hosts that travel as datagrams, and their answers."""
+
+from __future__ import annotations
+
+from fennelhilld.leader_lease.messages import LeaderAnswer, LeaderQuery
+from fennelhilld.quotas.messages import QuotaAnswer, QuotaQuery
+
+HostQuery = LeaderQuery | QuotaQuery
+HostAnswer = LeaderAnswer | QuotaAnswer
--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -24,6 +24,9 @@
 from fennelhilld.placement.state import GroupState, TargetState
 from fennelhilld.promotion.messages import Claim, ClaimPhase, ClaimRow
 from fennelhilld.promotion.replacement import LeaderReplacement
+from fennelhilld.quotas.limits import QuotaBounds
+from fennelhilld.quotas.messages import PermitQuery, PromiseQuery, TransferQuery
+from fennelhilld.quotas.service import QuotaService
 from fennelhilld.relay.driver import OwnerStreams, RelayDriver
 from fennelhilld.relay.owners import (
     HostCapacity,
@@ -84,6 +87,8 @@
         Opens streams to other hosts; if None, this host connects to all targets itself.
     capacity : float
         Processor capacity of this host, in cores.
+    quota_bounds : QuotaBounds or None
+        By how much organisations may exceed their limits; None if limits don't apply.
     """
 
     def __init__(
@@ -96,6 +101,7 @@
         policies: LoadPolicies | None = None,
         dialer: Dialer | None = None,
         capacity: float = 1.0,
+        quota_bounds: QuotaBounds | None = None,
     ) -> None:
         self.host = host
         self.zone = zone
@@ -132,6 +138,21 @@
         self.host_queries = HostQueryService(
             self.renewal, self.replacement, self.env.group, self.update_claim, clock
         )
+        self.quotas = QuotaService(
+            host,
+            zone,
+            quota_bounds,
+            self.catalog,
+            self.roster,
+            lambda: self.renewal.registered,
+            lambda: self.env.leaving,
+            clock,
+            events,
+        )
+        self.env.quotas = self.quotas
+        self.host_queries.register(
+            (PermitQuery, TransferQuery, PromiseQuery), self.quotas.answer
+        )
         self.replacement.apply_claim = self.update_claim
         self.replacement.give_lease_up = self.host_queries.give_lease_up
         self._relay_driver: RelayDriver | None = None
@@ -172,12 +193,14 @@
         """Start the periodic checks."""
         self._started_ms = self._clock.now_ms()
         self.renewal.start()
+        self.quotas.start()
         self._tasks.keep_running(self._tick_forever)
 
     def close(self) -> None:
         """Cancel all tasks and close the pools of all targets."""
         self._tasks.cancel()
         self.renewal.close()
+        self.quotas.close()
         self.samples.close()
         if self._relay_driver is not None:
             self._relay_driver.close()
@@ -221,6 +244,8 @@
         """
         previous_version = self.catalog.version
         installed = self.catalog.install(catalog, self._clock.now_ms())
+        if installed:
+            self.quotas.apply_catalog()
         self._events.record(
             "catalog.installed" if installed else "catalog.ignored",
             version=catalog.version,
--- a/packages/fennelhilld/src/fennelhilld/leader_lease/messages.py
+++ b/packages/fennelhilld/src/fennelhilld/leader_lease/messages.py
@@ -125,5 +125,5 @@
     age_ms: float = 0.0
 
 
-HostQuery = LeaseQuery | FenceOrder | DemotionOrder | SampleQuery
-HostAnswer = LeaseAnswer | FenceAnswer | DemotionAnswer | SampleAnswer
+LeaderQuery = LeaseQuery | FenceOrder | DemotionOrder | SampleQuery
+LeaderAnswer = LeaseAnswer | FenceAnswer | DemotionAnswer | SampleAnswer
--- a/packages/fennelhilld/src/fennelhilld/leader_lease/renewal.py
+++ b/packages/fennelhilld/src/fennelhilld/leader_lease/renewal.py
@@ -13,11 +13,10 @@
 from fennelhill_core.platform import StoreUnavailableError
 from fennelhill_core.tasks import Tasks
 
+from fennelhilld.fleet.messages import HostAnswer, HostQuery
 from fennelhilld.fleet.roster import Roster
 from fennelhilld.leader_lease.messages import (
     GroupClaim,
-    HostAnswer,
-    HostQuery,
     LeaseAnswer,
     LeaseQuery,
     ProofSource,
--- a/packages/fennelhilld/src/fennelhilld/leader_lease/service.py
+++ b/packages/fennelhilld/src/fennelhilld/leader_lease/service.py
@@ -2,18 +2,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 from fennelhill_core.clock import Clock
 
+from fennelhilld.fleet.messages import HostAnswer, HostQuery
 from fennelhilld.leader_lease.messages import (
     DemotionAnswer,
     DemotionOrder,
     FenceAnswer,
     FenceOrder,
     GroupClaim,
-    HostAnswer,
-    HostQuery,
     LeaseQuery,
     SampleAnswer,
     SampleQuery,
@@ -28,6 +27,8 @@
 MAX_FLIGHT_MS = 250.0
 FLIGHT_CHECK_MS = 5.0
 
+QueryHandler = Callable[[HostQuery], HostAnswer | Awaitable[HostAnswer]]
+
 
 class HostQueryService:
     """Answers queries of other hosts.
@@ -59,6 +60,19 @@
         self._group = group
         self._apply_claim = apply_claim
         self._clock = clock
+        self._handlers: dict[type, QueryHandler] = {}
+
+    def register(self, query_types: Iterable[type], handler: QueryHandler) -> None:
+        """Let another part of this host answer some kinds of queries.
+
+        Parameters
+        ----------
+        query_types : iterable of type
+            The kinds.
+        handler : callable
+            Returns the answer to such a query, or an awaitable of it.
+        """
+        self._handlers.update(dict.fromkeys(query_types, handler))
 
     def handle(self, query: HostQuery) -> HostAnswer | Awaitable[HostAnswer]:
         """Answer a query.
@@ -73,6 +87,9 @@
         HostAnswer or awaitable
             The answer.
         """
+        handler = self._handlers.get(type(query))
+        if handler is not None:
+            return handler(query)
         if isinstance(query, LeaseQuery):
             return self._renewal.answer(query)
         if isinstance(query, FenceOrder):
--- a/packages/fennelhilld/src/fennelhilld/links/lease.py
+++ b/packages/fennelhilld/src/fennelhilld/links/lease.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from fennelhill_core.clock import MS_PER_S, Clock, timeout_ms
@@ -123,7 +124,9 @@
             self._paused = False
             self._pool.resume()
 
-    async def exchange(self, commands: list[Command], limit_ms: float) -> Exchange:
+    async def exchange(
+        self, commands: list[Command], limit_ms: float, send_by_ms: float = math.inf
+    ) -> Exchange:
         """Send commands as one batch and read all answers.
 
         Parameters
@@ -132,6 +135,9 @@
             The batch.
         limit_ms : float
             Time-out for sending and for all answers together, in milliseconds.
+        send_by_ms : float
+            Until when the batch may be sent to the target, on the clock that counts
+            suspended time; matters to links through owners, which may wait.
 
         Returns
         -------
@@ -160,7 +166,9 @@
                 if self.link.connection.closed:
                     raise LinkLostError("the link was closed before commands were sent")
                 self.sent = True
-                await self.link.connection.send(commands, self._urgency(limit_ms))
+                await self.link.connection.send(
+                    commands, self._urgency(limit_ms, send_by_ms)
+                )
                 for command in commands:
                     answer = await self.link.connection.receive()
                     _check_answer(command, answer)
@@ -189,12 +197,14 @@
             self._pool.record_response_time(took_ms)
         return Exchange(sent_boottime_ms, took_ms, answers)
 
-    def _urgency(self, limit_ms: float) -> Urgency:
+    def _urgency(self, limit_ms: float, send_by_ms: float) -> Urgency:
         request = self._request
         if request is None:
-            return Urgency(limit_ms)
+            return Urgency(limit_ms, send_by_ms=send_by_ms)
         due_in_ms = request.due_ms - self._clock.now_ms()
-        return Urgency(limit_ms, request.priority, due_in_ms, request.organisation)
+        return Urgency(
+            limit_ms, request.priority, due_in_ms, request.organisation, send_by_ms
+        )
 
     def _handle_overdue(self, sent_ms: float) -> None:
         # A lost answer must not block requests that wait for a link to the target.
--- a/packages/fennelhilld/src/fennelhilld/links/messages.py
+++ b/packages/fennelhilld/src/fennelhilld/links/messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from typing import Protocol
 
 import msgspec
@@ -185,12 +186,16 @@
         Time until the answers are due by their latency objective, in milliseconds.
     organisation : str
         Organisation on whose link the commands must run; empty if none.
+    send_by_ms : float
+        Until when the commands may be sent to a target, on the clock that counts
+        suspended time.
     """
 
     limit_ms: float
     priority: int = 0
     due_in_ms: float = 0.0
     organisation: str = ""
+    send_by_ms: float = math.inf
 
 
 class TargetLink(Protocol):
--- a/packages/fennelhilld/src/fennelhilld/relay/driver.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/driver.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import math
 from collections import deque
 from collections.abc import Callable
 
@@ -269,6 +270,7 @@
         "_owner",
         "_owners",
         "_prepared",
+        "_send_by_ms",
         "_streams",
         "_target_id",
         "_tasks",
@@ -298,6 +300,9 @@
         # Shape and whether it writes, by the name of the prepared statement.
         self._prepared: dict[str, tuple[str, bool]] = {}
         self._answers: deque[TargetAnswer] = deque()
+        # Until when the current batch may be sent to the target, on the clock that
+        # counts suspended time.
+        self._send_by_ms = math.inf
 
     @property
     def closed(self) -> bool:
@@ -349,6 +354,7 @@
             remaining[-1].name, ("", False)
         )
         batch.organisation = urgency.organisation
+        self._send_by_ms = urgency.send_by_ms
         if self._owner is not None:
             result = await self._call(*self._owner, batch)
         else:
@@ -366,7 +372,10 @@
             raise LinkLostError(result.error)
 
     async def _run_at_any_owner(self, batch: RelayBatch) -> RelayResult:
-        """Run a batch at the first owner with a free link; wait for one at the last."""
+        """Run a batch at the first owner with a free link; wait for one at the last.
+
+        An owner waits no longer than the batch may be sent, which ends with a permit.
+        """
         deadline_ms = self._clock.now_ms() + batch.limit_ms
         owners = self._owners()
         # Without owners this host connects to the target itself.  The pool replaces a
@@ -379,9 +388,15 @@
             left_ms = deadline_ms - self._clock.now_ms()
             if client is None or left_ms <= 0:
                 continue
+            may_wait_ms = self._send_by_ms - self._clock.boottime_ms()
+            if may_wait_ms <= 0:
+                return RelayResult(
+                    error="the permit expired", not_run=True, expected_ms=0.0
+                )
             batch.limit_ms = left_ms
             is_last = position == len(usable) - 1
             batch.wait_ms = left_ms if is_last else min(left_ms, SHORT_WAIT_MS)
+            batch.wait_ms = min(batch.wait_ms, may_wait_ms)
             result = await self._call(name, client, batch)
             if not result.not_run:
                 break
--- a/packages/fennelhilld/src/fennelhilld/statements/environment.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/environment.py
@@ -22,6 +22,7 @@
 from fennelhilld.links.messages import LinkRefusedError, TargetAnswer, TargetFault
 from fennelhilld.links.state import SessionContext
 from fennelhilld.placement.state import GroupState, ResponseTimes, TargetState
+from fennelhilld.quotas.operation import NoQuotas, PermitSource, QuotaRefusal
 from fennelhilld.statements.counters import StatementCounters
 from fennelhilld.statements.messages import Reply, Statement, TransactionState
 
@@ -59,6 +60,7 @@
     codes.CONNECTIONS_EXHAUSTED.number: 100,
     codes.OWNER_UNREACHABLE.number: 0,
     codes.LEADER_UNPROVEN.number: 0,
+    codes.QUOTA_UNAVAILABLE.number: 100,
 }
 
 
@@ -107,6 +109,8 @@
         self.counters = StatementCounters()
         self.response_times = ResponseTimes()
         self.leaving = False
+        # Gives permits of organisations with a limit; set by the gateway.
+        self.quotas: PermitSource = NoQuotas()
         # Fetches positions of leaders; None if this host sees enough of them itself.
         self.samples: SampleSource | None = None
         self.is_cut_off: Callable[[], bool] = lambda: False
@@ -621,6 +625,45 @@
         )
         return Reply(code=CODES[code.number], detail=detail, state=state)
 
+    def refuse_over_quota(
+        self,
+        statement: Statement,
+        refusal: QuotaRefusal,
+        organisation: str,
+        group: str,
+        state: TransactionState = TransactionState.IDLE,
+    ) -> Reply:
+        """Refuse a statement because its organisation gets no permit.
+
+        Parameters
+        ----------
+        statement : Statement
+            The statement; it has not run.
+        refusal : QuotaRefusal
+            Why there is no permit.
+        organisation : str
+            The organisation.
+        group : str
+            Database group of the statement.
+        state : TransactionState
+            State of the session afterwards.
+
+        Returns
+        -------
+        Reply
+            The failure.
+        """
+        return self.refuse(
+            statement,
+            refusal.code,
+            refusal.code.caller.partition(";")[0],
+            state,
+            group,
+            retry_ms=refusal.retry_ms,
+            organisation=organisation,
+            hint_ms=round(refusal.retry_ms),
+        )
+
     def record_retry(
         self, statement: Statement, target: TargetState, reason: str
     ) -> None:
--- a/packages/fennelhilld/src/fennelhilld/statements/execution.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/execution.py
@@ -18,6 +18,7 @@
 )
 from fennelhilld.links.state import PreparedShape, SessionContext
 from fennelhilld.placement.state import GroupState, TargetState
+from fennelhilld.quotas.operation import OperationPermit, OverQuotaError
 from fennelhilld.statements.environment import (
     BUSY_RETRY_DELAY_MS,
     LEADER_RECHECK_MS,
@@ -165,6 +166,23 @@
         Reply
             The answer, or a failure with its result code.
         """
+        permit = OperationPermit(self.env.quotas, self.organisation)
+        try:
+            return await self._write(database, statement, shape, permit)
+        except OverQuotaError as error:
+            return self.env.refuse_over_quota(
+                statement, error.refusal, self.organisation, database.group
+            )
+        finally:
+            permit.close()
+
+    async def _write(
+        self,
+        database: Database,
+        statement: Statement,
+        shape: PreparedShape | None,
+        permit: OperationPermit,
+    ) -> Reply:
         env = self.env
         group = env.group(database.group)
         started_ms = env.clock.now_ms()
@@ -174,6 +192,11 @@
         while (left_ms := deadline_ms - env.clock.now_ms()) >= MIN_WRITE_TIME_MS:
             if env.leader_unavailable(group):
                 return env.refuse_leader_unavailable(statement, group)
+            if not permit.valid:
+                # A permit would expire during the wait for a leader.
+                if not await env.leader_usable(group, left_ms):
+                    continue
+                await permit.ensure()
             try:
                 request = env.queued_request(
                     database, started_ms, left_ms, self.organisation
@@ -184,6 +207,7 @@
                 break
             if lease is None or target is None:
                 continue
+            await permit.ensure(lease)
             if not env.access.may_send(group):
                 # Lost during the wait for a link.
                 lease.release()
@@ -197,13 +221,20 @@
                 Command(CommandKind.STATEMENT, statement, name=_link_name(shape))
             )
             left_ms = deadline_ms - env.clock.now_ms()
+            permit.use()
             try:
                 with group.leadership.write_in_flight():
-                    exchange = await lease.exchange(commands, left_ms)
+                    exchange = await lease.exchange(
+                        commands, left_ms, permit.send_by_ms
+                    )
                     counts = await env.answer_counts(group, target)
             except NoLinkError as error:
                 lease.release()
+                permit.unused()
                 last_failure, retry_ms = str(error), error.expected_ms
+                if not permit.valid:
+                    # The owner waited for as long as the permit was valid.
+                    continue
                 break
             except LinkLostError as error:
                 lease.release()
--- a/packages/fennelhilld/src/fennelhilld/statements/reading.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/reading.py
@@ -19,6 +19,7 @@
 )
 from fennelhilld.links.state import PreparedShape
 from fennelhilld.placement.state import TargetState
+from fennelhilld.quotas.operation import OperationPermit, OverQuotaError
 from fennelhilld.statements.environment import (
     BUSY_RETRY_DELAY_MS,
     LEADER_RECHECK_MS,
@@ -66,7 +67,9 @@
         "_deadline_ms",
         "_env",
         "_group",
+        "_may_have_run",
         "_min_expected_wait_ms",
+        "_permit",
         "_runner",
         "_shape",
         "_started_ms",
@@ -93,6 +96,9 @@
         self._tried: set[str] = set()
         self._attempts = 0
         self._wait_until_deadline = False
+        self._permit = OperationPermit(self._env.quotas, runner.organisation)
+        # Whether an answer was lost, so that "not run" would not be true.
+        self._may_have_run = False
         # Shortest expected wait among the targets without a free link in this round.
         self._min_expected_wait_ms: float | None = None
 
@@ -104,6 +110,21 @@
         Reply
             The answer, or a failure with its result code.
         """
+        try:
+            return await self._run()
+        except OverQuotaError as error:
+            if self._may_have_run:
+                return self._failure_reply()
+            return self._env.refuse_over_quota(
+                self._statement,
+                error.refusal,
+                self._runner.organisation,
+                self._group.name,
+            )
+        finally:
+            self._permit.close()
+
+    async def _run(self) -> Reply:
         env, group = self._env, self._group
         await env.prepare_read(group, self._database)
         while self._attempts < MAX_READ_ATTEMPTS:
@@ -121,9 +142,13 @@
                     break
                 await self._start_round(left_ms)
                 continue
+            await self._permit.ensure()
             reply = await self._try_target(target, left_ms)
             if reply is not None:
                 return reply
+            if not self._permit.valid:
+                # An owner may have waited for as long as the permit was valid.
+                continue
             self._tried.add(target.entry.id)
         return self._failure_reply()
 
@@ -191,6 +216,7 @@
 
     async def _run_on(self, target: TargetState, lease: Lease) -> Reply | None:
         env = self._env
+        await self._permit.ensure(lease)
         # Computed here because the wait for the link has taken time.
         minimum = self._runner.minimum_position(self._group, self._database)
         if minimum is None and not self._may_use_leader(target):
@@ -204,14 +230,17 @@
             # Leave time for another target.  A read that must be current has none but
             # the leader, so it gets all the time left.
             left_ms = min(READ_ATTEMPT_TIMEOUT_MS, left_ms)
+        self._permit.use()
         try:
             exchange = await self._exchange(lease, minimum, left_ms)
         except NoLinkError as error:
             lease.release()
+            self._permit.unused()
             self._record_no_link(target, error)
             return None
         except LinkLostError as error:
             lease.release()
+            self._may_have_run = self._may_have_run or lease.sent
             env.record_lost_link(target, lease, str(error), left_ms)
             env.record_retry(self._statement, target, str(error))
             return None
@@ -230,7 +259,7 @@
         replay = lease.link.replay(self._runner.context, self._shape)
         if minimum is not None:
             read.after = minimum.position
-        return await lease.exchange([*replay, read], left_ms)
+        return await lease.exchange([*replay, read], left_ms, self._permit.send_by_ms)
 
     def _handle_answer(
         self,
--- a/packages/fennelhilld/src/fennelhilld/statements/transaction.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/transaction.py
@@ -18,6 +18,7 @@
 )
 from fennelhilld.links.state import PreparedShape
 from fennelhilld.placement.state import GroupState, TargetState
+from fennelhilld.quotas.operation import OperationPermit, OverQuotaError
 from fennelhilld.statements.environment import (
     BUSY_RETRY_DELAY_MS,
     LEADER_RECHECK_MS,
@@ -64,6 +65,7 @@
         "_has_run",
         "_lease",
         "_minimum",
+        "_permit",
         "_target",
         "abort_reason",
         "database",
@@ -86,6 +88,7 @@
         self._lease: Lease | None = None
         self._target: TargetState | None = None
         self._minimum: MinimumPosition | None = None
+        self._permit = OperationPermit(runner.env.quotas, runner.organisation)
 
     @property
     def state(self) -> TransactionState:
@@ -176,6 +179,24 @@
         self, command: Command, statement: Statement, shape: PreparedShape | None
     ) -> Reply:
         """Run a command; begin the transaction on a target first if necessary."""
+        try:
+            return await self._run_begun(command, statement, shape)
+        except OverQuotaError as error:
+            self.failed = True
+            return self.runner.env.refuse_over_quota(
+                statement,
+                error.refusal,
+                self.runner.organisation,
+                self.database.group,
+                self.state,
+            )
+        finally:
+            if self._lease is None:
+                self._permit.close()
+
+    async def _run_begun(
+        self, command: Command, statement: Statement, shape: PreparedShape | None
+    ) -> Reply:
         env = self.runner.env
         deadline_ms = env.deadline_ms(self.database)
         last_failure = "no target was free"
@@ -193,6 +214,9 @@
                     begun = await self._begin(statement, deadline_ms)
                 except NoLinkError as error:
                     last_failure = str(error)
+                    if not self._permit.valid:
+                        # An owner waited for as long as the permit was valid.
+                        continue
                     break
                 if not begun:
                     continue
@@ -278,6 +302,11 @@
         left_ms = deadline_ms - env.clock.now_ms()
         started_ms = env.clock.now_ms()
         if self._at_leader:
+            if not self._permit.valid:
+                # A permit would expire during the wait for a leader.
+                if not await env.leader_usable(group, left_ms):
+                    return False
+                await self._permit.ensure()
             request = env.queued_request(
                 self.database, started_ms, left_ms, runner.organisation
             )
@@ -291,6 +320,7 @@
             current = runner.minimum_position(group, self.database) is None
             if current and not await env.leader_usable(group, left_ms):
                 return False
+            await self._permit.ensure()
             limit_ms = min(left_ms, READ_LINK_WAIT_MS)
             request = env.queued_request(
                 self.database, started_ms, limit_ms, runner.organisation
@@ -304,6 +334,7 @@
                 return False
         if lease is None or target is None:
             return False
+        await self._permit.ensure(lease)
         # Computed here because the wait for the link has taken time.
         minimum = (
             None if self._at_leader else runner.minimum_position(group, self.database)
@@ -322,10 +353,12 @@
             begin = Command(
                 CommandKind.BEGIN_READ_ONLY, after=minimum and minimum.position
             )
+        self._permit.use()
         try:
-            exchange = await lease.exchange([begin], left_ms)
+            exchange = await lease.exchange([begin], left_ms, self._permit.send_by_ms)
         except NoLinkError:
             lease.release()
+            self._permit.unused()
             target.avoid(env.clock.now_ms())
             raise
         except LinkLostError as error:
