--- a/packages/fennelhill-bench/src/fennelhill_bench/platform_stand_ins/platform.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/platform_stand_ins/platform.py
@@ -73,7 +73,11 @@
         """Return the open links between daemons and targets."""
         return [link for target in self.targets for link in target.model.links]
 
-    def configure(self, databases: dict[str, str] | None = None) -> int:
+    def configure(
+        self,
+        databases: dict[str, str] | None = None,
+        tenants: list[dict] | None = None,
+    ) -> int:
         """Write a new version of the configuration; return the version."""
         self.version += VERSION_STEP
         routes = [
@@ -95,6 +99,8 @@
             "services": [{"name": GROUP, "max_conns": 16}],
             "limits": {"tx_idle_ms": 400, "header_timeout_ms": 500},
         }
+        if tenants is not None:
+            document["tenants"] = tenants
         self.store.put("op", "config", document)
         return self.version
 
--- a/packages/fennelhilld/src/fennelhilld/observability/gateway_metrics.py
+++ b/packages/fennelhilld/src/fennelhilld/observability/gateway_metrics.py
@@ -8,7 +8,18 @@
 from fennelhill_core.codes import CODES
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from aioprometheus import Gauge
+
     from fennelhilld.gateway import SessionGateway
+    from fennelhilld.quotas.service import QuotaService
+
+
+# Organisations with labels of their own; the rest is summed, so that the number of
+# series does not grow with the number of organisations.
+LABELLED_ORGANISATIONS = 10
+OTHER_ORGANISATIONS = "(others)"
 
 
 def render_metrics(gateway: SessionGateway) -> bytes:
@@ -79,7 +90,30 @@
         "fennelhill_lease_refusals_total", "Statements refused for want of a lease."
     )
     refusals.set({}, gateway.renewal.refusal_count)
+    _add_quotas(gauge, gateway.quotas)
     version = gauge("fennelhill_catalog_version", "Configuration in force.")
     version.set({}, gateway.catalog.version)
     content, _ = render(registry, [])
     return content
+
+
+def _add_quotas(gauge: Callable[..., Gauge], quotas: QuotaService) -> None:
+    operations = gauge(
+        "fennelhill_quota_total", "Operations with a limit by what became of them."
+    )
+    for name, counters in quotas.busiest(LABELLED_ORGANISATIONS, OTHER_ORGANISATIONS):
+        labels = {"organisation": name}
+        operations.set({**labels, "result": "permitted"}, counters.permitted)
+        operations.set({**labels, "result": "refused"}, counters.refused)
+        operations.set({**labels, "result": "unavailable"}, counters.unavailable)
+    messages = gauge(
+        "fennelhill_quota_messages_total", "Queries about permits sent, by kind."
+    )
+    for kind, count in quotas.messages.items():
+        messages.set({"kind": kind}, count)
+    issuing = gauge(
+        "fennelhill_quota_partitions", "Partitions that this host issues permits for."
+    )
+    issuing.set({}, len(quotas.issued_partitions))
+    buckets = gauge("fennelhill_quota_buckets", "Token buckets that this host holds.")
+    buckets.set({}, quotas.bucket_count)
--- a/packages/fennelhilld/src/fennelhilld/quotas/service.py
+++ b/packages/fennelhilld/src/fennelhilld/quotas/service.py
@@ -85,6 +85,11 @@
     refused: int = 0
     unavailable: int = 0
 
+    @property
+    def total(self) -> int:
+        """Operations of any result."""
+        return self.permitted + self.refused + self.unavailable
+
 
 class QuotaService:
     """Permits of this host's operations, and its part in issuing them.
@@ -191,6 +196,31 @@
         """Number of buckets that this host holds."""
         return sum(len(issuer.tokens.buckets) for issuer in self._partitions)
 
+    def busiest(self, count: int, rest: str) -> list[tuple[str, QuotaCounters]]:
+        """Return the counters of the busiest organisations, and the sum of the rest.
+
+        Parameters
+        ----------
+        count : int
+            Number of organisations.
+        rest : str
+            Name under which the others are summed.
+
+        Returns
+        -------
+        list of tuple
+            Name and `QuotaCounters`.
+        """
+        ordered = sorted(
+            self.counters.items(), key=lambda item: item[1].total, reverse=True
+        )
+        others = QuotaCounters()
+        for _, counters in ordered[count:]:
+            others.permitted += counters.permitted
+            others.refused += counters.refused
+            others.unavailable += counters.unavailable
+        return ordered[:count] + ([(rest, others)] if len(ordered) > count else [])
+
     def apply_catalog(self) -> None:
         """Apply the limits of a new version of the catalog to the buckets in use."""
         organisations = self._organisations()
--- a/packages/fennelhilld/src/fennelhilld/quotas/tests/fleet.py
+++ b/packages/fennelhilld/src/fennelhilld/quotas/tests/fleet.py
@@ -7,6 +7,7 @@
 import random
 
 from fennelhill_bench.virtual_time import VirtualClock
+from fennelhill_core import codes
 from fennelhill_core.clock import MS_PER_S
 from fennelhill_core.events import EventLog
 from fennelhilld.catalog.state import Catalog, CatalogHolder, Organisation
@@ -155,26 +156,28 @@
             await self.clock.sleep_ms(60_000.0)
 
     async def operate(self, name, organisation, link_wait_ms=0.0):
-        host = self.hosts[name]
-        started_ms = self.clock.now_ms()
-        permit = OperationPermit(host.quotas, organisation)
+        permit = OperationPermit(self.hosts[name].quotas, organisation)
         try:
-            await permit.ensure()
-            self.late_ms.append(self.clock.now_ms() - started_ms)
-            if link_wait_ms:
-                await host.clock.sleep_ms(link_wait_ms)
-            await self.awake(name)
-            await permit.ensure()
+            return await self._operate(name, organisation, permit, link_wait_ms)
         except OverQuotaError as error:
             counts = self.refused
-            if error.refusal.code.name == "quota_unavailable":
+            if error.refusal.code is codes.QUOTA_UNAVAILABLE:
                 counts = self.unavailable
             counts[organisation] += 1
             return False
-        if name in self.down or self.hosts[name] is not host:
-            return False
+        finally:
+            permit.close()
+
+    async def _operate(self, name, organisation, permit, link_wait_ms):
+        host = self.hosts[name]
+        started_ms = self.clock.now_ms()
+        await permit.ensure()
+        self.late_ms.append(self.clock.now_ms() - started_ms)
+        if link_wait_ms:
+            await host.clock.sleep_ms(link_wait_ms)
+        await permit.ensure()
         await self.awake(name)
-        if not permit.valid:
+        if name in self.down or self.hosts[name] is not host or not permit.valid:
             return False
         permit.use()
         self.used[organisation].append(self.clock.now_ms())
--- a/packages/fennelhilld/src/fennelhilld/quotas/tests/test_windows.py
+++ b/packages/fennelhilld/src/fennelhilld/quotas/tests/test_windows.py
@@ -67,18 +67,26 @@
 
 
 class TestSlidingWindows:
-    @given(FAULTS, st.integers(0, 2**32), st.sampled_from((0.0, 0.02, 0.2)))
+    @given(
+        FAULTS,
+        st.integers(0, 2**32),
+        st.sampled_from((0.0, 0.02, 0.2)),
+        st.sampled_from(("abc", "a", "bc")),
+    )
     @settings(
         max_examples=25, deadline=None, suppress_health_check=[HealthCheck.too_slow]
     )
-    def test_never_contain_more_operations_than_allowed(self, faults, seed, loss):
+    def test_never_contain_more_operations_than_allowed(
+        self, faults, seed, loss, zones
+    ):
         # Guards against tokens that count twice, two issuers at a time, and permits
         # that are used long after their token was minted.
         fleet = Fleet(3, 3, LIMITS, seed, loss)
 
         async def scenario():
+            names = [name for name, zone in fleet.names.items() if zone in zones]
             for name, rate in LOAD.items():
-                fleet.load(name, rate, HISTORY_MS, link_wait_ms=400.0)
+                fleet.load(name, rate, HISTORY_MS, names, 400.0)
             work = [asyncio.ensure_future(carry_out(fleet, f)) for f in faults]
             fleet.tasks += work
             await fleet.clock.sleep_ms(HISTORY_MS)
