--- a/packages/fennelhilld/src/fennelhilld/quotas/bucket.py
+++ b/packages/fennelhilld/src/fennelhilld/quotas/bucket.py
@@ -116,7 +116,10 @@
     @property
     def spare(self) -> float:
         """Tokens that this zone is not expected to need soon."""
-        return max(0.0, self.level - self.need)
+        # A reserve of less than a permit serves nobody: of a small organisation, all
+        # zones together would refuse while they hold several tokens in fractions.
+        reserve = self.need if self.need >= 1.0 else 0.0
+        return max(0.0, self.level - reserve)
 
     def idle_at(self, now_ms: float) -> bool:
         """Return whether the bucket was not used for `IDLE_MS`.
--- a/packages/fennelhilld/src/fennelhilld/quotas/service.py
+++ b/packages/fennelhilld/src/fennelhilld/quotas/service.py
@@ -44,6 +44,9 @@
 ANSWER_MS = 40.0
 # Longest wait of an issuer for tokens of other zones before it refuses.
 TRANSFER_WAIT_MS = 25.0
+# Rounds of asking other zones within that time: the first asks all for equal parts, the
+# next ones ask those that have said that they have more.
+TRANSFER_ROUNDS = 3
 # A host that did not answer is passed over for this long.
 SILENT_MS = 500.0
 # A host that does not issue is passed over for this long; an election takes longer.
@@ -54,7 +57,7 @@
 # Redirections from one host to the next that an asking host follows.
 MAX_REDIRECTIONS = 2
 # Suggested delay before a retry if no issuer answers.
-UNAVAILABLE_RETRY_MS = 100.0
+UNAVAILABLE = QuotaRefusal(codes.QUOTA_UNAVAILABLE, 100.0)
 # Interval of the checks of promises; without organisations with a rate there are none.
 TICK_MS = 50.0
 # Wait for a promise; one that comes later would be valid for a short time only.
@@ -348,11 +351,14 @@
                             counters.unavailable += 1
                         answer.set_result(refusal)
                 # Permits of operations that were given up while they waited.
-                stock.add(expires_ms, granted)
+                if not math.isinf(expires_ms):
+                    stock.add(expires_ms, granted)
         finally:
             del self._waiting[organisation]
+            # After an error, or when this host stops.
             for answer in waiting:
-                answer.cancel()
+                if not answer.done():
+                    answer.set_result(UNAVAILABLE)
 
     async def _ask_issuers(
         self, organisation: str, count: int
@@ -382,8 +388,7 @@
                 break
             await self._clock.sleep_ms(START_RETRY_MS)
         self._record_unanswered(partition, count)
-        refusal = QuotaRefusal(codes.QUOTA_UNAVAILABLE, UNAVAILABLE_RETRY_MS)
-        return 0, -math.inf, refusal
+        return 0, -math.inf, UNAVAILABLE
 
     async def _ask_issuer(
         self, host: str, partition: int, query: PermitQuery
@@ -514,9 +519,17 @@
         self._short[organisation] = self._short.get(organisation, 0) + short
         try:
             async with timeout_ms(TRANSFER_WAIT_MS):
-                round_task = self._rounds.get(organisation)
-                if round_task is not None:
-                    await asyncio.shield(round_task)
+                for _ in range(TRANSFER_ROUNDS):
+                    round_task = self._rounds.get(organisation)
+                    if round_task is not None:
+                        await asyncio.shield(round_task)
+                    now_ms = self._clock.boottime_ms()
+                    bucket = issuer.tokens.buckets.get(organisation)
+                    if bucket is None or bucket.level >= self._short[organisation]:
+                        break
+                    waiting = self._short[organisation]
+                    if not self._start_round(issuer, organisation, waiting, now_ms):
+                        break
         except TimeoutError:
             pass
         finally:
@@ -652,9 +665,12 @@
 
     def _check_promises(self) -> None:
         self._knows_roster = self._knows_roster or self._roster_known()
+        now_ms = self._clock.boottime_ms()
         if not self._knows_roster or not self._has_limits:
+            for issuer in self._partitions:
+                # The last organisation with a limit may have been removed.
+                self._record_issuing(issuer, now_ms)
             return
-        now_ms = self._clock.boottime_ms()
         self._update_hosts(now_ms)
         for issuer in self._partitions:
             if self._leaving():
