test: owners wait no longer than a permit is valid

Cause: nothing checked that the wait at an owner is bounded by the permit, and the model looked at a predecessor's permit only one step after a round of queries.

Change: a test of the relay; the model checks after each step.

--- a/packages/fennelhilld/src/fennelhilld/quotas/tests/test_model.py
+++ b/packages/fennelhilld/src/fennelhilld/quotas/tests/test_model.py
@@ -132,9 +132,8 @@
         for fates in itertools.product(
             *(("lost", "answered", "late")[: 2 + (o == voter)] for o in others)
         ):
-            following = world.after(
-                self._ask, name, dict(zip(others, fates, strict=True))
-            )
+            outcome = dict(zip(others, fates, strict=True))
+            following = self._after(world, self._ask, name, outcome)
             if following.rounds == world.rounds:
                 return
             yield f"{name} asks {others}: {fates}", following
--- a/packages/fennelhilld/src/fennelhilld/relay/tests/test_relay.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/tests/test_relay.py
@@ -17,6 +17,7 @@
     NoLinkError,
     TargetAnswer,
     TargetFault,
+    Urgency,
 )
 from fennelhilld.relay.driver import PING_TIMEOUT_MS, RelayLink
 from fennelhilld.relay.messages import RelayBatch, RelayResult
@@ -243,6 +244,29 @@
 
 
 class TestRelayLink:
+    def test_owners_wait_no_longer_than_a_batch_may_be_sent(self, monkeypatch):
+        # Guards against operations that run long after their permit has expired.
+        async def main(simulation, dialer):
+            gateway = relaying_host(simulation)
+            target = gateway.groups["g0"].targets["g0-1"]
+            link = await gateway._driver.open("g0", "g0-1", target.entry.address, 100.0)
+            waits_ms = []
+
+            async def call(self, name, client, batch):
+                waits_ms.append(batch.wait_ms)
+                return RelayResult(error="no link", not_run=True, expected_ms=5.0)
+
+            monkeypatch.setattr(RelayLink, "_call", call)
+            begin = Command(CommandKind.BEGIN_READ_ONLY)
+            now_ms = simulation.clock.boottime_ms()
+            for send_by_ms in (now_ms + 60.0, now_ms):
+                with pytest.raises(NoLinkError):
+                    await link.send([begin], Urgency(700.0, send_by_ms=send_by_ms))
+            assert waits_ms
+            assert max(waits_ms) <= 60.0
+
+        simulate(main)
+
     def test_answers_of_a_batch_that_was_not_sent_are_not_taken_for_later_ones(
         self, monkeypatch
     ):
