fix: a host without an answer from any issuer stops asking after 300 ms

Cause: the wait at the start was checked only after all issuers had been asked in turn, so that an operation could wait for 300 ms and another 160 ms.

Change: it is checked after each host that did not answer.

--- a/packages/fennelhilld/src/fennelhilld/quotas/service.py
+++ b/packages/fennelhilld/src/fennelhilld/quotas/service.py
@@ -376,6 +376,9 @@
                 asked_ms = self._clock.boottime_ms()
                 answer = await self._ask_issuer(host, partition, query)
                 if answer is None:
+                    waited_ms = self._clock.boottime_ms() - started_ms
+                    if not self._was_answered and waited_ms >= START_WAIT_MS:
+                        break
                     continue
                 self._was_answered = True
                 refusal = None
