feat: links are shared between organisations without starving any

Cause: a waiting request of an organisation without a link got none as long as the organisations that held all links had waiting requests themselves; which idle link was closed was a matter of its place in the list. Ruled out: choosing only among requests with an idle link of their own (the state before), and closing links on return without regard to their age: two queues then alternate with a set-up for each request. Change: the queue policy chooses among all waiting requests, each once. A closed link gets 5 ms to arrive at the target before the next is opened. Trimming and warming go by the same worth.

--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -19,6 +19,7 @@
 from fennelhilld.leader_lease.service import HostQueryService
 from fennelhilld.leader_lease.state import LeaderAccess, LeaderLease
 from fennelhilld.leadership.state import Fence, GroupLeadership
+from fennelhilld.links.allocation import LinkBudget, set_ups_per_s
 from fennelhilld.links.messages import LinkDriver
 from fennelhilld.links.pool import TargetPool
 from fennelhilld.placement.state import GroupState, TargetState
@@ -28,6 +29,7 @@
 from fennelhilld.relay.owners import (
     HostCapacity,
     is_shared,
+    owner_count,
     owner_links,
     owner_order,
     target_owners,
@@ -523,6 +525,31 @@
             return owner_links(self._max_connections(entry.group), position)
         return max(1, int(self.fair_share(entry.group) * self.overcommit))
 
+    def link_budget(self, entry: TargetEntry) -> LinkBudget | None:
+        """Return what this host may use of a target while links are organisations'.
+
+        Parameters
+        ----------
+        entry : TargetEntry
+            The target.
+
+        Returns
+        -------
+        LinkBudget or None
+            None while the configuration names no organisations.
+        """
+        catalog = self.catalog.current
+        if catalog is None or catalog.organisations is None:
+            return None
+        if self.shares_connections(entry.group):
+            count = owner_count(self._max_connections(entry.group))
+            kept_links = self.link_limit(entry)
+        else:
+            count = len(self.roster) + 1
+            # The rest of its limit is left to hosts that restart.
+            kept_links = self.fair_share(entry.group)
+        return LinkBudget(set_ups_per_s(entry.slots, count), kept_links)
+
     def _open_pool(self, target: TargetState) -> TargetPool:
         return TargetPool(
             target.entry,
@@ -532,6 +559,7 @@
             lambda reason: self.env.record_target_failure(target, reason),
             self.env.policies,
             lambda: not self.owns(target.entry),
+            lambda: self.link_budget(target.entry),
         )
 
     def _drop_target(self, target: TargetState) -> None:
--- a/packages/fennelhilld/src/fennelhilld/links/lease.py
+++ b/packages/fennelhilld/src/fennelhilld/links/lease.py
@@ -115,12 +115,12 @@
     def pause(self) -> None:
         """Stop counting the link against the pool's window until the next exchange."""
         if not self._paused and not self._returned:
-            self._paused = True
+            self._paused = self.link.paused = True
             self._pool.pause()
 
     def _resume(self) -> None:
         if self._paused:
-            self._paused = False
+            self._paused = self.link.paused = False
             self._pool.resume()
 
     async def exchange(self, commands: list[Command], limit_ms: float) -> Exchange:
--- a/packages/fennelhilld/src/fennelhilld/links/pool.py
+++ b/packages/fennelhilld/src/fennelhilld/links/pool.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import Counter, deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from fennelhill_core.clock import MS_PER_S, Clock
 from fennelhill_core.tasks import Tasks
@@ -13,6 +13,18 @@
 from fennelhilld.admission.policies import LoadPolicies
 from fennelhilld.admission.refusal import expected_wait_ms
 from fennelhilld.directory.state import TargetEntry
+from fennelhilld.links.allocation import (
+    SET_UP_MS,
+    WORTH_HYSTERESIS,
+    IdleLink,
+    LinkBudget,
+    SetUpBudget,
+    UseRates,
+    least_worth,
+    link_worth,
+    links_kept,
+    needs_another_link,
+)
 from fennelhilld.links.messages import (
     LinkDriver,
     LinkRefusedError,
@@ -38,6 +50,11 @@
 # Answers on other links may still arrive for this long after a target has crashed.
 ANSWER_IN_FLIGHT_MS = 100.0
 MIN_DELAY_MS = 1.0  # resolution of timers
+# A target may count a closed connection until the close has arrived there and the next
+# connection is refused, which costs `TOO_MANY_CONNECTIONS_BACKOFF_MS`.
+CLOSE_ARRIVAL_MS = 5.0
+# Longest pause between two looks at requests that wait for a set-up.
+SET_UP_RECHECK_MS = 20.0
 
 
 class PoolCounters:
@@ -56,9 +73,11 @@
         Requests refused because their expected wait was too long.
     lost : int
         Links that were returned as broken.
+    displaced : int
+        Idle links that were closed for a link of another organisation.
     """
 
-    __slots__ = ("lost", "opened", "refused", "too_many", "turned_away")
+    __slots__ = ("displaced", "lost", "opened", "refused", "too_many", "turned_away")
 
     def __init__(self) -> None:
         self.opened = 0
@@ -66,6 +85,21 @@
         self.too_many = 0
         self.turned_away = 0
         self.lost = 0
+        self.displaced = 0
+
+
+class _Waiter:
+    """A request that waits for a link."""
+
+    __slots__ = ("chosen", "link", "request")
+
+    def __init__(self, request: QueuedRequest) -> None:
+        self.request = request
+        self.link: asyncio.Future[PooledLink] = (
+            asyncio.get_running_loop().create_future()
+        )
+        # Whether the queue policy has chosen it, and a link is being opened for it.
+        self.chosen = False
 
 
 class TargetPool:
@@ -91,6 +125,9 @@
         Queue order, load shedding and concurrency window.
     relayed : callable
         Returns whether links lead through an owner, so that opening one costs nothing.
+    link_budget : callable
+        Returns what this host may use of the target while links belong to
+        organisations; None if they don't.
     """
 
     def __init__(
@@ -102,8 +139,14 @@
         on_failure: Callable[[str], None],
         policies: LoadPolicies,
         relayed: Callable[[], bool] = lambda: False,
+        link_budget: Callable[[], LinkBudget | None] = lambda: None,
     ) -> None:
         self._relayed = relayed
+        self._link_budget = link_budget
+        self._set_ups = SetUpBudget()
+        self._rates = UseRates()
+        self._used: set[PooledLink] = set()
+        self._last_closed_ms = float("-inf")
         self.entry = entry
         self.counters = PoolCounters()
         self.closed = False
@@ -129,7 +172,7 @@
         # Links being opened, by organisation.
         self._opening: Counter[str] = Counter()
         # In order of arrival.
-        self._waiters: list[tuple[QueuedRequest, asyncio.Future[PooledLink]]] = []
+        self._waiters: list[_Waiter] = []
         self._backoff_until_ms = 0.0
         self._timer_set = False
         self._tasks = Tasks()
@@ -147,7 +190,7 @@
     @property
     def waiting(self) -> int:
         """Requests that wait for a link."""
-        return sum(not waiter.done() for _, waiter in self._waiters)
+        return sum(not waiter.link.done() for waiter in self._waiters)
 
     @property
     def relayed(self) -> bool:
@@ -166,8 +209,12 @@
 
     @property
     def _window_open(self) -> bool:
-        """Whether the window allows another request now."""
-        return self.in_use - self.paused < self.window
+        """Whether the window allows another request now.
+
+        A set-up for an organisation occupies a slot, and a request waits for it.
+        """
+        reserved = self._opening.total() if self.by_organisation else 0
+        return self.in_use - self.paused + reserved < self.window
 
     @property
     def _no_return_expected(self) -> bool:
@@ -210,6 +257,8 @@
                 "target removed or replaced, or host stopping",
             )
         organisation = self._link_organisation(request)
+        if self.by_organisation:
+            self._rates.record(organisation, self._clock.now_ms())
         link = self._take_idle(organisation, context) if self._window_open else None
         if link is not None:
             return self._mark_in_use(link)
@@ -220,12 +269,12 @@
         if self._refusal_policy.refuses(expected_ms, limit_ms):
             self.counters.turned_away += 1
             raise NoLinkError(expected_ms)
-        waiter: asyncio.Future[PooledLink] = asyncio.get_running_loop().create_future()
-        self._waiters.append((request, waiter))
+        waiter = _Waiter(request)
+        self._waiters.append(waiter)
         self._grow()
         try:
             async with asyncio.timeout(limit_ms / MS_PER_S):
-                return await waiter
+                return await waiter.link
         except TimeoutError:
             self._return_unclaimed(waiter)
             raise NoLinkError from None
@@ -244,8 +293,9 @@
             Whether it must not be used again.
         """
         self.in_use -= 1
+        self._used.discard(link)
         if broken or link.connection.closed or self.closed:
-            link.connection.close()
+            self._close(link)
             if broken:
                 self.counters.lost += 1
             self._serve_waiters()
@@ -266,17 +316,20 @@
         float
             Expected wait, in milliseconds.
         """
+        if self.by_organisation:
+            organisation = self._link_organisation(request)
+            return self._queue_wait_ms(request) + self._set_up_wait_ms(organisation)
+        return self._queue_wait_ms(request)
+
+    def _queue_wait_ms(self, request: QueuedRequest) -> float:
+        """Estimate how long a request waits for its turn."""
         now_ms = self._clock.now_ms()
         in_backoff = now_ms < self._backoff_until_ms
         usable_links = self.open if in_backoff else max(self.open, self.link_limit)
         usable_links = min(usable_links, self.window + self.paused)
         if self.waiting < usable_links - self.in_use:
             return 0.0  # A link is idle or may be opened.
-        queued = [
-            queued_request
-            for queued_request, waiter in self._waiters
-            if not waiter.done()
-        ]
+        queued = [waiter.request for waiter in self._waiters if not waiter.link.done()]
         ahead_count = self._queue_policy.requests_ahead(
             queued, request, now_ms, self.mean_response_ms
         )
@@ -310,6 +363,10 @@
         now_ms = self._clock.now_ms()
         self._peaks.append(self._peak_use)
         self._peak_use = self.in_use
+        budget = self._current_budget()
+        if budget is not None:
+            self._trim_by_worth(budget)
+            return
         kept = []
         surplus = self.open - max(1, *self._peaks)
         for link in self._idle:
@@ -321,10 +378,49 @@
                 kept.append(link)
         self._idle = kept
 
-    def warm(self) -> None:
-        """Open a link for the next request if there is none."""
-        if self.open == 0 and not self.closed:
+    def _trim_by_worth(self, budget: LinkBudget) -> None:
+        """Close the links worth least beyond those that this host keeps.
+
+        Idle links of other organisations are no surplus: closing them costs set-ups.
+        """
+        now_ms = self._clock.now_ms()
+        self._drop_closed()
+        worths = self._worths(now_ms)
+        in_use = self.open - len(self._idle)
+        kept = max(1, budget.kept_links, *self._peaks) - in_use
+        staying = links_kept([worths[link.organisation] for link in self._idle], kept)
+        idle, self._idle = self._idle, []
+        for index, link in enumerate(idle):
+            idle_long = now_ms - link.idle_since_ms >= SURPLUS_IDLE_MS
+            if index in staying or not idle_long:
+                self._idle.append(link)
+            else:
+                self._close(link)
+
+    def warm(self, organisations: Sequence[str] = ("",)) -> None:
+        """Open links for the next requests if there are none.
+
+        Parameters
+        ----------
+        organisations : sequence of str
+            Organisations whose links are opened, the busiest first; an empty name is
+            that of requests for no organisation.
+        """
+        if self.open > 0 or self.closed:
+            return
+        budget = self._current_budget()
+        if budget is None:
             self._start_opening()
+            return
+        now_ms = self._clock.now_ms()
+        if now_ms < self._backoff_until_ms:
+            return
+        # At least half of the places are left to what is asked for meanwhile.
+        for organisation in organisations[: max(1, budget.kept_links // 2)]:
+            if self._set_ups.wait_ms(now_ms, budget.set_ups_per_s) > 0:
+                return
+            self._set_ups.take(now_ms, budget.set_ups_per_s)
+            self._start_opening(organisation)
 
     def answered_after(self, since_ms: float) -> bool:
         """Return whether the target has answered on any link since a given time.
@@ -352,7 +448,7 @@
         """
         self.unreachable = True
         for link in self._idle:
-            link.connection.close()
+            self._close(link)
         self._idle = []
 
     def probe(self) -> None:
@@ -385,7 +481,7 @@
     def _take_idle(
         self, organisation: str, context: SessionContext | None = None
     ) -> PooledLink | None:
-        self._idle = [link for link in self._idle if not link.connection.closed]
+        self._drop_closed()
         usable = [
             index
             for index, link in enumerate(self._idle)
@@ -401,85 +497,238 @@
 
     def _mark_in_use(self, link: PooledLink) -> PooledLink:
         self.in_use += 1
+        self._used.add(link)
         self._peak_use = max(self._peak_use, self.in_use)
         link.busy_since_ms = self._clock.now_ms()
         return link
 
+    def _close(self, link: PooledLink) -> None:
+        link.connection.close()
+        self._last_closed_ms = self._clock.now_ms()
+
+    def _drop_closed(self) -> None:
+        self._idle = [link for link in self._idle if not link.connection.closed]
+
     def _offer(self, link: PooledLink) -> None:
         link.idle_since_ms = self._clock.now_ms()
-        self._idle.append(link)
+        for waiter in self._waiters:
+            own = link.organisation == self._link_organisation(waiter.request)
+            if waiter.chosen and own and not waiter.link.done():
+                # A link is being opened for it; this one is there earlier.
+                waiter.link.set_result(self._mark_in_use(link))
+                return
+        if link.organisation and not self.by_organisation:
+            # Left over from a time when links belonged to organisations here.
+            self._close(link)
+        else:
+            self._idle.append(link)
         self._serve_waiters()
         if self._waiters:
             self._grow()
 
     def _serve_waiters(self) -> None:
         """Hand idle links to waiting requests as far as the window allows."""
-        self._waiters = [item for item in self._waiters if not item[1].done()]
+        if self.by_organisation:
+            self._allocate()
+            return
+        self._waiters = [waiter for waiter in self._waiters if not waiter.link.done()]
         while self._waiters and self._window_open:
-            idle = {
-                link.organisation for link in self._idle if not link.connection.closed
-            }
-            servable = [
-                index
-                for index, (request, _) in enumerate(self._waiters)
-                if self._link_organisation(request) in idle
-            ]
-            if not servable:
+            link = self._take_idle("")
+            if link is None:
                 return
-            queued = [self._waiters[index][0] for index in servable]
             chosen = self._queue_policy.choose(
-                queued, self._clock.now_ms(), self.mean_response_ms
+                [waiter.request for waiter in self._waiters],
+                self._clock.now_ms(),
+                self.mean_response_ms,
             )
-            request, waiter = self._waiters.pop(servable[chosen])
-            link = self._take_idle(self._link_organisation(request))
-            waiter.set_result(self._mark_in_use(link))
+            self._waiters.pop(chosen).link.set_result(self._mark_in_use(link))
 
-    def _return_unclaimed(self, waiter: asyncio.Future[PooledLink]) -> None:
+    def _return_unclaimed(self, waiter: _Waiter) -> None:
         # The link may have arrived in the same event loop iteration as the time-out.
-        if waiter.done() and not waiter.cancelled() and waiter.exception() is None:
-            self.release(waiter.result())
+        link = waiter.link
+        if link.done() and not link.cancelled() and link.exception() is None:
+            self.release(link.result())
         else:
-            waiter.cancel()
-        self._waiters = [item for item in self._waiters if not item[1].done()]
+            link.cancel()
+        self._waiters = [waiter for waiter in self._waiters if not waiter.link.done()]
 
     def _grow(self) -> None:
+        if self.by_organisation:
+            self._allocate()
+            return
         window_left = self.window - (self.in_use - self.paused)
-        needed = self._missing_links()[: window_left - self._opening.total()]
-        if window_left <= self._opening.total() or not needed or self.closed:
+        usable = self._opening.total() + len(self._idle)
+        needed = min(self.waiting, window_left) - usable
+        if needed <= 0 or self.closed:
             return
         now_ms = self._clock.now_ms()
         if now_ms < self._backoff_until_ms:
             if self._no_return_expected:
                 self._schedule_grow(self._backoff_until_ms - now_ms)
             return
-        for organisation in needed:
-            if self.open >= self.link_limit and not self._close_idle():
+        for _ in range(needed):
+            if self.open >= self.link_limit:
                 return
-            self._start_opening(organisation)
+            self._start_opening()
 
-    def _missing_links(self) -> list[str]:
-        """Return the organisations of waiting requests that have no link in sight."""
-        available = Counter(link.organisation for link in self._idle) + self._opening
-        missing = []
-        for request, waiter in self._waiters:
-            organisation = self._link_organisation(request)
-            if waiter.done():
-                continue
-            if available[organisation] > 0:
-                available[organisation] -= 1
+    @property
+    def by_organisation(self) -> bool:
+        """Whether each link belongs to one organisation."""
+        return self._current_budget() is not None
+
+    def _current_budget(self) -> LinkBudget | None:
+        return None if self._relayed() else self._link_budget()
+
+    def _allocate(self) -> None:
+        """Serve the requests that the queue policy chooses, by links of their own.
+
+        If there is none, one is opened, if necessary in place of the idle link that is
+        least worth keeping.  So no organisation waits until another has no requests.
+        Each request is offered to the policy until it is chosen, and then not again.
+        """
+        budget = self._current_budget()
+        self._waiters = [waiter for waiter in self._waiters if not waiter.link.done()]
+        if budget is None or self.closed:
+            return
+        self._drop_closed()
+        while self._window_open:
+            waiting = [waiter for waiter in self._waiters if not waiter.chosen]
+            servable = self._servable(waiting, budget)
+            if not servable:
+                if waiting:
+                    self._schedule_grow(SET_UP_RECHECK_MS)
+                return
+            chosen = self._queue_policy.choose(
+                [waiter.request for waiter in servable],
+                self._clock.now_ms(),
+                self.mean_response_ms,
+            )
+            waiter = servable[chosen]
+            organisation = self._link_organisation(waiter.request)
+            link = self._take_idle(organisation)
+            if link is not None:
+                self._waiters.remove(waiter)
+                waiter.link.set_result(self._mark_in_use(link))
             else:
-                missing.append(organisation)
-        return missing
+                waiter.chosen = True
+                self._open_for(organisation, budget)
 
-    def _close_idle(self) -> bool:
-        """Close an idle link that no waiting request can use; return whether."""
-        wanted = {self._link_organisation(request) for request, _ in self._waiters}
-        for link in self._idle:
-            if link.organisation not in wanted:
-                self._idle.remove(link)
-                link.connection.close()
-                return True
-        return False
+    def _servable(self, waiting: list[_Waiter], budget: LinkBudget) -> list[_Waiter]:
+        """Return the requests for which there is a link, or one may be opened."""
+        now_ms = self._clock.now_ms()
+        idle = Counter(link.organisation for link in self._idle)
+        in_backoff = now_ms < self._backoff_until_ms
+        may_open = not in_backoff and not self._set_ups.wait_ms(
+            now_ms, budget.set_ups_per_s
+        )
+        has_place = self.open < self.link_limit
+        victim = None if has_place or not may_open else self._least_worth()
+        own_waiting: Counter[str] = Counter()
+        servable = []
+        for waiter in waiting:
+            organisation = self._link_organisation(waiter.request)
+            own_waiting[organisation] += 1
+            if idle[organisation] >= own_waiting[organisation] or (
+                may_open
+                and needs_another_link(
+                    self._links_in_sight(organisation),
+                    own_waiting[organisation] - idle[organisation],
+                    self.mean_response_ms,
+                )
+                and (has_place or self._may_displace(victim, organisation))
+            ):
+                servable.append(waiter)
+        return servable
+
+    def _links_in_sight(self, organisation: str) -> int:
+        """Return how many links of an organisation are opened or returned soon."""
+        returning = sum(
+            link.organisation == organisation and not link.paused for link in self._used
+        )
+        return returning + self._opening[organisation]
+
+    def _least_worth(self) -> PooledLink | None:
+        """Return the idle link to close if another is needed, if there is one."""
+        now_ms = self._clock.now_ms()
+        links = [
+            IdleLink(
+                link.organisation,
+                now_ms - link.opened_ms,
+                now_ms - link.idle_since_ms,
+            )
+            for link in self._idle
+        ]
+        index = least_worth(links, self._worths(now_ms), self._wanted())
+        return None if index is None else self._idle[index]
+
+    def _wanted(self) -> set[str]:
+        """Return the organisations with waiting requests."""
+        return {
+            self._link_organisation(waiter.request)
+            for waiter in self._waiters
+            if not waiter.link.done()
+        }
+
+    def _may_displace(self, victim: PooledLink | None, organisation: str) -> bool:
+        """Return whether a link is closed so that an organisation gets another.
+
+        Without a link in sight it needs one in any case.
+        """
+        if victim is None or not self._links_in_sight(organisation):
+            return victim is not None
+        if victim.organisation in self._wanted():
+            return False
+        now_ms = self._clock.now_ms()
+        gained = self._worth(organisation, self._held(organisation), now_ms)
+        before = self._held(victim.organisation) - 1
+        lost = self._worth(victim.organisation, before, now_ms)
+        return gained > WORTH_HYSTERESIS * lost
+
+    def _held(self, organisation: str) -> int:
+        """Return how many links of an organisation are open or being opened."""
+        links = (*self._idle, *self._used)
+        held = sum(link.organisation == organisation for link in links)
+        return held + self._opening[organisation]
+
+    def _worth(self, organisation: str, links_before: int, now_ms: float) -> float:
+        rate_per_s = self._rates.per_s(organisation, now_ms)
+        return link_worth(rate_per_s, links_before, self.mean_response_ms)
+
+    def _worths(self, now_ms: float) -> dict[str, float]:
+        """Return the worth of the last link of each organisation with an idle one."""
+        return {
+            name: self._worth(name, self._held(name) - 1, now_ms)
+            for name in {link.organisation for link in self._idle}
+        }
+
+    def _open_for(self, organisation: str, budget: LinkBudget) -> None:
+        """Open a link, and close another one before if there is no place for it."""
+        now_ms = self._clock.now_ms()
+        if self.open >= self.link_limit:
+            victim = self._least_worth()
+            if victim is not None:
+                self._idle.remove(victim)
+                self._close(victim)
+                self.counters.displaced += 1
+        self._set_ups.take(now_ms, budget.set_ups_per_s)
+        delay_ms = 0.0
+        if self.open + 1 >= self.link_limit:
+            delay_ms = max(0.0, self._last_closed_ms + CLOSE_ARRIVAL_MS - now_ms)
+        self._start_opening(organisation, delay_ms)
+
+    def _set_up_wait_ms(self, organisation: str) -> float:
+        """Estimate how long a request waits for a set-up, if it needs one."""
+        idle = any(link.organisation == organisation for link in self._idle)
+        budget = self._current_budget()
+        if idle or self._links_in_sight(organisation) or budget is None:
+            return 0.0
+        now_ms = self._clock.now_ms()
+        pause_ms = max(
+            0.0,
+            self._backoff_until_ms - now_ms,
+            self._set_ups.wait_ms(now_ms, budget.set_ups_per_s),
+        )
+        return pause_ms + SET_UP_MS
 
     def _schedule_grow(self, delay_ms: float) -> None:
         """Set a timer to open links for waiting requests, unless one is set."""
@@ -492,13 +741,15 @@
         self._timer_set = False
         self._grow()
 
-    def _start_opening(self, organisation: str = "") -> None:
+    def _start_opening(self, organisation: str = "", delay_ms: float = 0.0) -> None:
         self._opening[organisation] += 1
-        self._tasks.spawn(self._open(organisation))
+        self._tasks.spawn(self._open(organisation, delay_ms))
 
-    async def _open(self, organisation: str) -> None:
+    async def _open(self, organisation: str, delay_ms: float) -> None:
         entry = self.entry
         try:
+            if delay_ms > 0:
+                await self._clock.sleep_ms(delay_ms)
             connection = await self._driver.open(
                 entry.group,
                 entry.id,
@@ -507,13 +758,15 @@
                 organisation,
             )
         except LinkRefusedError as error:
-            self._opening[organisation] -= 1
+            self._end_opening(organisation)
             self._handle_refusal(error)
+            if self.by_organisation:
+                self._handle_missing_link(organisation, error)
             return
         except BaseException:
-            self._opening[organisation] -= 1
+            self._end_opening(organisation)
             raise
-        self._opening[organisation] -= 1
+        self._end_opening(organisation)
         self.counters.opened += 1
         self.unreachable = False
         if self.closed:
@@ -536,8 +789,36 @@
         if self.open == 0:
             self._fail_waiters(error.fault, str(error))
 
+    def _end_opening(self, organisation: str) -> None:
+        self._opening[organisation] -= 1
+        if self._opening[organisation] == 0:
+            del self._opening[organisation]
+
+    def _handle_missing_link(self, organisation: str, error: LinkRefusedError) -> None:
+        """Offer a request to the queue policy again, whose link was not opened.
+
+        If the target can't be reached and the organisation has no link, none of its
+        requests waits any longer.
+        """
+        if self.unreachable and not self._held(organisation):
+            others = [
+                waiter
+                for waiter in self._waiters
+                if self._link_organisation(waiter.request) != organisation
+            ]
+            self._waiters = [item for item in self._waiters if item not in others]
+            self._fail_waiters(error.fault, str(error))
+            self._waiters = others
+        for waiter in self._waiters:
+            if waiter.chosen and (
+                self._link_organisation(waiter.request) == organisation
+            ):
+                waiter.chosen = False
+                break
+        self._allocate()
+
     def _fail_waiters(self, fault: TargetFault, detail: str) -> None:
         waiters, self._waiters = self._waiters, []
-        for _, waiter in waiters:
-            if not waiter.done():
-                waiter.set_exception(LinkRefusedError(fault, detail))
+        for waiter in waiters:
+            if not waiter.link.done():
+                waiter.link.set_exception(LinkRefusedError(fault, detail))
--- a/packages/fennelhilld/src/fennelhilld/links/state.py
+++ b/packages/fennelhilld/src/fennelhilld/links/state.py
@@ -56,7 +56,9 @@
         "busy_since_ms",
         "connection",
         "idle_since_ms",
+        "opened_ms",
         "organisation",
+        "paused",
         "prepared",
         "values",
     )
@@ -68,8 +70,11 @@
         self.organisation = organisation
         self.values: dict[str, str] = {}
         self.prepared: set[str] = set()
+        self.opened_ms = now_ms
         self.idle_since_ms = now_ms
         self.busy_since_ms = now_ms
+        # Whether its lease has stopped counting it against the pool's window.
+        self.paused = False
 
     def matches(self, context: SessionContext) -> bool:
         """Return whether no session value has to be replayed.
--- a/packages/fennelhilld/src/fennelhilld/placement/state.py
+++ b/packages/fennelhilld/src/fennelhilld/placement/state.py
@@ -4,11 +4,14 @@
 
 from collections.abc import Callable
 
+import xxhash
+
 from fennelhilld.directory.state import TargetEntry
 from fennelhilld.freshness.positions import GroupFreshness, LagEstimate, MinimumPosition
 from fennelhilld.leadership.state import GroupLeadership
 from fennelhilld.links.pool import TargetPool
 from fennelhilld.placement.policies import PlacementPolicy
+from fennelhilld.relay.owners import spread_count
 
 NEWEST_WEIGHT = 0.1  # weight of the newest value in an exponential moving average
 INITIAL_RESPONSE_MS = 15.0  # assumed for a database before the first answer
@@ -18,11 +21,43 @@
 # A slow target may get no reads, and could never show that it has become faster.
 SLOWNESS_HALF_LIFE_MS = 5_000.0
 MIN_MEAN_RESPONSE_MS = 0.1  # lower bound on a mean that a response time is divided by
+# An organisation with more than a fourth of a replica's fair part uses two: it sends
+# enough to both that their links stay open.
+REPLICA_SPREAD = 4.0
 # How long a target is tried last after it refused a request or a connection, a link to
 # it was lost, no link to it was free in time or its answer was overdue.
 AVOID_MS = 300.0
 
 
+def preferred_replicas(
+    replicas: list[str], organisation: str, share: float
+) -> list[str]:
+    """Return the replicas that keep links of an organisation.
+
+    Answers organisations that outnumber the connections: if each read from all
+    replicas, each replica would need links of all.
+
+    Parameters
+    ----------
+    replicas : list of str
+        Replicas of the group that may serve reads.
+    organisation : str
+        The organisation.
+    share : float
+        Its share of the load, from 0 to 1.
+
+    Returns
+    -------
+    list of str
+        The first by rendezvous hashing; more for a large share.
+    """
+    ranked = sorted(
+        replicas,
+        key=lambda name: xxhash.xxh64_intdigest(f"{organisation}/{name}".encode()),
+    )
+    return ranked[: spread_count(REPLICA_SPREAD * share, len(ranked))]
+
+
 class ResponseTimes:
     """Mean response time of reads, by database.
 
--- a/packages/fennelhilld/src/fennelhilld/relay/owners.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/owners.py
@@ -18,6 +18,11 @@
 OWNED_SHARE = 0.92
 # Hosts up to this share of a target's connections each open their own.
 DIRECT_SHARE = 0.6
+# Wait for a link at an owner while there are others to try; a statement takes some
+# milliseconds.
+SHORT_WAIT_MS = 10.0
+# The same if the owner has the organisation's links, and others would have to open one.
+OWN_OWNER_WAIT_MS = 60.0
 _HASH_RANGE = 2.0**64
 
 
@@ -126,22 +131,90 @@
     return [host.name for host in ranked[: owner_count(max_connections)]]
 
 
-def owner_order(host: str, owners: list[str]) -> list[str]:
+def owner_order(
+    host: str,
+    owners: list[str],
+    target_id: str = "",
+    organisation: str = "",
+    share: float = 0.0,
+) -> list[str]:
     """Return a target's owners in the order in which a host uses them.
 
+    The owners' links belong to organisations: a request that comes to another owner
+    than the organisation's earlier ones costs a set-up.  So the first owners depend on
+    the organisation, the same for all hosts (rendezvous hashing).
+
     Parameters
     ----------
     host : str
         The host that has statements for the target.
     owners : list of str
         The owners.
+    target_id : str
+        The target; not used without an organisation.
+    organisation : str
+        Organisation that the statements are for; empty if links belong to none.
+    share : float
+        The organisation's share of the load, from 0 to 1.
 
     Returns
     -------
     list of str
-        A different first owner for different hosts, so that they share the load.
+        Without an organisation, a different first owner for different hosts, so that
+        they share the load.  Otherwise the organisation's own owners first: one, or
+        several if its share is larger than a fair part, which hosts share alike.
+    """
+    if not organisation:
+        return sorted(owners, key=lambda owner: _hash(f"{host}/{owner}"))
+    ranked = sorted(
+        owners, key=lambda owner: _hash(f"{target_id}/{organisation}/{owner}")
+    )
+    count = spread_count(share, len(owners))
+    own = sorted(ranked[:count], key=lambda owner: _hash(f"{host}/{owner}"))
+    return own + ranked[count:]
+
+
+def spread_count(share: float, places: int) -> int:
+    """Return over how many owners or replicas an organisation is spread.
+
+    Answers shares of the load that fall as rank^-1.2: the largest organisation sends
+    about a fourth of all operations, more than one owner can serve.
+
+    Parameters
+    ----------
+    share : float
+        The organisation's share of the load, from 0 to 1.
+    places : int
+        Owners or replicas.
+
+    Returns
+    -------
+    int
+        At least 1, so that none gets more than a fair part of the load from it.
+    """
+    return max(1, min(places, math.ceil(share * places)))
+
+
+def owner_wait_ms(organisation: str, left_ms: float, is_last: bool) -> float:
+    """Return how long a request waits for a link at one owner before the next.
+
+    Parameters
+    ----------
+    organisation : str
+        Its organisation; empty if links belong to none.
+    left_ms : float
+        Time left for the request, in milliseconds.
+    is_last : bool
+        Whether there is no further owner.
+
+    Returns
+    -------
+    float
+        Milliseconds.
     """
-    return sorted(owners, key=lambda owner: _hash(f"{host}/{owner}"))
+    if is_last:
+        return left_ms
+    return min(left_ms, OWN_OWNER_WAIT_MS if organisation else SHORT_WAIT_MS)
 
 
 def _weighted_rank(target_id: str, host: HostCapacity) -> float:
