feat: an organisation's work goes to its own owners and preferred replica

Cause: each host had its own order of owners and read from any replica, so each owner needed links of every organisation. An owner used its own links for all that reached it: with 7 owners of 76 hosts, a tenth of all requests. Hosts without owners exceeded their part of the connections by 1.6, as if others gave theirs back. Ruled out: round robin by rank over the owners, which is more even but moves most organisations when one changes its limit; moving on after 10 ms, which opens links at a second owner for a wait of one statement. Change: the order of owners follows the organisation, the same for all hosts; shares come from the configured limits (links/shares.py), and an organisation larger than a fair part uses more owners. An owner sends what is not its own on to the owner that it is for, through a second pool. Other replicas than the preferred one cost a set-up more. While organisations are named, hosts without owners divide 92% of the connections and no longer exceed their part, and the start-up phase with one link is left out. Every statement ran on a link of its own organisation.

--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 from fennelhill_core import codes
 from fennelhill_core.clock import Clock
 from fennelhill_core.codes import Code
@@ -22,13 +24,19 @@
 from fennelhilld.links.allocation import LinkBudget, set_ups_per_s
 from fennelhilld.links.messages import LinkDriver
 from fennelhilld.links.pool import TargetPool
-from fennelhilld.placement.state import GroupState, TargetState
+from fennelhilld.links.shares import OrganisationShares
+from fennelhilld.placement.state import (
+    GroupState,
+    TargetState,
+    preferred_replicas,
+)
 from fennelhilld.promotion.messages import Claim, ClaimPhase, ClaimRow
 from fennelhilld.promotion.replacement import LeaderReplacement
 from fennelhilld.relay.driver import OwnerStreams, RelayDriver
 from fennelhilld.relay.owners import (
     HostCapacity,
     is_shared,
+    owned_part,
     owner_count,
     owner_links,
     owner_order,
@@ -142,6 +150,11 @@
             self._relay_driver = RelayDriver(
                 driver, self._owner_addresses, streams, clock
             )
+            self._streams = streams
+            # For owners, to the other owners of a target.
+            self._other_owner_driver = RelayDriver(
+                driver, self._other_owner_addresses, streams, clock
+            )
         self.relay = RelayService(self.env)
         self.samples = SampleSource(self._leader_owner_addresses, clock)
         self.env.samples = self.samples
@@ -155,6 +168,8 @@
         self._owners_cache: dict[tuple[str, int, int], list[str]] = {}
         self._started_ms = float("-inf")
         self._tasks = Tasks()
+        self.shares = OrganisationShares(self.catalog)
+        self.env.organisation_share = self.shares.share
         self.env.is_cut_off = lambda: self.replacement.reach.cut_off
         self.env.on_leader_suspected = self._on_leader_suspected
 
@@ -183,10 +198,12 @@
         self.samples.close()
         if self._relay_driver is not None:
             self._relay_driver.close()
+            self._other_owner_driver.close()
         self.replacement.prober.close()
         for group in self.groups.values():
             for target in group.targets.values():
-                target.pool.close()
+                for pool in target.pools:
+                    pool.close()
 
     def open_session(self, database_name: str, key: str = "") -> Session | Code:
         """Open a session.
@@ -251,9 +268,12 @@
             self._drop_target(target)
             target = None
         if target is None:
-            group.targets[entry.id] = TargetState(entry, self._open_pool)
+            target = group.targets[entry.id] = TargetState(entry, self._open_pool)
+            target.pool_for = partial(self._pool_for, target)
         else:
-            target.entry = target.pool.entry = entry
+            target.entry = entry
+            for pool in target.pools:
+                pool.entry = entry
         was_replica = previous_entry is not None and not previous_entry.leads
         if entry.leads and (previous_entry is None or was_replica or started_again):
             group.leadership.set_reported_leader(
@@ -470,17 +490,66 @@
             entry
         )
 
-    def _owner_addresses(self, target_id: str) -> list[tuple[str, str]]:
+    def _owner_addresses(
+        self, target_id: str, organisation: str = ""
+    ) -> list[tuple[str, str]]:
         entry = self.directory.get(target_id)
         if entry is None or self.owns(entry):
             return []
+        return self._other_owner_addresses(target_id, organisation)
+
+    def _other_owner_addresses(
+        self, target_id: str, organisation: str = ""
+    ) -> list[tuple[str, str]]:
+        entry = self.directory.get(target_id)
+        if entry is None or not self.shares_connections(entry.group):
+            return []
         addresses = self.roster.addresses
         return [
             (name, addresses[name])
-            for name in owner_order(self.host, self.owners(entry))
+            for name in self._owner_order(entry, organisation)
             if name in addresses
         ]
 
+    def _owner_order(self, entry: TargetEntry, organisation: str) -> list[str]:
+        return owner_order(
+            self.host,
+            self.owners(entry),
+            entry.id,
+            organisation,
+            self.shares.share(organisation),
+        )
+
+    def _pool_for(self, target: TargetState, organisation: str) -> TargetPool:
+        """Return the pool for an organisation's requests.
+
+        An owner sends them to the organisation's own owner as other hosts do: with 7
+        owners of 76 hosts, it would else open links for a tenth of all requests.
+        """
+        entry = target.entry
+        if (
+            not organisation
+            or not self.shares_connections(entry.group)
+            or not self.owns(entry)
+        ):
+            return target.pool
+        for name in self._owner_order(entry, organisation):
+            if name == self.host:
+                return target.pool
+            if name in self.roster.addresses and self._streams.usable(name):
+                break
+        if target.relay_pool is None:
+            target.relay_pool = TargetPool(
+                entry,
+                self._other_owner_driver,
+                self._clock,
+                lambda: RELAY_LINKS,
+                lambda reason: self.env.record_target_failure(target, reason),
+                self.env.policies,
+                lambda: True,
+            )
+        return target.relay_pool
+
     def _leader_owner_addresses(self, group: GroupState) -> list[str]:
         leader_id = group.leadership.leader_id
         if leader_id is None:
@@ -518,11 +587,18 @@
         shared = self.shares_connections(entry.group)
         if shared and not self.owns(entry):
             return RELAY_LINKS
-        if self._clock.now_ms() - self._started_ms < STARTUP_PHASE_MS:
+        starting = self._clock.now_ms() - self._started_ms < STARTUP_PHASE_MS
+        # One link would be that of one organisation; set-ups have a bound of their own.
+        if starting and not self._names_organisations:
             return 1
         if shared:
             position = self.owners(entry).index(self.host)
             return owner_links(self._max_connections(entry.group), position)
+        if self._names_organisations:
+            # Links stay open for their organisations, so none are left to other hosts.
+            hosts = sorted([self.host, *self.roster.addresses])
+            limit = self._max_connections(entry.group)
+            return owned_part(limit, len(hosts), hosts.index(self.host))
         return max(1, int(self.fair_share(entry.group) * self.overcommit))
 
     def link_budget(self, entry: TargetEntry) -> LinkBudget | None:
@@ -538,17 +614,17 @@
         LinkBudget or None
             None while the configuration names no organisations.
         """
-        catalog = self.catalog.current
-        if catalog is None or catalog.organisations is None:
+        if not self._names_organisations:
             return None
+        count = len(self.roster) + 1
         if self.shares_connections(entry.group):
             count = owner_count(self._max_connections(entry.group))
-            kept_links = self.link_limit(entry)
-        else:
-            count = len(self.roster) + 1
-            # The rest of its limit is left to hosts that restart.
-            kept_links = self.fair_share(entry.group)
-        return LinkBudget(set_ups_per_s(entry.slots, count), kept_links)
+        return LinkBudget(set_ups_per_s(entry.slots, count), self.link_limit(entry))
+
+    @property
+    def _names_organisations(self) -> bool:
+        catalog = self.catalog.current
+        return catalog is not None and catalog.organisations is not None
 
     def _open_pool(self, target: TargetState) -> TargetPool:
         return TargetPool(
@@ -568,7 +644,8 @@
             del group.targets[target.entry.id]
         if group.leadership.leader_id == target.entry.id:
             group.leadership.record_not_leading(target.entry.id, self._clock.now_ms())
-        target.pool.close()
+        for pool in target.pools:
+            pool.close()
 
     async def _tick_forever(self) -> None:
         ticks = 0
@@ -646,7 +723,8 @@
 
     def _adjust_pools(self, group: GroupState) -> None:
         for target in group.targets.values():
-            target.pool.trim()
+            for pool in target.pools:
+                pool.trim()
             leads = target.entry.id == group.leadership.leader_id
             same_zone = target.entry.zone == self.zone
             if (
@@ -654,4 +732,25 @@
                 and not target.entry.leaving
                 and not self.env.leaving
             ):
-                target.pool.warm()
+                target.pool.warm(self._expected_organisations(target, leads))
+
+    def _expected_organisations(self, target: TargetState, leads: bool) -> list[str]:
+        """Return the busiest organisations whose requests come to this host's links."""
+        entry = target.entry
+        if target.pool.open > 0 or not target.pool.by_organisation:
+            return [""]
+        group = self.groups[entry.group]
+        replicas = [
+            name for name in group.targets if name != group.leadership.leader_id
+        ]
+        shared = self.shares_connections(entry.group)
+        expected = []
+        for organisation in self.shares.busiest:
+            share = self.shares.share(organisation)
+            reads = leads or entry.id in preferred_replicas(
+                replicas, organisation, share
+            )
+            order = self._owner_order(entry, organisation) if shared else [self.host]
+            if reads and order[0] == self.host:
+                expected.append(organisation)
+        return expected
--- a/packages/fennelhilld/src/fennelhilld/links/lease.py
+++ b/packages/fennelhilld/src/fennelhilld/links/lease.py
@@ -83,10 +83,10 @@
         "_clock",
         "_on_overdue",
         "_paused",
-        "_pool",
         "_request",
         "_returned",
         "link",
+        "pool",
         "sent",
         "sent_at_ms",
     )
@@ -105,7 +105,7 @@
         self.sent = False
         # When the last batch was sent, on this host's clock.
         self.sent_at_ms = 0.0
-        self._pool = pool
+        self.pool = pool
         self._clock = clock
         self._on_overdue = on_overdue
         self._broken = False
@@ -116,12 +116,12 @@
         """Stop counting the link against the pool's window until the next exchange."""
         if not self._paused and not self._returned:
             self._paused = self.link.paused = True
-            self._pool.pause()
+            self.pool.pause()
 
     def _resume(self) -> None:
         if self._paused:
             self._paused = self.link.paused = False
-            self._pool.resume()
+            self.pool.resume()
 
     async def exchange(self, commands: list[Command], limit_ms: float) -> Exchange:
         """Send commands as one batch and read all answers.
@@ -182,11 +182,11 @@
             raise
         finally:
             overdue_timer.cancel()
-        self._pool.last_answer_ms = self._clock.now_ms()
-        took_ms = self._pool.last_answer_ms - started_ms
+        self.pool.last_answer_ms = self._clock.now_ms()
+        took_ms = self.pool.last_answer_ms - started_ms
         if any(answer.signature for answer in answers):
             # Control commands and refusals say nothing about the target's queue.
-            self._pool.record_response_time(took_ms)
+            self.pool.record_response_time(took_ms)
         return Exchange(sent_boottime_ms, took_ms, answers)
 
     def _urgency(self, limit_ms: float) -> Urgency:
@@ -206,7 +206,7 @@
         if not self._returned:
             self._resume()
             self._returned = True
-            self._pool.release(self.link, self._broken)
+            self.pool.release(self.link, self._broken)
 
     def discard(self) -> None:
         """Close the link; the target rolls back the transaction open on it."""
--- a/packages/fennelhilld/src/fennelhilld/links/pool.py
+++ b/packages/fennelhilld/src/fennelhilld/links/pool.py
@@ -192,6 +192,21 @@
         """Requests that wait for a link."""
         return sum(not waiter.link.done() for waiter in self._waiters)
 
+    def has_link_of(self, organisation: str) -> bool:
+        """Return whether a connection of this host serves an organisation.
+
+        Parameters
+        ----------
+        organisation : str
+            Its name.
+
+        Returns
+        -------
+        bool
+            False if links lead through an owner.
+        """
+        return not self._relayed() and self._held(organisation) > 0
+
     @property
     def relayed(self) -> bool:
         """Whether links lead through an owner of the target."""
--- a/packages/fennelhilld/src/fennelhilld/placement/state.py
+++ b/packages/fennelhilld/src/fennelhilld/placement/state.py
@@ -10,7 +10,7 @@
 from fennelhilld.freshness.positions import GroupFreshness, LagEstimate, MinimumPosition
 from fennelhilld.leadership.state import GroupLeadership
 from fennelhilld.links.pool import TargetPool
-from fennelhilld.placement.policies import PlacementPolicy
+from fennelhilld.placement.policies import SET_UP_COST_MS, PlacementPolicy
 from fennelhilld.relay.owners import spread_count
 
 NEWEST_WEIGHT = 0.1  # weight of the newest value in an exponential moving average
@@ -120,18 +120,45 @@
         "entry",
         "lag",
         "pool",
+        "pool_for",
+        "relay_pool",
     )
 
     def __init__(
         self, entry: TargetEntry, open_pool: Callable[[TargetState], TargetPool]
     ) -> None:
         self.entry = entry
+        # On an owner, links through other owners, whose own links the requests of some
+        # organisations use; None until needed.
+        self.relay_pool: TargetPool | None = None
+        # Returns the pool for the requests of an organisation.
+        self.pool_for: Callable[[str], TargetPool] = lambda organisation: self.pool
         self.pool = open_pool(self)
         self.lag = LagEstimate(self.pool.created_ms)
         self._slowness = 1.0
         self._slowness_updated_ms = self.pool.created_ms
         self.avoid_until_ms = 0.0
 
+    @property
+    def pools(self) -> list[TargetPool]:
+        """All pools of links to the target."""
+        return [self.pool] if self.relay_pool is None else [self.pool, self.relay_pool]
+
+    def answered_after(self, since_ms: float) -> bool:
+        """Return whether the target has answered on any link since a given time.
+
+        Parameters
+        ----------
+        since_ms : float
+            When a command was sent that got no answer.
+
+        Returns
+        -------
+        bool
+            As `TargetPool.answered_after`, for all pools.
+        """
+        return any(pool.answered_after(since_ms) for pool in self.pools)
+
     def slowness(self, now_ms: float) -> float:
         """Return the mean slowness; without answers it approaches 1.
 
@@ -205,9 +232,14 @@
         zone: str,
         tried: set[str],
         now_ms: float,
+        organisation: str = "",
+        share: float = 0.0,
     ) -> TargetState | None:
         """Choose the target where a read costs least.
 
+        If links belong to organisations, a read costs a set-up more than at one of the
+        organisation's preferred replicas, unless this host has a link there already.
+
         Parameters
         ----------
         minimum : MinimumPosition
@@ -220,12 +252,17 @@
             Targets that have already failed or refused this read.
         now_ms : float
             Time on this host's clock.
+        organisation : str
+            Organisation that reads; empty if links belong to none.
+        share : float
+            Its share of the load, from 0 to 1.
 
         Returns
         -------
         TargetState or None
             None where no target is left.
         """
+        preferred = self._preferred(organisation, share) if organisation else []
         best = None
         best_cost_ms = 0.0
         for name, target in self.targets.items():
@@ -239,6 +276,21 @@
             cost_ms = self.placement.cost_ms(
                 target, is_leader, mean_response_ms, zone, now_ms
             )
+            if organisation and not (
+                name in preferred or target.pool.has_link_of(organisation)
+            ):
+                cost_ms += SET_UP_COST_MS
             if best is None or cost_ms < best_cost_ms:
                 best, best_cost_ms = target, cost_ms
         return best
+
+    def _preferred(self, organisation: str, share: float) -> list[str]:
+        """Return the replicas that keep links of an organisation."""
+        replicas = [
+            name
+            for name, target in self.targets.items()
+            if name != self.leadership.leader_id
+            and not target.entry.leaving
+            and not target.pool.unreachable
+        ]
+        return preferred_replicas(replicas, organisation, share)
--- a/packages/fennelhilld/src/fennelhilld/placement/tests/test_state.py
+++ b/packages/fennelhilld/src/fennelhilld/placement/tests/test_state.py
@@ -26,6 +26,10 @@
         self.created_ms = 0.0
         self.unreachable = False
         self.relayed = False
+        self.organisations = set()
+
+    def has_link_of(self, organisation):
+        return organisation in self.organisations
 
 
 def group(**zones):
@@ -103,3 +107,43 @@
             state.targets["near"].record_slowness(times.observe("heavy", 40.0), 0.0)
             state.targets["leader"].record_slowness(times.observe("light", 5.0), 0.0)
         assert choose(state) == "near"
+
+
+class TestPreferredReplica:
+    def choose(self, state, organisation, share=0.01):
+        chosen = state.choose_reader(
+            MINIMUM, MEAN_RESPONSE_MS, "a", set(), 0.0, organisation, share
+        )
+        return chosen.entry.id
+
+    def test_organisations_are_spread_over_the_replicas(self):
+        state = group(leader="c", one="a", two="a")
+        chosen = [self.choose(state, f"org-{number}") for number in range(200)]
+        assert 80 < chosen.count("one") < 120
+        assert "leader" not in chosen
+
+    def test_is_left_if_waiting_there_costs_more_than_a_set_up(self):
+        state = group(leader="c", one="a", two="a")
+        preferred = self.choose(state, "org")
+        pool = state.targets[preferred].pool
+        pool.idle, pool.in_use, pool.open = 0, 1, 2
+        assert self.choose(state, "org") == preferred
+        pool.in_use = 3
+        assert self.choose(state, "org") != preferred
+
+    def test_is_left_for_one_where_this_host_has_a_link(self):
+        state = group(leader="c", one="a", two="a")
+        preferred = self.choose(state, "org")
+        other = state.targets["two" if preferred == "one" else "one"].pool
+        other.organisations.add("org")
+        state.targets[preferred].pool.idle = 0
+        state.targets[preferred].pool.in_use = 1
+        assert self.choose(state, "org") != preferred
+
+    def test_another_replica_is_preferred_to_the_leader(self):
+        # A leader must not get the reads of half of the organisations while one
+        # replica lags.
+        state = group(leader="a", one="a", two="a")
+        preferred = self.choose(state, "org")
+        state.targets[preferred].lag.record_refusal(2_000.0, 2_000.0, 0.0)
+        assert self.choose(state, "org") not in (preferred, "leader")
--- a/packages/fennelhilld/src/fennelhilld/relay/driver.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/driver.py
@@ -36,6 +36,7 @@
     RelayClose,
     RelayResult,
 )
+from fennelhilld.relay.owners import owner_wait_ms
 
 DIAL_TIMEOUT_MS = 300.0
 # An owner that did not answer is not used for this long.
@@ -48,9 +49,6 @@
 # Pause before a refusal is passed on, so that the next attempt finds another state.
 REFUSAL_PAUSE_MS = 30.0
 CLOSE_TIMEOUT_MS = 500.0
-# Wait for a link at an owner while there are others to try; a statement takes some
-# milliseconds.
-SHORT_WAIT_MS = 10.0
 # Longest time for the answer to commands whose sender gives no limit.
 DEFAULT_LIMIT_MS = 1_000.0
 
@@ -249,7 +247,8 @@
     streams : OwnerStreams
         Streams to owners.
     owners : callable
-        Returns name and address of the target's owners, in the order of use.
+        Returns name and address of the target's owners, in the order in which the
+        organisation with a given name uses them.
     group : str
         Group of the target.
     target_id : str
@@ -278,7 +277,7 @@
     def __init__(
         self,
         streams: OwnerStreams,
-        owners: Callable[[], list[tuple[str, str]]],
+        owners: Callable[[str], list[tuple[str, str]]],
         group: str,
         target_id: str,
         clock: Clock,
@@ -368,7 +367,7 @@
     async def _run_at_any_owner(self, batch: RelayBatch) -> RelayResult:
         """Run a batch at the first owner with a free link; wait for one at the last."""
         deadline_ms = self._clock.now_ms() + batch.limit_ms
-        owners = self._owners()
+        owners = self._owners(batch.organisation)
         # Without owners this host connects to the target itself.  The pool replaces a
         # closed link; an open one would be taken again and again.
         self._closed = not owners
@@ -381,7 +380,7 @@
                 continue
             batch.limit_ms = left_ms
             is_last = position == len(usable) - 1
-            batch.wait_ms = left_ms if is_last else min(left_ms, SHORT_WAIT_MS)
+            batch.wait_ms = owner_wait_ms(batch.organisation, left_ms, is_last)
             result = await self._call(name, client, batch)
             if not result.not_run:
                 break
@@ -474,8 +473,9 @@
     direct : LinkDriver
         Opens connections to targets.
     owners : callable
-        Returns name and address of the owners of a target, in the order of use; empty
-        if this host connects to the target itself.
+        Returns name and address of the owners of a target, in the order in which the
+        organisation with a given name uses them; empty if this host connects to the
+        target itself.
     streams : OwnerStreams
         Streams to owners.
     clock : Clock
@@ -485,7 +485,7 @@
     def __init__(
         self,
         direct: LinkDriver,
-        owners: Callable[[str], list[tuple[str, str]]],
+        owners: Callable[[str, str], list[tuple[str, str]]],
         streams: OwnerStreams,
         clock: Clock,
     ) -> None:
@@ -529,7 +529,7 @@
             If the target can't be reached or refuses the connection, or if none of its
             owners can be reached.
         """
-        owners = self._owners(target_id)
+        owners = self._owners(target_id, organisation)
         if not owners:
             return await self._direct.open(
                 group, target_id, address, limit_ms, organisation
@@ -539,7 +539,7 @@
             if await self._streams.connect(name, owner_address) is not None:
                 return RelayLink(
                     self._streams,
-                    lambda: self._owners(target_id),
+                    lambda name: self._owners(target_id, name),
                     group,
                     target_id,
                     self._clock,
--- a/packages/fennelhilld/src/fennelhilld/relay/owners.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/owners.py
@@ -93,7 +93,26 @@
     int
         At least 1.
     """
-    count = owner_count(max_connections)
+    return owned_part(max_connections, owner_count(max_connections), position)
+
+
+def owned_part(max_connections: int, count: int, position: int) -> int:
+    """Return one host's part of the connections that a number of hosts share.
+
+    Parameters
+    ----------
+    max_connections : int
+        Connections that the target accepts.
+    count : int
+        Number of hosts that connect to it.
+    position : int
+        Position of the host among them, from 0.
+
+    Returns
+    -------
+    int
+        At least 1.
+    """
     share, remainder = divmod(int(OWNED_SHARE * max_connections), count)
     return max(1, share + (position < remainder))
 
@@ -170,7 +189,11 @@
         owners, key=lambda owner: _hash(f"{target_id}/{organisation}/{owner}")
     )
     count = spread_count(share, len(owners))
-    own = sorted(ranked[:count], key=lambda owner: _hash(f"{host}/{owner}"))
+    # An owner that is one of them uses its own links.
+    own = sorted(
+        ranked[:count],
+        key=lambda owner: (owner != host, _hash(f"{host}/{owner}")),
+    )
     return own + ranked[count:]
 
 
--- a/packages/fennelhilld/src/fennelhilld/relay/service.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/service.py
@@ -124,7 +124,10 @@
             now_ms + batch.wait_ms,
             batch.organisation,
         )
-        return await self._env.lease_link(target, _context(batch), request)
+        # Another owner has sent what its own links don't serve: not sent on again.
+        return await self._env.lease_link(
+            target, _context(batch), request, own_links=True
+        )
 
     async def _exchange(
         self, batch: RelayBatch, target: TargetState, lease: Lease
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/relay/tests/test_organisations.py
@@ -0,0 +1,116 @@
+"""Tests of fleets whose clients call for organisations."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+import msgspec
+import pytest
+from fennelhill_bench.session_simulation.simulation import SessionSimulation
+from fennelhill_bench.session_simulation.targets import DriverModel, LinkModel
+from fennelhill_bench.virtual_time import run_virtual
+from fennelhilld.catalog.state import Organisation, key_digest
+from fennelhilld.statements.session import Session
+
+NAMES = [f"org-{rank}" for rank in range(1, 13)]
+WEIGHTS = [rank**-1.2 for rank in range(1, 13)]
+
+
+class OrganisationsSimulation(SessionSimulation):
+    """A fleet with organisations, each with its name as key."""
+
+    def __init__(self, hosts, monkeypatch):
+        super().__init__(1, hosts)
+        # Pairs of the organisations of a statement and of the link that it ran on.
+        self.served = set()
+        self.owners_of = defaultdict(set)
+        self.organisation_of_request = {}
+        self.organisation_of_link = {}
+        simulation = self
+        open_link, send, execute = DriverModel.open, LinkModel.send, Session.execute
+
+        async def open_recorded(
+            driver, group, target_id, address, limit_ms, organisation=""
+        ):
+            link = await open_link(driver, group, target_id, address, limit_ms)
+            simulation.organisation_of_link[link] = organisation
+            if organisation:
+                simulation.owners_of[target_id, organisation].add(driver)
+            return link
+
+        async def send_recorded(link, commands, urgency=None):
+            for command in commands:
+                if command.statement is not None:
+                    caller = simulation.organisation_of_request[
+                        command.statement.request_id
+                    ]
+                    of_link = simulation.organisation_of_link[link]
+                    simulation.served.add((caller, of_link))
+            await send(link, commands, urgency)
+
+        async def execute_recorded(session, statement, *args):
+            organisation = simulation.catalog.keys[session._digest]
+            simulation.organisation_of_request[statement.request_id] = organisation
+            return await execute(session, statement, *args)
+
+        monkeypatch.setattr(DriverModel, "open", open_recorded)
+        monkeypatch.setattr(LinkModel, "send", send_recorded)
+        monkeypatch.setattr(Session, "execute", execute_recorded)
+        self.catalog = msgspec.structs.replace(
+            self.gateways[0].catalog.current,
+            version=2,
+            organisations={
+                name: Organisation(name, (key_digest(name),), 100.0 * weight)
+                for name, weight in zip(NAMES, WEIGHTS, strict=True)
+            },
+            keys={key_digest(name): name for name in NAMES},
+        )
+        for gateway in self.gateways:
+            gateway.install_catalog(self.catalog)
+
+    def client(self, gateway, database, name=""):
+        client = super().client(gateway, database)
+        name = name or self.random.choices(NAMES, WEIGHTS)[0]
+        client.session = gateway.open_session(database.name, name)
+        return client
+
+
+def simulate(main, monkeypatch, hosts):
+    async def run():
+        simulation = OrganisationsSimulation(hosts, monkeypatch)
+        await main(simulation)
+        violations = simulation.observer.check_final_logs(simulation.groups)
+        simulation.close()
+        assert violations == simulation.observer.violations == []
+
+    run_virtual(run())
+
+
+class TestOrganisations:
+    @pytest.mark.parametrize("hosts", [4, 24])
+    def test_each_is_served_on_its_own_links_only(self, monkeypatch, hosts):
+        # 4 hosts connect to each target themselves, 24 through owners.
+        async def main(simulation):
+            await simulation.run_clients(20, 4_000.0)
+            served = [record for record in simulation.replies if record[3].code is None]
+            assert len(served) > 0.97 * len(simulation.replies) > 1_000
+            assert {caller for caller, _ in simulation.served} == set(NAMES)
+            assert all(caller == of_link for caller, of_link in simulation.served)
+
+        simulate(main, monkeypatch, hosts)
+
+    def test_each_uses_the_same_owner_from_all_hosts(self, monkeypatch):
+        # Owners included: they would else open links for all that reach them.
+        async def main(simulation):
+            database = simulation.databases[0]
+            for gateway in simulation.gateways:
+                for name in NAMES[3:]:
+                    client = simulation.client(gateway, database, name)
+                    assert (await client.write()).code is None
+            owners = [
+                simulation.owners_of["g0-0", organisation] for organisation in NAMES[3:]
+            ]
+            assert all(len(drivers) == 1 for drivers in owners)
+            assert len(set.union(*owners)) > 1
+
+        simulate(main, monkeypatch, 24)
--- a/packages/fennelhilld/src/fennelhilld/relay/tests/test_owners.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/tests/test_owners.py
@@ -11,6 +11,7 @@
     owner_count,
     owner_links,
     owner_order,
+    owner_wait_ms,
     target_owners,
 )
 
@@ -74,3 +75,41 @@
         first = Counter(owner_order(host.name, names)[0] for host in FLEET)
         assert len(first) == len(names)
         assert max(first.values()) < 2 * len(FLEET) / len(names)
+
+    def test_is_the_same_for_all_hosts_for_a_small_organisation(self):
+        names = owners("t")
+        for organisation in ("one", "two", "three"):
+            orders = {
+                tuple(owner_order(host.name, names, "t", organisation, 0.01))
+                for host in FLEET
+            }
+            assert len(orders) == 1
+            assert set(orders.pop()) == set(names)
+
+    def test_spreads_organisations_over_the_owners(self):
+        names = owners("t")
+        first = Counter(
+            owner_order("host-0", names, "t", f"org-{number}")[0]
+            for number in range(1_000)
+        )
+        assert max(first.values()) < 1.3 * 1_000 / len(names)
+
+    def test_spreads_a_large_organisation_by_its_share(self):
+        names = owners("t")
+        first = Counter(
+            owner_order(host.name, names, "t", "large", 0.26)[0] for host in FLEET
+        )
+        assert len(first) == 2
+        assert max(first.values()) < 0.6 * len(FLEET)
+
+    def test_an_owner_uses_its_own_links_for_what_it_shares(self):
+        names = owners("t")
+        for owner in owner_order("host-0", names, "t", "large", 0.26)[:2]:
+            assert owner_order(owner, names, "t", "large", 0.26)[0] == owner
+
+
+class TestOwnerWait:
+    def test_is_longer_where_the_organisation_has_its_links(self):
+        assert owner_wait_ms("", 500.0, False) < owner_wait_ms("one", 500.0, False)
+        assert owner_wait_ms("one", 20.0, False) == 20.0
+        assert owner_wait_ms("one", 500.0, True) == 500.0
--- a/packages/fennelhilld/src/fennelhilld/statements/environment.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/environment.py
@@ -109,6 +109,8 @@
         self.leaving = False
         # Fetches positions of leaders; None if this host sees enough of them itself.
         self.samples: SampleSource | None = None
+        # Returns an organisation's share of the load, from 0 to 1.
+        self.organisation_share: Callable[[str], float] = lambda organisation: 0.0
         self.is_cut_off: Callable[[], bool] = lambda: False
         self.on_leader_suspected: Callable[[GroupState], None] = lambda group: None
 
@@ -352,7 +354,11 @@
         return QueuedRequest(database.priority, due_ms, give_up_ms, organisation)
 
     async def lease_link(
-        self, target: TargetState, context: SessionContext, request: QueuedRequest
+        self,
+        target: TargetState,
+        context: SessionContext,
+        request: QueuedRequest,
+        own_links: bool = False,
     ) -> Lease | None:
         """Lease a link to a target.
 
@@ -364,6 +370,8 @@
             State of the session.
         request : QueuedRequest
             Its priority, due time and the end of its wait.
+        own_links : bool
+            Whether an owner must use its own links to the target.
 
         Returns
         -------
@@ -375,13 +383,14 @@
         NoLinkError
             If no link became available in time, or none is expected to.
         """
+        pool = target.pool if own_links else target.pool_for(request.organisation)
         try:
-            link = await target.pool.acquire(context, request)
+            link = await pool.acquire(context, request)
         except LinkRefusedError as error:
             self.record_target_failure(target, str(error))
             return None
         return Lease(
-            target.pool,
+            pool,
             link,
             self.clock,
             lambda sent_ms: self.record_overdue_answer(target, sent_ms),
@@ -507,7 +516,7 @@
         sent_ms : float
             When the unanswered batch was sent, on this host's clock.
         """
-        if target.pool.answered_after(sent_ms):
+        if target.answered_after(sent_ms):
             return
         target.avoid(self.clock.now_ms())
         self._suspect(target, "an answer is overdue")
@@ -533,11 +542,11 @@
         answer_timeout_ms : float
             Time-out that was set for the answer, in milliseconds.
         """
-        if answer_timeout_ms < MIN_ANSWER_TIME_MS or target.pool.answered_after(
+        if answer_timeout_ms < MIN_ANSWER_TIME_MS or target.answered_after(
             lease.sent_at_ms
         ):
             return
-        target.pool.mark_unreachable()
+        lease.pool.mark_unreachable()
         self.record_target_failure(target, reason)
 
     def record_target_failure(self, target: TargetState, reason: str) -> None:
--- a/packages/fennelhilld/src/fennelhilld/statements/execution.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/execution.py
@@ -116,7 +116,13 @@
         if minimum is not None:
             mean_response_ms = self.env.response_times.mean_response_ms(database.name)
             chosen = group.choose_reader(
-                minimum, mean_response_ms, self.env.zone, tried, now_ms
+                minimum,
+                mean_response_ms,
+                self.env.zone,
+                tried,
+                now_ms,
+                self.organisation,
+                self.env.organisation_share(self.organisation),
             )
             if chosen is not None:
                 return chosen
