feat: idle transactions give their links up while others wait

Cause: clients that are idle in transactions held an owner's links until their time-out, up to 3 s, while other organisations waited. Ruled out: ending any idle transaction at once; clients usually send the next statement within 100 ms. Change: if a request of an organisation without a link waits and all links are held, the longest idle transaction of an organisation with more than its share of the links is rolled back (links/allocation.py); if no link would return at all, the longest idle of any. The client's next statement gets 1029 "aborted", also through the relay: the owner answers the next batch of that link so, and the sender's link stays usable. A statement of the transaction that has arrived keeps it from being ended. Relayed links of idle transactions no longer count against a host's limit of relayed links.

--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -547,6 +547,7 @@
                 lambda reason: self.env.record_target_failure(target, reason),
                 self.env.policies,
                 lambda: True,
+                lambda: self.link_budget(entry),
             )
         return target.relay_pool
 
--- a/packages/fennelhilld/src/fennelhilld/links/allocation.py
+++ b/packages/fennelhilld/src/fennelhilld/links/allocation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from collections.abc import Iterable
 
 import msgspec
@@ -33,6 +34,10 @@
 WORTH_HYSTERESIS = 2.0
 
 
+# Clients usually send the next statement of a transaction earlier than this.
+MIN_REST_MS = 100.0
+
+
 class LinkBudget(msgspec.Struct, frozen=True):
     """What a host may use of a target while links belong to organisations.
 
@@ -260,6 +265,60 @@
     )
 
 
+class IdleTransaction(msgspec.Struct, frozen=True):
+    """A link that an idle transaction holds.
+
+    Parameters
+    ----------
+    organisation : str
+        The organisation that it serves.
+    rest_ms : float
+        Time since the transaction's last statement, in milliseconds.
+    """
+
+    organisation: str
+    rest_ms: float
+
+
+def transaction_to_end(
+    transactions: list[IdleTransaction],
+    link_limit: int,
+    competing: set[str],
+    others_return: bool,
+) -> int | None:
+    """Choose the idle transaction that is rolled back if others wait for a link.
+
+    Answers clients that are idle in transactions, up to more than there are
+    connections, while other organisations have statements to run.
+
+    Parameters
+    ----------
+    transactions : list of IdleTransaction
+        All idle transactions.
+    link_limit : int
+        Links that this host may open.
+    competing : set of str
+        Organisations that hold links or wait for one.
+    others_return : bool
+        Whether links other than theirs will become free.
+
+    Returns
+    -------
+    int or None
+        Index of the one idle longest among those of organisations with more than
+        their share, which is one at least; among all if no other link becomes free.
+    """
+    share = max(1, link_limit // max(1, len(competing)))
+    held = Counter(transaction.organisation for transaction in transactions)
+    candidates = [
+        index
+        for index, transaction in enumerate(transactions)
+        if transaction.rest_ms >= MIN_REST_MS
+        and (held[transaction.organisation] > share or not others_return)
+    ]
+    return max(candidates, key=lambda index: transactions[index].rest_ms, default=None)
+
+
 def needs_another_link(own_links: int, own_waiting: int, service_ms: float) -> bool:
     """Return whether an organisation should get a link beyond those in use.
 
--- a/packages/fennelhilld/src/fennelhilld/links/lease.py
+++ b/packages/fennelhilld/src/fennelhilld/links/lease.py
@@ -118,6 +118,24 @@
             self._paused = self.link.paused = True
             self.pool.pause()
 
+    def rest(self, end_transaction: Callable[[], None]) -> None:
+        """Pause the link while the transaction that is open on it is idle.
+
+        Parameters
+        ----------
+        end_transaction : callable
+            Rolls the transaction back, so that others get the link's place; called
+            only before `wake` and the next exchange.
+        """
+        if not self._returned:
+            self.link.end_transaction = end_transaction
+            self.link.rests_since_ms = self._clock.now_ms()
+            self.pause()
+
+    def wake(self) -> None:
+        """Keep the transaction from being rolled back, as its next statement is run."""
+        self.link.end_transaction = None
+
     def _resume(self) -> None:
         if self._paused:
             self._paused = self.link.paused = False
@@ -147,6 +165,7 @@
             If the link leads through owners, and none of them has a connection to the
             target in time; nothing was sent.
         """
+        self.wake()
         self._resume()
         started_ms = self.sent_at_ms = self._clock.now_ms()
         sent_boottime_ms = self._clock.boottime_ms()
@@ -204,6 +223,7 @@
     def release(self) -> None:
         """Return the link to the pool; further calls do nothing."""
         if not self._returned:
+            self.wake()
             self._resume()
             self._returned = True
             self.pool.release(self.link, self._broken)
--- a/packages/fennelhilld/src/fennelhilld/links/messages.py
+++ b/packages/fennelhilld/src/fennelhilld/links/messages.py
@@ -10,6 +10,9 @@
 
 from fennelhilld.statements.messages import Statement, TransactionState
 
+# Why an idle transaction was rolled back, as its client is told.
+ENDED_FOR_OTHERS = "the transaction was idle while others waited, and was rolled back"
+
 
 class CommandKind(enum.Enum):
     """Kind of a command to a target."""
--- a/packages/fennelhilld/src/fennelhilld/links/pool.py
+++ b/packages/fennelhilld/src/fennelhilld/links/pool.py
@@ -17,6 +17,7 @@
     SET_UP_MS,
     WORTH_HYSTERESIS,
     IdleLink,
+    IdleTransaction,
     LinkBudget,
     SetUpBudget,
     UseRates,
@@ -24,6 +25,7 @@
     link_worth,
     links_kept,
     needs_another_link,
+    transaction_to_end,
 )
 from fennelhilld.links.messages import (
     LinkDriver,
@@ -75,9 +77,19 @@
         Links that were returned as broken.
     displaced : int
         Idle links that were closed for a link of another organisation.
+    ended : int
+        Idle transactions that were rolled back for the same reason.
     """
 
-    __slots__ = ("displaced", "lost", "opened", "refused", "too_many", "turned_away")
+    __slots__ = (
+        "displaced",
+        "ended",
+        "lost",
+        "opened",
+        "refused",
+        "too_many",
+        "turned_away",
+    )
 
     def __init__(self) -> None:
         self.opened = 0
@@ -86,6 +98,7 @@
         self.turned_away = 0
         self.lost = 0
         self.displaced = 0
+        self.ended = 0
 
 
 class _Waiter:
@@ -239,7 +252,11 @@
     @property
     def link_limit(self) -> int:
         """Links that this host may open."""
-        return max(1, self._link_limit())
+        limit = max(1, self._link_limit())
+        if self._relayed() and self._link_budget() is not None:
+            # Only the owner's links are scarce; it ends idle transactions there.
+            limit += self.paused
+        return limit
 
     async def acquire(
         self, context: SessionContext, request: QueuedRequest
@@ -527,7 +544,7 @@
     def _offer(self, link: PooledLink) -> None:
         link.idle_since_ms = self._clock.now_ms()
         for waiter in self._waiters:
-            own = link.organisation == self._link_organisation(waiter.request)
+            own = link.organisation == self._link_organisation_of(waiter)
             if waiter.chosen and own and not waiter.link.done():
                 # A link is being opened for it; this one is there earlier.
                 waiter.link.set_result(self._mark_in_use(link))
@@ -612,6 +629,7 @@
             if not servable:
                 if waiting:
                     self._schedule_grow(SET_UP_RECHECK_MS)
+                    self._end_idle_transaction(waiting, budget)
                 return
             chosen = self._queue_policy.choose(
                 [waiter.request for waiter in servable],
@@ -619,7 +637,7 @@
                 self.mean_response_ms,
             )
             waiter = servable[chosen]
-            organisation = self._link_organisation(waiter.request)
+            organisation = self._link_organisation_of(waiter)
             link = self._take_idle(organisation)
             if link is not None:
                 self._waiters.remove(waiter)
@@ -641,7 +659,7 @@
         own_waiting: Counter[str] = Counter()
         servable = []
         for waiter in waiting:
-            organisation = self._link_organisation(waiter.request)
+            organisation = self._link_organisation_of(waiter)
             own_waiting[organisation] += 1
             if idle[organisation] >= own_waiting[organisation] or (
                 may_open
@@ -655,6 +673,43 @@
                 servable.append(waiter)
         return servable
 
+    def _end_idle_transaction(self, waiting: list[_Waiter], budget: LinkBudget) -> None:
+        """Roll an idle transaction back if others wait for its place."""
+        now_ms = self._clock.now_ms()
+        if (
+            self.open < self.link_limit
+            or self._idle
+            or now_ms < self._backoff_until_ms
+            or self._set_ups.wait_ms(now_ms, budget.set_ups_per_s) > 0
+        ):
+            return
+        waiting_for = {
+            organisation
+            for organisation in map(self._link_organisation_of, waiting)
+            if not self._links_in_sight(organisation)
+        }
+        resting = [
+            link
+            for link in self._used
+            if link.end_transaction is not None and waiting_for - {link.organisation}
+        ]
+        holding = {link.organisation for link in (*self._idle, *self._used)}
+        index = transaction_to_end(
+            [
+                IdleTransaction(link.organisation, now_ms - link.rests_since_ms)
+                for link in resting
+            ],
+            self.link_limit,
+            holding | waiting_for,
+            not self._no_return_expected,
+        )
+        if index is not None:
+            self.counters.ended += 1
+            resting[index].end_transaction()
+
+    def _link_organisation_of(self, waiter: _Waiter) -> str:
+        return self._link_organisation(waiter.request)
+
     def _links_in_sight(self, organisation: str) -> int:
         """Return how many links of an organisation are opened or returned soon."""
         returning = sum(
@@ -679,7 +734,7 @@
     def _wanted(self) -> set[str]:
         """Return the organisations with waiting requests."""
         return {
-            self._link_organisation(waiter.request)
+            self._link_organisation_of(waiter)
             for waiter in self._waiters
             if not waiter.link.done()
         }
@@ -819,15 +874,13 @@
             others = [
                 waiter
                 for waiter in self._waiters
-                if self._link_organisation(waiter.request) != organisation
+                if self._link_organisation_of(waiter) != organisation
             ]
             self._waiters = [item for item in self._waiters if item not in others]
             self._fail_waiters(error.fault, str(error))
             self._waiters = others
         for waiter in self._waiters:
-            if waiter.chosen and (
-                self._link_organisation(waiter.request) == organisation
-            ):
+            if waiter.chosen and (self._link_organisation_of(waiter) == organisation):
                 waiter.chosen = False
                 break
         self._allocate()
--- a/packages/fennelhilld/src/fennelhilld/links/state.py
+++ b/packages/fennelhilld/src/fennelhilld/links/state.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import msgspec
 import xxhash
 
@@ -55,11 +57,13 @@
     __slots__ = (
         "busy_since_ms",
         "connection",
+        "end_transaction",
         "idle_since_ms",
         "opened_ms",
         "organisation",
         "paused",
         "prepared",
+        "rests_since_ms",
         "values",
     )
 
@@ -75,6 +79,10 @@
         self.busy_since_ms = now_ms
         # Whether its lease has stopped counting it against the pool's window.
         self.paused = False
+        # Rolls back the idle transaction that is open on it; None if there is none.
+        self.end_transaction: Callable[[], None] | None = None
+        # When the last statement of that transaction was answered.
+        self.rests_since_ms = now_ms
 
     def matches(self, context: SessionContext) -> bool:
         """Return whether no session value has to be replayed.
--- a/packages/fennelhilld/src/fennelhilld/links/tests/test_allocation.py
+++ b/packages/fennelhilld/src/fennelhilld/links/tests/test_allocation.py
@@ -10,13 +10,16 @@
 from fennelhilld.links.allocation import (
     MIN_LINK_AGE_MS,
     IdleLink,
+    IdleTransaction,
     LinkBudget,
     SetUpBudget,
     UseRates,
     least_worth,
     link_worth,
     needs_another_link,
+    transaction_to_end,
 )
+from fennelhilld.links.lease import Lease
 from fennelhilld.links.messages import LinkRefusedError, NoLinkError, TargetFault
 from fennelhilld.links.pool import CLOSE_ARRIVAL_MS, SURPLUS_IDLE_MS
 from fennelhilld.links.state import SessionContext
@@ -187,6 +190,54 @@
         run(check, link_limit=4, kept_links=4)
 
 
+class TestIdleTransactions:
+    def test_the_longest_idle_beyond_the_share_is_ended(self):
+        transactions = [
+            IdleTransaction("large", 300.0),
+            IdleTransaction("large", 900.0),
+            IdleTransaction("large", 200.0),
+            IdleTransaction("small", 2_000.0),
+        ]
+        competing = {"large", "small", "waiting"}
+        assert transaction_to_end(transactions, 6, competing, True) == 1
+        assert transaction_to_end(transactions, 12, competing, True) is None
+        # Nobody has more than the share, but no link would ever become free.
+        assert transaction_to_end(transactions, 12, competing, False) == 3
+        assert transaction_to_end([IdleTransaction("one", 5.0)], 1, {"one"}, False) is (
+            None
+        )
+
+    def test_others_get_the_place_of_an_idle_transaction(self):
+        # Guards against clients that are idle in transactions on all links of an owner:
+        # nobody else had any until their time-out.
+        async def check(fixture):
+            ended = []
+            leases = []
+            for number in range(4):
+                link = await fixture.take("large")
+                lease = Lease(fixture.pool, link, fixture.clock, lambda sent_ms: None)
+
+                def end(number=number, lease=lease):
+                    ended.append(number)
+                    lease.discard()
+
+                lease.rest(end)
+                leases.append(lease)
+                await fixture.clock.sleep_ms(50.0)
+            # As long as the next statement is run, a transaction is not idle.
+            leases[0].wake()
+            more = asyncio.ensure_future(fixture.take("large", 100.0))
+            with pytest.raises(NoLinkError):
+                await more
+            assert not ended
+            started_ms = fixture.clock.now_ms()
+            assert (await fixture.take("small")).organisation == "small"
+            assert fixture.clock.now_ms() - started_ms < 40.0
+            assert ended == [1]
+
+        run(check, link_limit=4)
+
+
 class TestReplay:
     """Organisations of shares that fall as rank^-1.2 at one group's owners."""
 
--- a/packages/fennelhilld/src/fennelhilld/relay/service.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/service.py
@@ -2,13 +2,23 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 import msgspec
 from fennelhill_core.rpc import RpcServer
 from fennelhill_core.streams import Stream
 
 from fennelhilld.admission.order import QueuedRequest
 from fennelhilld.links.lease import Lease
-from fennelhilld.links.messages import LinkLostError, NoLinkError
+from fennelhilld.links.messages import (
+    ENDED_FOR_OTHERS,
+    Command,
+    CommandKind,
+    LinkLostError,
+    NoLinkError,
+    TargetAnswer,
+    TargetFault,
+)
 from fennelhilld.links.state import PreparedShape, SessionContext
 from fennelhilld.placement.state import TargetState
 from fennelhilld.relay.messages import (
@@ -63,6 +73,8 @@
         # Numbers of links on which a batch runs, and of those closed meanwhile.
         self._running: set[int] = set()
         self._closed: set[int] = set()
+        # Numbers of links whose transaction was rolled back here, until the next batch.
+        self._rolled_back: set[int] = set()
         self._ended = False
 
     async def run(self, params: msgspec.Raw) -> RelayResult:
@@ -77,6 +89,9 @@
     async def _run(self, batch: RelayBatch) -> RelayResult:
         if batch.in_transaction:
             held = self._leases.pop(batch.link, None)
+            if held is None and batch.link in self._rolled_back:
+                self._rolled_back.discard(batch.link)
+                return RelayResult([_after_rollback(item) for item in batch.commands])
             if held is None:
                 return RelayResult(error="the transaction's link was lost")
             target, lease = held
@@ -97,6 +112,7 @@
     async def close(self, params: msgspec.Raw) -> RelayResult:
         call = msgspec.json.decode(params, type=RelayClose)
         held = self._leases.pop(call.link, None)
+        self._rolled_back.discard(call.link)
         if held is not None:
             held[1].discard()
         elif call.link in self._running:
@@ -106,6 +122,18 @@
     async def ping(self, params: msgspec.Raw) -> RelayResult:
         return RelayResult()
 
+    def _end_for_others(self, batch: RelayBatch) -> None:
+        """Roll back because other organisations wait for the link's place."""
+        _, lease = self._leases.pop(batch.link)
+        self._rolled_back.add(batch.link)
+        self._env.events.record(
+            "transaction.ended",
+            group=batch.group,
+            target=batch.target_id,
+            organisation=batch.organisation,
+        )
+        lease.discard()
+
     def close_all(self) -> None:
         self._ended = True
         for _, lease in self._leases.values():
@@ -158,11 +186,18 @@
             # Nobody would end the transaction.
             lease.discard()
             return RelayResult(error="the link was closed")
-        lease.pause()
         self._leases[batch.link] = (target, lease)
+        lease.rest(partial(self._end_for_others, batch))
         return RelayResult(exchange.answers, in_transaction=True)
 
 
+def _after_rollback(command: Command) -> TargetAnswer:
+    """Answer a command of a transaction that was rolled back for others."""
+    if command.kind is CommandKind.ROLLBACK:
+        return TargetAnswer()
+    return TargetAnswer(fault=TargetFault.ABORTED, detail=ENDED_FOR_OTHERS)
+
+
 def _context(batch: RelayBatch) -> SessionContext:
     context = SessionContext()
     context.values = batch.values
--- a/packages/fennelhilld/src/fennelhilld/relay/tests/test_organisations.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/tests/test_organisations.py
@@ -9,7 +9,9 @@
 from fennelhill_bench.session_simulation.simulation import SessionSimulation
 from fennelhill_bench.session_simulation.targets import DriverModel, LinkModel
 from fennelhill_bench.virtual_time import run_virtual
+from fennelhill_core import codes
 from fennelhilld.catalog.state import Organisation, key_digest
+from fennelhilld.links.allocation import MIN_REST_MS
 from fennelhilld.statements.session import Session
 
 NAMES = [f"org-{rank}" for rank in range(1, 13)]
@@ -86,6 +88,39 @@
     run_virtual(run())
 
 
+class TestIdleTransactions:
+    @pytest.mark.parametrize("hosts", [4, 24])
+    def test_one_that_was_ended_for_others_is_reported_as_aborted(
+        self, monkeypatch, hosts
+    ):
+        async def main(simulation):
+            database = simulation.databases[0]
+            gateway = next(
+                host
+                for host in simulation.gateways
+                if hosts == 4 or not host.owns(host.directory.get("g0-0"))
+            )
+            idle = []
+            for _ in range(10):
+                client = simulation.client(gateway, database, "org-12")
+                await client.begin()
+                if (await client.write()).code is None:
+                    idle.append(client)
+            await simulation.clock.sleep_ms(MIN_REST_MS)
+            assert len(idle) > 1
+            for name in NAMES[:4]:
+                assert (
+                    await simulation.client(gateway, database, name).write()
+                ).code is None
+            replies = [await client.commit() for client in idle]
+            codes_seen = {reply.code for reply in replies}
+            assert codes_seen == {None, codes.TRANSACTION_ABORTED}
+            for client in idle:
+                assert (await client.write()).code is None
+
+        simulate(main, monkeypatch, hosts)
+
+
 class TestOrganisations:
     @pytest.mark.parametrize("hosts", [4, 24])
     def test_each_is_served_on_its_own_links_only(self, monkeypatch, hosts):
--- a/packages/fennelhilld/src/fennelhilld/statements/transaction.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/transaction.py
@@ -9,6 +9,7 @@
 from fennelhilld.freshness.positions import MinimumPosition
 from fennelhilld.links.lease import Exchange, Lease
 from fennelhilld.links.messages import (
+    ENDED_FOR_OTHERS,
     Command,
     CommandKind,
     LinkLostError,
@@ -114,7 +115,7 @@
         )
         reply = await self._run(command, statement, shape)
         if self._lease is not None:
-            self._lease.pause()
+            self._lease.rest(self._end_for_others)
         if reply.code is None and (statement.writes or (shape and shape.writes)):
             self.wrote = True
         return reply
@@ -166,6 +167,16 @@
         self.abort_reason = reason
         self.discard_link()
 
+    def _end_for_others(self) -> None:
+        """Roll back because other organisations wait for the link's place."""
+        self.runner.env.events.record(
+            "transaction.ended",
+            group=self.database.group,
+            target=self._target.entry.id if self._target else "",
+            organisation=self.runner.organisation,
+        )
+        self.abort(ENDED_FOR_OTHERS)
+
     def discard_link(self) -> None:
         """Close the link; the target rolls back."""
         lease, self._lease = self._lease, None
@@ -183,6 +194,8 @@
         # not sent, the transaction is certain to be rolled back.
         commits_writes = command.kind is CommandKind.COMMIT and self.wrote
         min_left_ms = MIN_WRITE_TIME_MS if commits_writes else MIN_REMAINING_MS
+        if self._lease is not None:
+            self._lease.wake()
         while (left_ms := deadline_ms - env.clock.now_ms()) >= min_left_ms:
             if self._lease is None:
                 if self._leader_unavailable():
