feat: counts of links closed for others; owners without the catalog refuse

Cause: nothing showed how often links are closed for other organisations; an owner whose catalog names no organisations yet would have run a relayed batch on a link of nobody; a probe of an unreachable target opened a link that no organisation uses. Ruled out: a log line for each closed link, up to 40 a second for each target; counters on the metrics address. Change: events displaced and ended of fennelhill_links_total by target (set-ups are opened, refused and too_many); a relayed batch of an organisation is refused as not run until the owner's catalog names organisations; probes open the link that is most likely to be used. The replay prints the table of the ways weighed.

--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -165,6 +165,8 @@
         self._next_check_ms: dict[str, float] = {}
         self._checking_reach = False
         self.overcommit = OVERCOMMIT
+        # The position, and the change of the roster after which it was determined.
+        self._position_cache = (-1, 0)
         self._owners_cache: dict[tuple[str, int, int], list[str]] = {}
         self._started_ms = float("-inf")
         self._tasks = Tasks()
@@ -597,9 +599,8 @@
             return owner_links(self._max_connections(entry.group), position)
         if self._names_organisations:
             # Links stay open for their organisations, so none are left to other hosts.
-            hosts = sorted([self.host, *self.roster.addresses])
             limit = self._max_connections(entry.group)
-            return owned_part(limit, len(hosts), hosts.index(self.host))
+            return owned_part(limit, len(self.roster) + 1, self._position())
         return max(1, int(self.fair_share(entry.group) * self.overcommit))
 
     def link_budget(self, entry: TargetEntry) -> LinkBudget | None:
@@ -622,6 +623,14 @@
             count = owner_count(self._max_connections(entry.group))
         return LinkBudget(set_ups_per_s(entry.slots, count), self.link_limit(entry))
 
+    def _position(self) -> int:
+        """Return this host's position among all hosts by name, from 0."""
+        change_count, position = self._position_cache
+        if change_count != self.roster.change_count:
+            position = sum(name < self.host for name in self.roster.addresses)
+            self._position_cache = (self.roster.change_count, position)
+        return position
+
     @property
     def _names_organisations(self) -> bool:
         catalog = self.catalog.current
--- a/packages/fennelhilld/src/fennelhilld/links/allocation.py
+++ b/packages/fennelhilld/src/fennelhilld/links/allocation.py
@@ -188,6 +188,21 @@
         rate, updated_ms = self._rates.get(organisation, (0.0, now_ms))
         return rate * 0.5 ** ((now_ms - updated_ms) / RATE_HALF_LIFE_MS)
 
+    def busiest(self, now_ms: float) -> str:
+        """Return the organisation with the highest rate.
+
+        Parameters
+        ----------
+        now_ms : float
+            Time on this host's clock.
+
+        Returns
+        -------
+        str
+            Its name; empty if none has a rate.
+        """
+        return max(self._rates, key=lambda name: self.per_s(name, now_ms), default="")
+
     def _forget(self, now_ms: float) -> None:
         """Drop the lowest rates: all forgotten ones, and half if that is too few."""
         ranked = sorted(self._rates, key=lambda name: -self.per_s(name, now_ms))
--- a/packages/fennelhilld/src/fennelhilld/links/pool.py
+++ b/packages/fennelhilld/src/fennelhilld/links/pool.py
@@ -492,7 +492,7 @@
             and not self._opening.total()
             and not in_backoff
         ):
-            self._start_opening()
+            self._start_opening(self._most_wanted())
 
     def close(self) -> None:
         """Close idle links now, and the others when they are released."""
@@ -508,7 +508,7 @@
 
     def _link_organisation(self, request: QueuedRequest) -> str:
         """Return whose link a request needs; links through owners are nobody's."""
-        return "" if self._relayed() else request.organisation
+        return request.organisation if self.by_organisation else ""
 
     def _take_idle(
         self, organisation: str, context: SessionContext | None = None
@@ -673,6 +673,14 @@
                 servable.append(waiter)
         return servable
 
+    def _most_wanted(self) -> str:
+        """Return the organisation whose link is most likely to be used next."""
+        if not self.by_organisation:
+            return ""
+        if self._waiters:
+            return self._link_organisation_of(self._waiters[0])
+        return self._rates.busiest(self._clock.now_ms())
+
     def _end_idle_transaction(self, waiting: list[_Waiter], budget: LinkBudget) -> None:
         """Roll an idle transaction back if others wait for its place."""
         now_ms = self._clock.now_ms()
--- a/packages/fennelhilld/src/fennelhilld/links/shares.py
+++ b/packages/fennelhilld/src/fennelhilld/links/shares.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import heapq
+
 from fennelhilld.catalog.state import Catalog, CatalogHolder
 
 # Organisations for which links may be opened before they are asked for.
@@ -61,6 +63,7 @@
                 for name, organisation in (current.organisations or {}).items()
             }
             self._total_per_s = sum(rates.values())
-            self._busiest = sorted(rates, key=lambda name: (-rates[name], name))
-            del self._busiest[MAX_BUSIEST:]
+            self._busiest = heapq.nsmallest(
+                MAX_BUSIEST, rates, key=lambda name: (-rates[name], name)
+            )
         return current
--- a/packages/fennelhilld/src/fennelhilld/links/tests/replay.py
+++ b/packages/fennelhilld/src/fennelhilld/links/tests/replay.py
@@ -1,8 +1,12 @@
-"""Replay of organisations that compete for the links to one group's targets."""
+"""Replay of organisations that compete for the links to one group's targets.
+
+Run as a program, it prints the table of docs/design/links-by-organisation.md.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 
 import msgspec
@@ -27,7 +31,6 @@
 # leader, the others on a replica.
 KINDS = ((0.5, 6.0, 153.0), (0.25, 30.0, 1_003.0), (0.25, 18.0, 253.0))
 TARGETS = ("leader", "replica-1", "replica-2")
-SLOTS = 4
 WARM_UP_MS = 10_000.0
 
 
@@ -57,16 +60,17 @@
 class TargetStub:
     """Slots, and connections that count until their end has arrived."""
 
-    def __init__(self, clock, max_connections):
+    def __init__(self, clock, slots, max_connections):
         self.clock = clock
-        self.slots = asyncio.Semaphore(SLOTS)
+        self.slots = slots
+        self.free_slots = asyncio.Semaphore(slots)
         self.max_connections = max_connections
         self.connections = 0
         self.set_ups = 0
         self.busy_ms = 0.0
 
     async def run(self, work_ms):
-        async with self.slots:
+        async with self.free_slots:
             await self.clock.sleep_ms(work_ms)
             self.busy_ms += work_ms
 
@@ -98,19 +102,21 @@
 class Replay:
     """Owners' pools of a group's targets, and Poisson arrivals of organisations."""
 
-    def __init__(self, hosts, organisations, connections, rate_per_s, way):
+    def __init__(self, hosts, organisations, slots, connections, rate, way, seed):
         self.clock = VirtualClock()
-        self.random = random.Random(1)
+        self.random = random.Random(seed)
         self.way = way
         self.hosts = [f"host-{number}" for number in range(hosts)]
-        self.rate_per_s = rate_per_s
+        self.rate_per_s = rate
         weights = [rank**-1.2 for rank in range(1, organisations + 1)]
         self.shares = [weight / sum(weights) for weight in weights]
         self.result = Result()
         self.targets = {}
         self.pools = {}
         for target_id in TARGETS:
-            target = self.targets[target_id] = TargetStub(self.clock, connections)
+            target = self.targets[target_id] = TargetStub(
+                self.clock, slots, connections
+            )
             count = owner_count(connections)
             names = self.random.sample(self.hosts, count)
             self.pools[target_id] = {
@@ -120,10 +126,10 @@
 
     def _pool(self, target_id, target, links):
         budget = LinkBudget(
-            set_ups_per_s(SLOTS, owner_count(target.max_connections)), links
+            set_ups_per_s(target.slots, owner_count(target.max_connections)), links
         )
         return TargetPool(
-            TargetEntry(target_id, "g", "", "a", slots=SLOTS),
+            TargetEntry(target_id, "g", "", "a", slots=target.slots),
             target,
             self.clock,
             lambda: links,
@@ -223,16 +229,66 @@
 def replay(
     hosts=76,
     organisations=80,
+    slots=4,
     connections=56,
     rate_per_s=135.0,
     duration_ms=20_000.0,
     factors=None,
     way=None,
+    seed=1,
 ):
     """Replay one group's load; return the `Result`."""
 
     async def main():
-        fleet = Replay(hosts, organisations, connections, rate_per_s, way or Way())
+        fleet = Replay(
+            hosts, organisations, slots, connections, rate_per_s, way or Way(), seed
+        )
         return await fleet.run(duration_ms, factors or {})
 
     return run_virtual(main())
+
+
+WAYS = {
+    "order of owners by host, any replica": Way(False, False),
+    "own owners, any replica": Way(True, False),
+    "own owners and replica, 10 ms": Way(owner_wait_ms=10.0),
+    "own owners and replica, 60 ms (in use)": Way(),
+    "own owners and replica, to the end": Way(owner_wait_ms=10_000.0),
+}
+FLEETS = {
+    "58, 71": {"hosts": 58, "organisations": 71, "slots": 3, "connections": 39},
+    "76, 80": {},
+    "195, 1,000": {"hosts": 195, "organisations": 1_000, "connections": 58},
+}
+LOADS = {"calm": {}, "first at 8 times": {1: 8.0}}
+
+
+def print_table():
+    """Print set-ups, waits and slot time, as means over three seeds."""
+    for (fleet, sizes), (load, factors) in itertools.product(
+        FLEETS.items(), LOADS.items()
+    ):
+        for label, way in WAYS.items():
+            results = [
+                replay(**sizes, factors=factors, way=way, seed=seed)
+                for seed in (1, 2, 3)
+            ]
+            operations = sum(result.operations for result in results)
+            set_ups = sum(result.set_ups for result in results)
+            slot_ms = 3 * 20_000.0 * 3 * sizes.get("slots", 4)
+            ranks = range(11, sizes.get("organisations", 80) + 1)
+            small_ms = [result.p95_ms(ranks) for result in results]
+            large_ms = [result.p95_ms([1]) for result in results]
+            print(
+                f"| {fleet} | {load} | {label} | {set_ups / operations:.3f} "
+                f"| {100 * set_ups * SET_UP_MS / slot_ms:.1f}% "
+                f"| {100 * sum(result.busy_ms for result in results) / slot_ms:.0f}% "
+                f"| {max(small_ms):.0f} | {max(large_ms):.0f} "
+                f"| {sum(result.refused for result in results) / operations:.4f} "
+                f"| {sum(result.too_many for result in results)} |",
+                flush=True,
+            )
+
+
+if __name__ == "__main__":
+    print_table()
--- a/packages/fennelhilld/src/fennelhilld/links/tests/test_allocation.py
+++ b/packages/fennelhilld/src/fennelhilld/links/tests/test_allocation.py
@@ -147,6 +147,26 @@
 
         run(check, set_ups_per_s=1.0)
 
+    def test_many_organisations_together_keep_to_the_bound_on_set_ups(self):
+        async def check(fixture):
+            async def request(number):
+                await fixture.clock.sleep_ms(50.0 * number)
+                try:
+                    link = await fixture.take(f"org-{number % 40}", 300.0)
+                except NoLinkError:
+                    return 0
+                await fixture.clock.sleep_ms(10.0)
+                fixture.pool.release(link)
+                return 1
+
+            served = sum(await asyncio.gather(*(request(item) for item in range(200))))
+            # Five in a second, and those of one second ahead.
+            bound = 5.0 * fixture.clock.now_ms() / 1_000.0 + 5.0
+            assert 0.9 * bound < fixture.driver.opened <= bound
+            assert served >= fixture.driver.opened
+
+        run(check, set_ups_per_s=5.0)
+
     def test_a_refused_set_up_is_tried_again(self):
         async def check(fixture):
             fixture.driver.fault = TargetFault.TOO_MANY_CONNECTIONS
--- a/packages/fennelhilld/src/fennelhilld/observability/gateway_metrics.py
+++ b/packages/fennelhilld/src/fennelhilld/observability/gateway_metrics.py
@@ -10,6 +10,17 @@
 if TYPE_CHECKING:
     from fennelhilld.gateway import SessionGateway
 
+# Fields of `PoolCounters`; set-ups are those that were opened, refused or too many.
+LINK_EVENTS = (
+    "opened",
+    "refused",
+    "too_many",
+    "turned_away",
+    "lost",
+    "displaced",
+    "ended",
+)
+
 
 def render_metrics(gateway: SessionGateway) -> bytes:
     """Render counters and gauges in the Prometheus format.
@@ -62,7 +73,7 @@
             links.set({**target_labels, "state": "waited_for"}, pool.waiting)
             windows.set(target_labels, pool.window)
             response_ms.set(target_labels, pool.mean_response_ms)
-            for event in ("opened", "refused", "too_many", "turned_away", "lost"):
+            for event in LINK_EVENTS:
                 count = getattr(pool.counters, event)
                 link_events.set({**target_labels, "event": event}, count)
     lease_age = gauge("fennelhill_lease_age_ms", "Age of the proof of the lease.")
--- a/packages/fennelhilld/src/fennelhilld/relay/service.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/service.py
@@ -99,6 +99,11 @@
             target = self._target(batch)
             if target is None:
                 return RelayResult(error="unknown target", not_run=True)
+            if batch.organisation and not (
+                target.pool.relayed or target.pool.by_organisation
+            ):
+                # Its links are nobody's until the catalog names organisations.
+                return RelayResult(error="unknown organisation", not_run=True)
             try:
                 lease = await self._lease(target, batch)
             except NoLinkError as error:
--- a/packages/fennelhilld/src/fennelhilld/relay/tests/test_organisations.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/tests/test_organisations.py
@@ -12,6 +12,8 @@
 from fennelhill_core import codes
 from fennelhilld.catalog.state import Organisation, key_digest
 from fennelhilld.links.allocation import MIN_REST_MS
+from fennelhilld.relay.messages import RelayBatch
+from fennelhilld.relay.service import _RelaySession
 from fennelhilld.statements.session import Session
 
 NAMES = [f"org-{rank}" for rank in range(1, 13)]
@@ -134,6 +136,25 @@
 
         simulate(main, monkeypatch, hosts)
 
+    def test_an_owner_without_the_catalog_uses_no_link_of_nobody(self, monkeypatch):
+        async def main(simulation):
+            gateway = simulation.gateways[0]
+            gateway.catalog.current = msgspec.structs.replace(
+                simulation.catalog, organisations=None
+            )
+            target_id = next(
+                name
+                for name in simulation.groups["g0"].targets
+                if gateway.owns(gateway.directory.get(name))
+            )
+            batch = RelayBatch("g0", target_id, [], 100.0, 100.0, organisation="org-1")
+            session = _RelaySession(gateway.env)
+            result = await session.run(msgspec.Raw(msgspec.json.encode(batch)))
+            assert result.not_run
+            assert result.error == "unknown organisation"
+
+        simulate(main, monkeypatch, 4)
+
     def test_each_uses_the_same_owner_from_all_hosts(self, monkeypatch):
         # Owners included: they would else open links for all that reach them.
         async def main(simulation):
