fix: links left over from organisations give their places up

Cause: when a newer catalog names no organisations, idle links of organisations stayed open, nobody could use them, and at the limit no other was opened. Ruled out: serving from them; the target runs only that organisation's statements there. Change: they are closed when an idle link is looked for. What a host may use of a target is computed once for each version of the catalog and the fleet.

--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -167,6 +167,7 @@
         self.overcommit = OVERCOMMIT
         # The position, and the change of the roster after which it was determined.
         self._position_cache = (-1, 0)
+        self._budgets_cache: dict[tuple[str, str, int, int, int], LinkBudget] = {}
         self._owners_cache: dict[tuple[str, int, int], list[str]] = {}
         self._started_ms = float("-inf")
         self._tasks = Tasks()
@@ -618,6 +619,23 @@
         """
         if not self._names_organisations:
             return None
+        key = (
+            entry.id,
+            entry.zone,
+            entry.slots,
+            self.catalog.version,
+            self.roster.change_count,
+        )
+        budget = self._budgets_cache.get(key)
+        if budget is None:
+            if len(self._budgets_cache) > MAX_CACHE_ENTRIES_PER_TARGET * len(
+                self.directory.all()
+            ):
+                self._budgets_cache.clear()
+            budget = self._budgets_cache[key] = self._new_link_budget(entry)
+        return budget
+
+    def _new_link_budget(self, entry: TargetEntry) -> LinkBudget:
         count = len(self.roster) + 1
         if self.shares_connections(entry.group):
             count = owner_count(self._max_connections(entry.group))
--- a/packages/fennelhilld/src/fennelhilld/links/pool.py
+++ b/packages/fennelhilld/src/fennelhilld/links/pool.py
@@ -539,6 +539,11 @@
         self._last_closed_ms = self._clock.now_ms()
 
     def _drop_closed(self) -> None:
+        if not self.by_organisation:
+            for link in self._idle:
+                if link.organisation:
+                    # Left over from a time when links belonged to organisations here.
+                    self._close(link)
         self._idle = [link for link in self._idle if not link.connection.closed]
 
     def _offer(self, link: PooledLink) -> None:
@@ -549,11 +554,7 @@
                 # A link is being opened for it; this one is there earlier.
                 waiter.link.set_result(self._mark_in_use(link))
                 return
-        if link.organisation and not self.by_organisation:
-            # Left over from a time when links belonged to organisations here.
-            self._close(link)
-        else:
-            self._idle.append(link)
+        self._idle.append(link)
         self._serve_waiters()
         if self._waiters:
             self._grow()
--- a/packages/fennelhilld/src/fennelhilld/links/tests/test_allocation.py
+++ b/packages/fennelhilld/src/fennelhilld/links/tests/test_allocation.py
@@ -200,6 +200,16 @@
 
         run(check, link_limit=3, kept_links=1)
 
+    def test_links_are_replaced_when_they_belong_to_organisations_no_more(self):
+        # Idle links that nobody may use any more took all places.
+        async def check(fixture):
+            links = await fixture.open_links("one", "two")
+            fixture.pool._link_budget = lambda: None
+            assert (await fixture.take("")).organisation == ""
+            assert all(link.connection.closed for link in links)
+
+        run(check)
+
     def test_warm_opens_links_of_the_busiest(self):
         async def check(fixture):
             fixture.pool.warm(["one", "two", "three"])
