feat: what its own owner can't serve soon opens no links elsewhere

Cause: a request that waited too long at its organisation's owner opened a link at the next one, in place of a link of a small organisation. Ruled out: 20, 30 and 60 ms before the next owner (0.13, 0.10 and 0.06 set-ups an operation there); 10 ms, where owners refuse every set-up and requests end at the last owner, which then holds the links. Change: owner_plan: 20 ms at the own owner, 10 ms at two others, which is too short for a set-up, then the own one again. Without organisations as before.

--- a/packages/fennelhilld/src/fennelhilld/relay/driver.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/driver.py
@@ -36,7 +36,7 @@
     RelayClose,
     RelayResult,
 )
-from fennelhilld.relay.owners import owner_wait_ms
+from fennelhilld.relay.owners import owner_plan
 
 DIAL_TIMEOUT_MS = 300.0
 # An owner that did not answer is not used for this long.
@@ -365,7 +365,7 @@
             raise LinkLostError(result.error)
 
     async def _run_at_any_owner(self, batch: RelayBatch) -> RelayResult:
-        """Run a batch at the first owner with a free link; wait for one at the last."""
+        """Run a batch at the first owner that soon has a link; wait at the last one."""
         deadline_ms = self._clock.now_ms() + batch.limit_ms
         owners = self._owners(batch.organisation)
         # Without owners this host connects to the target itself.  The pool replaces a
@@ -373,14 +373,14 @@
         self._closed = not owners
         usable = self._streams.usable_of(owners)
         result = RelayResult(error="no owner can be reached", not_run=True)
-        for position, (name, address) in enumerate(usable):
+        for position, wait_ms in owner_plan(len(usable), batch.organisation):
+            name, address = usable[position]
             client = await self._streams.connect(name, address)
             left_ms = deadline_ms - self._clock.now_ms()
             if client is None or left_ms <= 0:
                 continue
             batch.limit_ms = left_ms
-            is_last = position == len(usable) - 1
-            batch.wait_ms = owner_wait_ms(batch.organisation, left_ms, is_last)
+            batch.wait_ms = min(left_ms, wait_ms)
             result = await self._call(name, client, batch)
             if not result.not_run:
                 break
--- a/packages/fennelhilld/src/fennelhilld/relay/owners.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/owners.py
@@ -21,8 +21,11 @@
 # Wait for a link at an owner while there are others to try; a statement takes some
 # milliseconds.
 SHORT_WAIT_MS = 10.0
-# The same if the owner has the organisation's links, and others would have to open one.
-OWN_OWNER_WAIT_MS = 60.0
+# The same at an organisation's own owner, enough for a set-up there. The shorter wait
+# is not, so that other owners serve it only by links that they have.
+OWN_OWNER_WAIT_MS = 20.0
+# Owners that are asked for a free link if the own one can't serve a request soon.
+MAX_OTHER_OWNERS = 2
 _HASH_RANGE = 2.0**64
 
 
@@ -218,26 +221,36 @@
     return max(1, min(places, math.ceil(share * places)))
 
 
-def owner_wait_ms(organisation: str, left_ms: float, is_last: bool) -> float:
-    """Return how long a request waits for a link at one owner before the next.
+def owner_plan(count: int, organisation: str) -> list[tuple[int, float]]:
+    """Return which owners a request tries in turn, and how long it waits at each.
+
+    Answers a large organisation beyond its usual rate: what its own owner can't serve
+    soon uses links that are free elsewhere, but opens none there, which would displace
+    those of small organisations.
 
     Parameters
     ----------
+    count : int
+        Number of owners that can be used, in the order of use.
     organisation : str
-        Its organisation; empty if links belong to none.
-    left_ms : float
-        Time left for the request, in milliseconds.
-    is_last : bool
-        Whether there is no further owner.
+        The request's organisation; empty if links belong to none.
 
     Returns
     -------
-    float
-        Milliseconds.
+    list of tuple of int and float
+        Position of the owner and longest wait in milliseconds, the last one without
+        limit.
     """
-    if is_last:
-        return left_ms
-    return min(left_ms, OWN_OWNER_WAIT_MS if organisation else SHORT_WAIT_MS)
+    if count == 0:
+        return []
+    if not organisation:
+        waits = [(position, SHORT_WAIT_MS) for position in range(count - 1)]
+        return [*waits, (count - 1, math.inf)]
+    if count == 1:
+        return [(0, math.inf)]
+    others = range(1, min(count, 1 + MAX_OTHER_OWNERS))
+    waits = [(position, SHORT_WAIT_MS) for position in others]
+    return [(0, OWN_OWNER_WAIT_MS), *waits, (0, math.inf)]
 
 
 def _weighted_rank(target_id: str, host: HostCapacity) -> float:
