feat: windows of a target's hosts add up to its slots; weights of organisations

Cause: each host sized its window to a target alone. Their sum was several times the slots, so a queue formed in the target, where a small organisation's request waits behind a large one's. A tolerance between organisations by service time. Change: window_part bounds a host's window where the fleet shares connections or organisations are named. If nothing of those whose turn it is can be in time, organisations up to 100 ms of service ahead take part. Optional setting organisation_weights of the node file; bad values give one log line and the default. Tests: one written with the policy expected the organisation that had been served alone to go first; it may wait for one request of the other, which the new test says.

--- a/packages/fennelhill-bench/src/fennelhill_bench/load_simulation/tests/test_organisations.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/load_simulation/tests/test_organisations.py
@@ -16,8 +16,11 @@
 from fennelhilld.admission.policies import PolicyNames
 
 BASELINE = PolicyNames(queue="aim_first")
-MIN_SHARE_OF_PEAK = 0.97  # the users' requirement
-FLOODS = [1, 3]  # organisations that flood
+# The users' requirements by the number of organisations that flood.
+MAX_LOST = {1: 0.02, 3: 0.05}
+MAX_P95_GROWTH = 1.2
+MIN_SHARE_OF_PEAK = 0.97
+FLOODS = list(MAX_LOST)
 
 
 @cache
@@ -42,3 +45,11 @@
     def test_use_the_capacity(self, count):
         peak_ms = max(flood(count, each).answered_work_ms for each in (False, True))
         assert flood(count).answered_work_ms >= MIN_SHARE_OF_PEAK * peak_ms
+
+    @pytest.mark.parametrize("count", FLOODS)
+    def test_others_lose_little(self, count):
+        assert flood(count).lost <= MAX_LOST[count]
+
+    @pytest.mark.parametrize("count", FLOODS)
+    def test_latency_of_the_others_grows_little(self, count):
+        assert flood(count).p95_growth <= MAX_P95_GROWTH
--- a/packages/fennelhilld/src/fennelhilld/admission/order.py
+++ b/packages/fennelhilld/src/fennelhilld/admission/order.py
@@ -9,6 +9,8 @@
 import msgspec
 from fennelhill_core.registry import Registry
 
+from fennelhilld.admission.weights import DEFAULT_WEIGHT
+
 # Each priority class is ranked as if due this much later than the next more urgent one.
 # Half of the users' shortest latency objective (120 ms), so that no class starves.
 PRIORITY_STEP_MS = 60.0
@@ -19,11 +21,12 @@
 # Service times vary: a request with less time left than this many mean service
 # times is late more often than not, and would delay one that can still be in time.
 MIN_SERVICE_TIMES = 2.0
-# An organisation may be ahead of another by this much service time while requests of
-# both are ordered by due time.  Without it, requests that are due soon wait for others
-# whose organisation has had a little less; it is about one read of the users. With
-# 50 ms, the others lost 6% instead of 3.7% beside one flood (trial, seed 1).
-SHARE_TOLERANCE_MS = 20.0
+# If nothing of the organisations whose turn it is can still be in time, organisations
+# that are up to this much service time ahead of them take part, so that fewer links are
+# spent on late answers.  With 0 ms, goodput was 0.02 lower when all organisations
+# together overload the targets; with 250 ms, a flood cost the others up to 0.032
+# instead of 0.014 of their answers (trials, seeds 1 and 2).
+LATE_TOLERANCE_MS = 100.0
 NEWEST_WEIGHT = 0.1  # weight of the newest service time in the moving average
 INITIAL_SERVICE_MS = 15.0  # before the first observation: typical for the users
 # Organisations that are remembered at least before those without effect are dropped.
@@ -213,9 +216,8 @@
     Answers the flood of one organisation: in one queue by due time, its requests would
     delay those of all others.  Start-time fair queueing (Goyal and others, 1996) over
     the measured service time: each organisation has a virtual time, which its service
-    divided by its weight advances.  Only organisations that are less than
-    `SHARE_TOLERANCE_MS` ahead of the one that is furthest behind are served, and the
-    requests of those in the order of `aim_first`.  Nobody saves up a claim while it
+    divided by its weight advances.  The ones that are furthest behind are served, and
+    their requests in the order of `aim_first`.  Nobody saves up a claim while it
     has nothing queued, and no link is kept free.  With one organisation, or none, it
     is `aim_first`.
 
@@ -285,12 +287,20 @@
         tags = {request.organisation: 0.0 for request in queue}
         for organisation in tags:
             tags[organisation] = self._tag(organisation)
-        latest_ms = min(tags.values()) + SHARE_TOLERANCE_MS
+        first_ms = min(tags.values())
         eligible = [
             index
             for index, request in enumerate(queue)
-            if tags[request.organisation] <= latest_ms
+            if tags[request.organisation] <= first_ms
         ]
+        if not any(
+            _can_be_in_time(queue[index], now_ms, service_ms) for index in eligible
+        ):
+            eligible = [
+                index
+                for index, request in enumerate(queue)
+                if tags[request.organisation] <= first_ms + LATE_TOLERANCE_MS
+            ]
         chosen = self._order.choose(
             [queue[index] for index in eligible], now_ms, service_ms
         )
@@ -395,7 +405,7 @@
         return max(self._virtual_ms, self._tags.get(organisation, 0.0))
 
     def _cost_ms(self, organisation: str, service_ms: float) -> float:
-        return service_ms / self._weights.get(organisation, 1.0)
+        return service_ms / self._weights.get(organisation, DEFAULT_WEIGHT)
 
 
 @QUEUE_POLICIES.register("arrival")
--- a/packages/fennelhilld/src/fennelhilld/admission/tests/test_order.py
+++ b/packages/fennelhilld/src/fennelhilld/admission/tests/test_order.py
@@ -17,7 +17,6 @@
 from msgspec import structs
 
 SERVICE_MS = 10.0
-DUES = ((300.0, "a"), (400.0, "b"))
 
 
 def order(*queue, now_ms=0.0, policy="aim_first"):
@@ -136,13 +135,13 @@
         queue.serve(40, "ab")
         assert queue.served_ms["b"] == pytest.approx(200.0, abs=30.0)
 
-    def test_is_not_owed_what_was_served_while_nobody_waited(self):
-        policy = FairShares()
+    def test_what_was_served_while_nobody_waited_is_not_owed_to_others(self):
+        queue = FairQueue({"a": SERVICE_MS, "b": SERVICE_MS})
         for _ in range(50):
-            policy.record_start(QueuedRequest(1, 500.0, 900.0, "a"), [])
-            policy.record_service("a", SERVICE_MS)
-        queue = [QueuedRequest(1, due_ms, 900.0, name) for due_ms, name in DUES]
-        assert queue[policy.choose(queue, 0.0, SERVICE_MS)].organisation == "a"
+            queue.policy.record_start(QueuedRequest(1, 500.0, 900.0, "a"), [])
+            queue.policy.record_service("a", SERVICE_MS)
+        queue.serve(4, "ab")
+        assert queue.served_ms["a"] >= SERVICE_MS
 
     def test_a_small_organisation_does_not_wait_for_a_backlog(self):
         policy = FairShares()
--- a/packages/fennelhilld/src/fennelhilld/admission/tests/test_window.py
+++ b/packages/fennelhilld/src/fennelhilld/admission/tests/test_window.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
-from fennelhilld.admission.window import GradientWindow, OpenWindow
+import pytest
+from fennelhilld.admission.window import (
+    PIPELINE,
+    GradientWindow,
+    OpenWindow,
+    window_part,
+)
 
 MAX_LINKS = 8
 
@@ -49,3 +55,11 @@
 class TestOpenWindow:
     def test_allows_all_links(self):
         assert observe(OpenWindow(), 500.0, 50) == MAX_LINKS
+
+
+class TestWindowPart:
+    @pytest.mark.parametrize(("slots", "owners"), [(2, 3), (4, 7), (4, 3), (16, 7)])
+    def test_sum_fills_the_slots_and_little_more(self, slots, owners):
+        # Guards against queues in the target, which last after a burst.
+        total = owners * window_part(slots, 7, 7 * owners)
+        assert slots <= total <= max(owners, slots + PIPELINE + owners / 2)
--- a/packages/fennelhilld/src/fennelhilld/admission/window.py
+++ b/packages/fennelhilld/src/fennelhilld/admission/window.py
@@ -22,6 +22,9 @@
 SMOOTHING = 0.3  # share of the computed change that is applied for each answer
 # Lower bound on the factor by which an answer narrows the window, before smoothing.
 MIN_FACTOR = 0.3
+# Requests beyond a target's slots that its hosts may send together, so that a slot is
+# not idle between an answer and the next request.
+PIPELINE = 2
 
 
 class WindowPolicy(Protocol):
@@ -132,3 +135,28 @@
             At least 1, at most `max_links` if that is positive.
         """
         return max(1, round(min(self._window, float(max_links))))
+
+
+def window_part(slots: int, links: int, all_links: int) -> int:
+    """Return the part of a target's concurrency that one host may use.
+
+    The windows of several hosts don't know of each other.  Without a bound on their
+    sum, a queue forms in the target, where it has no order; after a burst it lasts as
+    long as clients try again.
+
+    Parameters
+    ----------
+    slots : int
+        Statements that the target runs at the same time, by its entry.
+    links : int
+        Links that this host may open to it.
+    all_links : int
+        Links that all hosts may open to it together.
+
+    Returns
+    -------
+    int
+        At least 1, so that the sum is at most the greater of the number of hosts
+        and, but for rounding, `slots` and `PIPELINE` together.
+    """
+    return max(1, round((slots + PIPELINE) * links / max(1, all_links)))
--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -10,6 +10,7 @@
 from fennelhill_core.tasks import Tasks
 
 from fennelhilld.admission.policies import LoadPolicies
+from fennelhilld.admission.window import window_part
 from fennelhilld.catalog.state import Catalog, CatalogHolder, key_digest
 from fennelhilld.directory.state import TargetDirectory, TargetEntry
 from fennelhilld.fleet.roster import Roster
@@ -26,6 +27,7 @@
 from fennelhilld.promotion.replacement import LeaderReplacement
 from fennelhilld.relay.driver import OwnerStreams, RelayDriver
 from fennelhilld.relay.owners import (
+    OWNED_SHARE,
     HostCapacity,
     is_shared,
     owner_links,
@@ -523,6 +525,32 @@
             return owner_links(self._max_connections(entry.group), position)
         return max(1, int(self.fair_share(entry.group) * self.overcommit))
 
+    def window_limit(self, entry: TargetEntry) -> int:
+        """Return how many requests this host may send to a target at the same time.
+
+        Parameters
+        ----------
+        entry : TargetEntry
+            The target.
+
+        Returns
+        -------
+        int
+            This host's part of the target's slots if the fleet shares connections or
+            organisations are named; else, and through owners, as many as links.
+        """
+        links = self.link_limit(entry)
+        max_connections = self._max_connections(entry.group)
+        if self.shares_connections(entry.group):
+            if not self.owns(entry):
+                return links
+            all_links = int(OWNED_SHARE * max_connections)
+            return window_part(entry.slots, links, all_links)
+        catalog = self.catalog.current
+        if catalog is None or catalog.organisations is None:
+            return links
+        return window_part(entry.slots, 1, len(self.roster) + 1)
+
     def _open_pool(self, target: TargetState) -> TargetPool:
         return TargetPool(
             target.entry,
@@ -532,6 +560,7 @@
             lambda reason: self.env.record_target_failure(target, reason),
             self.env.policies,
             lambda: not self.owns(target.entry),
+            lambda: self.window_limit(target.entry),
         )
 
     def _drop_target(self, target: TargetState) -> None:
--- a/packages/fennelhilld/src/fennelhilld/links/pool.py
+++ b/packages/fennelhilld/src/fennelhilld/links/pool.py
@@ -91,6 +91,9 @@
         Queue order, load shedding and concurrency window.
     relayed : callable
         Returns whether links lead through an owner, so that opening one costs nothing.
+    window_limit : callable or None
+        Returns how many requests this host may send to the target at the same time;
+        None if only response times limit them.
     """
 
     def __init__(
@@ -102,7 +105,9 @@
         on_failure: Callable[[str], None],
         policies: LoadPolicies,
         relayed: Callable[[], bool] = lambda: False,
+        window_limit: Callable[[], int] | None = None,
     ) -> None:
+        self._window_limit = window_limit
         self._relayed = relayed
         self.entry = entry
         self.counters = PoolCounters()
@@ -162,7 +167,8 @@
     @property
     def window(self) -> int:
         """Concurrent requests that this host may send to the target."""
-        return self._window.size(self.link_limit)
+        size = self._window.size(self.link_limit)
+        return size if self._window_limit is None else min(size, self._window_limit())
 
     @property
     def _window_open(self) -> bool:
--- a/scenarios/adapter/test_documents.py
+++ b/scenarios/adapter/test_documents.py
@@ -114,6 +114,7 @@
 platform: {address: "10.200.1.7:1", form: table}
 cloud_api: {address: "10.200.0.1:2"}
 bounds: {grace_s: 7}
+organisation_weights: {a: heavy}
 """
         )
         settings = load_node_settings(str(path))
