feat: owners report their queue, and hosts refuse before the hop what can't be in time

Cause: a host learned that an owner's queue was too long only from the refusal of its own request, after a round trip to each owner, and asked again with the next request. Ruled out: refusing by a report as it is for its whole second: a queue is worked off meanwhile, so the reported wait shrinks with the report's age. Change: an answer carries LoadReport (requests waiting, expected wait of the batch's organisation and class, mean service time, age).

--- a/packages/fennelhilld/src/fennelhilld/relay/driver.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/driver.py
@@ -36,6 +36,7 @@
     RelayClose,
     RelayResult,
 )
+from fennelhilld.relay.reports import LoadReports
 
 DIAL_TIMEOUT_MS = 300.0
 # An owner that did not answer is not used for this long.
@@ -80,6 +81,7 @@
         self._checked: set[str] = set()
         self._looked_for_ms: dict[str, float] = {}
         self._tasks = Tasks()
+        self.reports = LoadReports(clock)
 
     def new_link_number(self) -> int:
         """Return a number that no other link has."""
@@ -374,6 +376,20 @@
         self._closed = not owners
         usable = self._streams.usable_of(owners)
         result = RelayResult(error="no owner can be reached", not_run=True)
+        waits_ms = [
+            self._streams.reports.expected_wait_ms(name, batch) for name, _ in usable
+        ]
+        if usable and min(waits_ms) > batch.limit_ms:
+            return RelayResult(
+                error="each owner's queue is too long",
+                not_run=True,
+                expected_ms=min(waits_ms),
+            )
+        usable = [
+            owner
+            for owner, wait_ms in zip(usable, waits_ms, strict=True)
+            if wait_ms <= batch.limit_ms
+        ]
         for position, (name, address) in enumerate(usable):
             client = await self._streams.connect(name, address)
             left_ms = deadline_ms - self._clock.now_ms()
@@ -419,6 +435,7 @@
         try:
             raw = await client.call(RUN, batch, batch.limit_ms)
             result = msgspec.json.decode(raw, type=RelayResult)
+            self._streams.reports.record(name, batch, result.load)
         except NotSent:
             self._owner = None
             return RelayResult(error=f"owner {name} can't be reached", not_run=True)
--- a/packages/fennelhilld/src/fennelhilld/relay/messages.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/messages.py
@@ -59,6 +59,28 @@
     organisation: str = ""
 
 
+class LoadReport(msgspec.Struct, omit_defaults=True):
+    """How long an owner's queue for a target is.
+
+    Parameters
+    ----------
+    waiting : int
+        Requests of all organisations that wait for a link.
+    expected_ms : float
+        Expected wait of a request of the batch's organisation and priority class that
+        can still be in time, in milliseconds.
+    service_ms : float
+        Mean time of the target for a statement, in milliseconds.
+    age_ms : float
+        Age of these values when they were sent, in milliseconds.
+    """
+
+    waiting: int = 0
+    expected_ms: float = 0.0
+    service_ms: float = 0.0
+    age_ms: float = 0.0
+
+
 class RelayResult(msgspec.Struct, omit_defaults=True):
     """The answers to a `RelayBatch`, or why there are none.
 
@@ -75,6 +97,8 @@
     expected_ms : float or None
         Expected wait for a link, in milliseconds, if none was free in time; 0 if
         unknown.
+    load : LoadReport or None
+        Load of the owner when it sent the answer; None if the target is unknown there.
     """
 
     answers: list[TargetAnswer] = []
@@ -82,6 +106,7 @@
     error: str = ""
     not_run: bool = False
     expected_ms: float | None = None
+    load: LoadReport | None = None
 
 
 class RelayClose(msgspec.Struct):
--- a/packages/fennelhilld/src/fennelhilld/relay/service.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/service.py
@@ -15,6 +15,7 @@
     CLOSE,
     PING,
     RUN,
+    LoadReport,
     RelayBatch,
     RelayClose,
     RelayResult,
@@ -22,6 +23,10 @@
 from fennelhilld.statements.environment import Environment
 from fennelhilld.statements.messages import TransactionState
 
+# Least time until a request is due for which a wait is reported, in service times: with
+# less it would count as late.
+DUE_IN_SERVICE_TIMES = 3.0
+
 
 class RelayService:
     """Serves the streams of other hosts.
@@ -69,7 +74,9 @@
         batch = msgspec.json.decode(params, type=RelayBatch)
         self._running.add(batch.link)
         try:
-            return await self._run(batch)
+            result = await self._run(batch)
+            result.load = self._report(batch)
+            return result
         finally:
             self._running.discard(batch.link)
             self._closed.discard(batch.link)
@@ -94,6 +101,21 @@
                 return RelayResult(error="the target can't be reached", not_run=True)
         return await self._exchange(batch, target, lease)
 
+    def _report(self, batch: RelayBatch) -> LoadReport | None:
+        target = self._target(batch)
+        if target is None:
+            return None
+        pool = target.pool
+        # A late request waits for all others; the next one need not be late.
+        due_in_ms = max(batch.due_in_ms, DUE_IN_SERVICE_TIMES * pool.mean_response_ms)
+        due_ms = self._env.clock.now_ms() + due_in_ms
+        request = QueuedRequest(batch.priority, due_ms, due_ms, batch.organisation)
+        return LoadReport(
+            pool.waiting,
+            round(pool.expected_wait_ms(request), 1),
+            round(pool.mean_response_ms, 1),
+        )
+
     async def close(self, params: msgspec.Raw) -> RelayResult:
         call = msgspec.json.decode(params, type=RelayClose)
         held = self._leases.pop(call.link, None)
