feat: metrics and log fields that say who is throttled by what

Cause: beside the flood of one organisation nothing said whose requests a host refused, or whose queue delayed another's. Ruled out: a line for each late answer of its own: request.slow exists, for transactions too. Change: fennelhill_organisation_ms_total, fennelhill_throttled_total and fennelhill_throttled_since_ms by organisation and decision, the ten busiest and the rest summed; request.slow and refusals name the organisation and how many requests wait on the host, of all and of its own. Deployments without organisations log and count as before.

--- a/packages/fennelhilld/src/fennelhilld/admission/policies.py
+++ b/packages/fennelhilld/src/fennelhilld/admission/policies.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from fennelhilld.admission.accounting import OrganisationLoad
 from fennelhilld.admission.order import QUEUE_POLICIES, QueuePolicy
 from fennelhilld.admission.refusal import REFUSAL_POLICIES, RefusalPolicy
 from fennelhilld.admission.window import WINDOW_POLICIES, WindowPolicy
@@ -44,11 +45,12 @@
         Weight by organisation, above 0; 1 for those not listed.
     """
 
-    __slots__ = ("_names", "_weights", "placement", "refusal")
+    __slots__ = ("_names", "_weights", "organisation_load", "placement", "refusal")
 
     def __init__(self, names: PolicyNames, weights: Mapping[str, float]) -> None:
         self._names = names
         self._weights = weights
+        self.organisation_load = OrganisationLoad()
         self.refusal: RefusalPolicy = REFUSAL_POLICIES.get(names.refusal)()
         self.placement: PlacementPolicy = PLACEMENT_POLICIES.get(names.placement)()
 
--- a/packages/fennelhilld/src/fennelhilld/links/pool.py
+++ b/packages/fennelhilld/src/fennelhilld/links/pool.py
@@ -124,6 +124,7 @@
         self._window = policies.new_window_policy()
         self._queue_policy = policies.new_queue_policy()
         self._refusal_policy = policies.refusal
+        self._organisation_load = policies.organisation_load
         self._driver = driver
         self._clock = clock
         self._link_limit = link_limit
@@ -154,6 +155,21 @@
         """Requests that wait for a link."""
         return sum(not waiter.done() for _, waiter in self._waiters)
 
+    def waiting_of(self, organisation: str) -> int:
+        """Return how many requests of an organisation wait for a link.
+
+        Parameters
+        ----------
+        organisation : str
+            The organisation.
+
+        Returns
+        -------
+        int
+            Number of requests.
+        """
+        return sum(request.organisation == organisation for request in self._queued())
+
     @property
     def relayed(self) -> bool:
         """Whether links lead through an owner of the target."""
@@ -226,6 +242,7 @@
         expected_ms = self.expected_wait_ms(request)
         if self._refusal_policy.refuses(expected_ms, limit_ms):
             self.counters.turned_away += 1
+            self._record_throttled(request, "expected_wait")
             raise NoLinkError(expected_ms)
         waiter: asyncio.Future[PooledLink] = asyncio.get_running_loop().create_future()
         self._waiters.append((request, waiter))
@@ -235,6 +252,7 @@
                 return await waiter
         except TimeoutError:
             self._return_unclaimed(request, waiter)
+            self._record_throttled(request, "no_link")
             raise NoLinkError from None
         except asyncio.CancelledError:
             self._return_unclaimed(request, waiter)
@@ -305,6 +323,9 @@
             Time of its exchanges with the target, in milliseconds.
         """
         self._queue_policy.record_service(organisation, service_ms)
+        if not self._relayed():
+            # The owner counts what is relayed.
+            self._organisation_load.record_service(organisation, service_ms)
 
     def pause(self) -> None:
         """Stop counting a link in use against the window."""
@@ -476,6 +497,11 @@
         """Return the requests that wait for a link, in order of arrival."""
         return [request for request, waiter in self._waiters if not waiter.done()]
 
+    def _record_throttled(self, request: QueuedRequest, decision: str) -> None:
+        self._organisation_load.record_throttled(
+            request.organisation, decision, self._clock.now_ms()
+        )
+
     def _return_unclaimed(
         self, request: QueuedRequest, waiter: asyncio.Future[PooledLink]
     ) -> None:
--- a/packages/fennelhilld/src/fennelhilld/observability/gateway_metrics.py
+++ b/packages/fennelhilld/src/fennelhilld/observability/gateway_metrics.py
@@ -65,6 +65,25 @@
             for event in ("opened", "refused", "too_many", "turned_away", "lost"):
                 count = getattr(pool.counters, event)
                 link_events.set({**target_labels, "event": event}, count)
+    load = gateway.env.policies.organisation_load
+    service = gauge(
+        "fennelhill_organisation_ms_total",
+        "Time of targets by organisation, on links of this host.",
+    )
+    for organisation, service_ms in load.busiest_ms().items():
+        service.set({"organisation": organisation}, service_ms)
+    throttled = gauge(
+        "fennelhill_throttled_total", "Waits for a link that were refused or in vain."
+    )
+    throttled_for = gauge(
+        "fennelhill_throttled_since_ms", "How long ago the last spell of them began."
+    )
+    now_ms = gateway.env.clock.now_ms()
+    for organisation, decision, count, since_ms in load.most_throttled():
+        throttle_labels = {"organisation": organisation, "decision": decision}
+        throttled.set(throttle_labels, count)
+        if since_ms is not None:
+            throttled_for.set(throttle_labels, now_ms - since_ms)
     lease_age = gauge("fennelhill_lease_age_ms", "Age of the proof of the lease.")
     lease_age.set({}, gateway.renewal.lease.age_ms)
     renewals = gauge("fennelhill_lease_renewals_total", "Renewals of the lease.")
--- a/packages/fennelhilld/src/fennelhilld/statements/execution.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/execution.py
@@ -69,6 +69,30 @@
         # Organisation that the current operation is run for; empty if none.
         self.organisation = ""
 
+    def log_fields(self, group_name: str) -> dict[str, object]:
+        """Return the fields by which a log line names the caller and the queues.
+
+        Parameters
+        ----------
+        group_name : str
+            Group of the statement.
+
+        Returns
+        -------
+        dict
+            The organisation, and the requests that wait on this host for links to the
+            group's targets: of all, and its own.  Empty without organisations.
+        """
+        if not self.organisation:
+            return {}
+        group = self.env.group(group_name)
+        pools = [target.pool for target in group.targets.values()]
+        return {
+            "organisation": self.organisation,
+            "waiting": sum(pool.waiting for pool in pools),
+            "waiting_own": sum(pool.waiting_of(self.organisation) for pool in pools),
+        }
+
     def minimum_position(
         self, group: GroupState, database: Database
     ) -> MinimumPosition | None:
@@ -242,7 +266,12 @@
             await self.handle_retryable_refusal(group, target, lease, statement, answer)
         code = env.wait_failure_code(group)
         return env.refuse(
-            statement, code, last_failure, group=group.name, retry_ms=retry_ms
+            statement,
+            code,
+            last_failure,
+            group=group.name,
+            retry_ms=retry_ms,
+            **self.log_fields(group.name),
         )
 
     def refuse_unproven_answer(
--- a/packages/fennelhilld/src/fennelhilld/statements/reading.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/reading.py
@@ -187,6 +187,7 @@
             leader=group.leadership.leader_id,
             expected_wait_ms=self._min_expected_wait_ms
             and round(self._min_expected_wait_ms),
+            **self._runner.log_fields(group.name),
         )
 
     async def _run_on(self, target: TargetState, lease: Lease) -> Reply | None:
--- a/packages/fennelhilld/src/fennelhilld/statements/session.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/session.py
@@ -97,6 +97,7 @@
                 took_ms=round(took_ms),
                 goal_ms=database.goal_ms,
                 signature=reply.signature,
+                **self._runner.log_fields(database.group),
             )
         return reply
 
