--- a/packages/fennelhill-bench/src/fennelhill_bench/load_simulation/report.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/load_simulation/report.py
@@ -12,6 +12,7 @@
 from tornado.template import Loader
 
 from fennelhill_bench.load_simulation.arrivals import GROUP, draw, read_recorded
+from fennelhill_bench.load_simulation.organisations import FloodResult, replay_flood
 from fennelhill_bench.load_simulation.patterns import PATTERNS
 from fennelhill_bench.load_simulation.replay import TRAITS, ReplayResult, replay
 from fennelhill_bench.rounds import ROUNDS, Figures
@@ -23,6 +24,9 @@
     "first come, no limit": PolicyNames("arrival", "no_limit", "expected_time", "open"),
     "least connections": PolicyNames(placement="least_connections"),
 }
+FLOOD_POLICIES = {"in use": PolicyNames(), "aim_first": PolicyNames("aim_first")}
+FLOODING_COUNTS = (1, 3)
+FLOOD_SEEDS = (1, 2)
 OVERCOMMITS = (1.0, 1.6, 2.5)
 SWEPT_PATTERNS = ("flood", "promotion_gap", "rolling_restart")
 # Loads at which the goodput is measured, as multiples of the targets' capacity.
@@ -189,17 +193,36 @@
             ]
             share = goodputs[setting][-1] / max(goodputs[setting])
             yield f"goodput at 4x of the peak, {setting}", share
-        _write(lines, swept, goodputs)
+        floods = []
+        for count in FLOODING_COUNTS:
+            for setting, policies in FLOOD_POLICIES.items():
+                results = [replay_flood(count, policies, seed) for seed in FLOOD_SEEDS]
+                floods.append((count, setting, _mean_flood(results)))
+                yield f"lost beside {count} floods, {setting}", floods[-1][2].lost
+        _write(lines, swept, goodputs, floods)
+
+
+def _mean_flood(results: list[FloodResult]) -> FloodResult:
+    return FloodResult(
+        mean(result.lost for result in results),
+        mean(result.p95_growth for result in results),
+        mean(result.answered_work_ms for result in results),
+    )
 
 
 def _write(
-    lines: list[Line], swept: list[Line], goodputs: dict[str, list[float]]
+    lines: list[Line],
+    swept: list[Line],
+    goodputs: dict[str, list[float]],
+    floods: list[tuple[int, str, FloodResult]],
 ) -> None:
     loader = Loader(str(TEMPLATES), autoescape=None, whitespace="all")
     shared = {
         "bars": list(_bars(lines)),
         "command": COMMAND,
         "factors": OVERLOAD_FACTORS,
+        "flood_seeds": FLOOD_SEEDS,
+        "floods": floods,
         "goodputs": goodputs,
         "group": GROUP,
         "lines": lines,
