--- a/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/simulation.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/simulation.py
@@ -24,6 +24,7 @@
 from fennelhilld.promotion.messages import (
     Claim,
     ClaimRow,
+    LeaderView,
     PromotionResult,
     Survey,
 )
@@ -308,25 +309,24 @@
         return list(self._gateway.roster.addresses)
 
     async def survey(self, group: str, target_id: str) -> Survey:
-        """Ask all reachable hosts for their view of a target."""
+        """Ask hosts of all zones for their view of a target."""
         simulation = self._simulation
-        others = [
-            gateway
-            for gateway in simulation.gateways
-            if gateway is not self._gateway
-            and simulation.connected(self._gateway.host, gateway.host)
-            and gateway.host not in simulation.paused_hosts
-        ]
         await simulation.awake(self._gateway)
-        if len(others) < len(simulation.gateways) - 1:
-            await simulation.clock.sleep_ms(SURVEY_TIMEOUT_MS)
+        names = self._gateway.roster.sample(simulation.random)
         views = await asyncio.gather(
-            *(
-                gateway.replacement.leader_view(gateway.env.group(group), target_id)
-                for gateway in others
-            )
+            *(self._view(simulation.gateway(name), group, target_id) for name in names)
         )
-        return Survey(len(self.names()), views)
+        return Survey(len(names), [view for view in views if view is not None])
+
+    async def _view(
+        self, other: SessionGateway, group: str, target_id: str
+    ) -> LeaderView | None:
+        simulation = self._simulation
+        reached = simulation.connected(self._gateway.host, other.host)
+        if not reached or other.host in simulation.paused_hosts:
+            await simulation.clock.sleep_ms(SURVEY_TIMEOUT_MS)
+            return None
+        return await other.replacement.leader_view(other.env.group(group), target_id)
 
 
 class SessionSimulation:
@@ -346,6 +346,8 @@
         Number of availability zones over which hosts and targets are spread.
     policies : PolicyNames or None
         Load policies of the hosts; the defaults if None.
+    leaders : tuple of int
+        Numbers of the targets that lead at first; groups take them in turn.
     """
 
     observer_class = Observer
@@ -358,6 +360,7 @@
         traits: Traits | None = None,
         zones: int = 2,
         policies: PolicyNames | None = None,
+        leaders: tuple[int, ...] = (0,),
     ) -> None:
         self.dialer = MemoryDialer(self._accept_stream)
         self.zones = zones
@@ -377,6 +380,7 @@
                 self.clock,
                 self.random,
                 self.observer,
+                leaders[number % len(leaders)],
             )
             for number in range(groups)
         }
--- a/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/targets.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/targets.py
@@ -191,6 +191,8 @@
         Source of randomness.
     observer : Observer
         Records each run, commit and promotion.
+    leader : int
+        Number of the target that leads at first.
     """
 
     def __init__(
@@ -201,6 +203,7 @@
         clock: Clock,
         random_state: random.Random,
         observer: Observer,
+        leader: int = 0,
     ) -> None:
         self.name = name
         self.clock = clock
@@ -213,7 +216,7 @@
             )
             for number in range(targets)
         }
-        self.leader = self.targets[f"{name}-0"]
+        self.leader = self.targets[f"{name}-{leader}"]
         self.leader.leads = True
         for target in self.targets.values():
             target.upstream = None if target is self.leader else self.leader
