fix: a zone that is cut off is found lost at once, not one request at a time

A host found a silent owner only after the whole time limit of a batch and a ping of 250 ms, then used it again after 2 s, and so for each owner of a zone that was cut off. Its stream was closed, which ended the batches and transactions of a host that had been silent for a moment only.

A batch without a sign of life for 60 ms now causes a ping, and 50 ms later pings to the other hosts of the zone. A host that leaves one unanswered for 150 ms gets no new work until it answers; its stream stays open. Two silent hosts and no answer since mean that the zone is lost: reads that wait there go elsewhere, and targets whose owners are all silent are unreachable and their leaders suspected. Shorter avoid times alone were ruled out: each request would still wait.

--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -136,7 +136,13 @@
         self.replacement.give_lease_up = self.host_queries.give_lease_up
         self._relay_driver: RelayDriver | None = None
         if dialer is not None:
-            streams = OwnerStreams(dialer, clock, events)
+            streams = OwnerStreams(
+                dialer,
+                clock,
+                events,
+                lambda name: self.roster.zones.get(name, ""),
+                self._on_owner_silent,
+            )
             self._relay_driver = RelayDriver(
                 driver, self._owner_addresses, streams, clock
             )
@@ -479,6 +485,17 @@
             if name in addresses
         ]
 
+    def _on_owner_silent(self) -> None:
+        """Stop using targets none of whose owners answers, and check their leaders."""
+        for group in self.groups.values():
+            for target in group.targets.values():
+                owners = self._owner_addresses(target.entry.id)
+                if not owners or target.pool.unreachable:
+                    continue
+                if not self._relay_driver.reaches_any(owners):
+                    target.pool.mark_unreachable()
+                    self.env.record_target_failure(target, "no owner of it answers")
+
     def _leader_owner_addresses(self, group: GroupState) -> list[str]:
         leader_id = group.leadership.leader_id
         if leader_id is None:
--- a/packages/fennelhilld/src/fennelhilld/relay/driver.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/driver.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 import msgspec
-from fennelhill_core.clock import Clock
+from fennelhill_core.clock import MS_PER_S, Clock
 from fennelhill_core.events import EventLog
 from fennelhill_core.rpc import NoAnswer, NotSent, RpcClient, RpcError
 from fennelhill_core.streams import Dialer, DialError, dial_within
@@ -36,15 +36,19 @@
     RelayClose,
     RelayResult,
 )
+from fennelhilld.relay.presence import LOOK_UP_INTERVAL_MS, HostPresence
 
 DIAL_TIMEOUT_MS = 300.0
-# An owner that did not answer is not used for this long.
-OWNER_RETRY_MS = 2_000.0
-# While a target has no usable owner, each is looked for at most this often.
-OWNER_CHECK_MS = 250.0
-# An owner that has left a batch unanswered is asked for a sign of life, which takes a
-# few milliseconds.
-PING_TIMEOUT_MS = 250.0
+# An owner that has left a batch unanswered for this long, and has sent nothing else
+# meanwhile, is asked for a sign of life.  A statement takes 6 to 30 ms.
+QUIET_MS = 60.0
+# A sign of life takes a few milliseconds, and some tens on a loaded half-core host.
+PING_TIMEOUT_MS = 150.0
+# The other hosts of its zone are pinged before the first one counts as silent.
+PING_ZONE_AFTER_MS = 50.0
+# A stream that was replaced by a new one stays open this long for the batches and
+# transactions on it, in case it delivers again.
+REPLACED_STREAM_MS = 5_000.0
 # Pause before a refusal is passed on, so that the next attempt finds another state.
 REFUSAL_PAUSE_MS = 30.0
 CLOSE_TIMEOUT_MS = 500.0
@@ -55,9 +59,16 @@
 DEFAULT_LIMIT_MS = 1_000.0
 
 
+class OwnerLostError(LinkLostError):
+    """The owner's zone stopped answering; a read may be sent to another target."""
+
+
 class OwnerStreams:
     """Streams to owners of targets, one for each host.
 
+    A host that leaves a ping unanswered gets no new work until it answers again; what
+    it was sent before goes on.  The other hosts of its zone are pinged at once.
+
     Parameters
     ----------
     dialer : Dialer
@@ -66,19 +77,35 @@
         Source of time.
     events : EventLog
         Records owners that can't be used.
+    zone_of : callable
+        Returns the availability zone of a listed host; empty if it is not listed.
+    on_silent : callable
+        Called when a host has stopped answering.
     """
 
-    def __init__(self, dialer: Dialer, clock: Clock, events: EventLog) -> None:
+    def __init__(
+        self,
+        dialer: Dialer,
+        clock: Clock,
+        events: EventLog,
+        zone_of: Callable[[str], str],
+        on_silent: Callable[[], None],
+    ) -> None:
         self._dialer = dialer
         self._clock = clock
         self._events = events
+        self._zone_of = zone_of
+        self._on_silent = on_silent
         self._clients: dict[str, RpcClient] = {}
+        self._addresses: dict[str, str] = {}
         self._locks: dict[str, asyncio.Lock] = {}
-        self._silent_since_ms: dict[str, float] = {}
+        self._presence = HostPresence(zone_of)
         self._numbers = itertools.count(1)
-        # Hosts that are being checked or looked for, and when each was last looked for.
+        # Hosts that are being pinged or looked for.
         self._checked: set[str] = set()
-        self._looked_for_ms: dict[str, float] = {}
+        # Reads in progress by host; given up when the host's zone is lost.
+        self._reads: dict[str, set[asyncio.Future]] = {}
+        self._looking: asyncio.Task | None = None
         self._tasks = Tasks()
 
     def new_link_number(self) -> int:
@@ -86,7 +113,7 @@
         return next(self._numbers)
 
     def usable(self, host: str) -> bool:
-        """Return whether a host has not failed to answer a moment ago.
+        """Return whether new work may be sent to a host.
 
         Parameters
         ----------
@@ -96,13 +123,13 @@
         Returns
         -------
         bool
-            False for `OWNER_RETRY_MS` after a missing answer.
+            False from an unanswered ping until the host answers again, and while its
+            zone is lost.
         """
-        since_ms = self._silent_since_ms.get(host, float("-inf"))
-        return self._clock.now_ms() - since_ms >= OWNER_RETRY_MS
+        return self._presence.usable(host)
 
     def usable_of(self, owners: list[tuple[str, str]]) -> list[tuple[str, str]]:
-        """Return the usable owners of a target; look for them if there are none.
+        """Return the usable owners of a target.
 
         Parameters
         ----------
@@ -112,12 +139,9 @@
         Returns
         -------
         list of tuple of str
-            Those that have not failed to answer a moment ago.
+            Those that are not known to be silent.
         """
-        usable = [owner for owner in owners if self.usable(owner[0])]
-        if not usable:
-            self.look_for(owners)
-        return usable
+        return [owner for owner in owners if self.usable(owner[0])]
 
     async def connect(self, host: str, address: str) -> RpcClient | None:
         """Return the stream to a host; open one if there is none.
@@ -141,35 +165,70 @@
             client = self._clients.get(host)
             if client is not None and not client.closed:
                 return client
+            if not self.usable(host):
+                return None  # Found silent while this waited.
+            self._addresses[host] = address
+            asked_ms = self._clock.now_ms()
             try:
                 stream = await dial_within(self._dialer, address, DIAL_TIMEOUT_MS)
             except DialError as error:
-                self.record_silence(host, str(error))
+                self._record_silence(host, asked_ms, str(error))
                 return None
             client = self._clients[host] = RpcClient(stream)
+            self._presence.record_answer(host, self._clock.now_ms())
             return client
 
-    def record_silence(self, host: str, reason: str) -> None:
-        """Record that a host did not answer; its stream is closed.
+    async def run(
+        self, host: str, client: RpcClient, batch: RelayBatch, reads_only: bool
+    ) -> msgspec.Raw:
+        """Run a batch at an owner, and ping the owner if the answer is overdue.
 
         Parameters
         ----------
         host : str
-            The host.
-        reason : str
-            Human-readable reason.
+            The owner.
+        client : RpcClient
+            The stream to it.
+        batch : RelayBatch
+            The batch.
+        reads_only : bool
+            Whether the batch only reads, outside a transaction.
+
+        Returns
+        -------
+        msgspec.Raw
+            The encoded `RelayResult`.
+
+        Raises
+        ------
+        OwnerLostError
+            If the owner's zone is lost while a batch runs that only reads.
+        NotSent, NoAnswer, RpcError
+            As `RpcClient.call`.
         """
-        self._silent_since_ms[host] = self._clock.now_ms()
-        client = self._clients.pop(host, None)
-        if client is not None:
-            client.close()
-        self._events.record("relay.owner_silent", owner=host, reason=reason)
+        stop_watching = self._watch(host, client)
+        call = asyncio.ensure_future(client.call(RUN, batch, batch.limit_ms))
+        reads = self._reads.setdefault(host, set())
+        if reads_only:
+            reads.add(call)
+        try:
+            raw = await call
+        except asyncio.CancelledError:
+            if call.cancelled() and not asyncio.current_task().cancelling():
+                raise OwnerLostError(f"owner {host}: its zone is lost") from None
+            call.cancel()
+            raise
+        finally:
+            stop_watching()
+            reads.discard(call)
+        self._record_answer(host)
+        return raw
 
     def check(self, host: str, client: RpcClient) -> None:
         """Find out whether a host that has left a batch unanswered still lives.
 
-        The target may be slow; only a host that does not even answer a ping is not used
-        any more.
+        The target may be slow; only a host that does not even answer a ping gets no new
+        work.
 
         Parameters
         ----------
@@ -178,63 +237,135 @@
         client : RpcClient
             The stream to it.
         """
-        if host not in self._checked:
+        if host not in self._checked and self.usable(host):
             self._checked.add(host)
             self._tasks.spawn(self._ping(host, client))
 
-    def look_for(self, owners: list[tuple[str, str]]) -> None:
-        """Find out in the background whether silent hosts answer again.
+    def close(self) -> None:
+        """Close all streams."""
+        self._tasks.cancel()
+        for client in self._clients.values():
+            client.close()
+        self._clients.clear()
 
-        Requests are refused while a target has no usable owner, so none of them would
-        find out before `OWNER_RETRY_MS` have passed.
+    def _watch(self, host: str, client: RpcClient) -> Callable[[], None]:
+        """Ping a host whenever nothing was received for `QUIET_MS`, until stopped."""
+        loop = asyncio.get_running_loop()
+        received = client.received_messages
 
-        Parameters
-        ----------
-        owners : list of tuple of str
-            Name and address of each host.
-        """
-        now_ms = self._clock.now_ms()
-        for host, address in owners:
-            since_ms = self._looked_for_ms.get(host, float("-inf"))
-            if host not in self._checked and now_ms >= since_ms + OWNER_CHECK_MS:
-                self._looked_for_ms[host] = now_ms
+        def check() -> None:
+            nonlocal received, timer
+            if client.received_messages == received:
+                self.check(host, client)
+            received = client.received_messages
+            timer = loop.call_later(QUIET_MS / MS_PER_S, check)
+
+        timer = loop.call_later(QUIET_MS / MS_PER_S, check)
+        return lambda: timer.cancel()
+
+    def _record_answer(self, host: str) -> None:
+        if self._presence.record_answer(host, self._clock.now_ms()):
+            self._events.record("relay.owner_back", owner=host)
+
+    def _record_silence(self, host: str, asked_ms: float, reason: str) -> None:
+        """Give a host no new work, and ping the other hosts of its zone."""
+        if not self._presence.record_silence(host, asked_ms, self._clock.now_ms()):
+            return
+        zone = self._zone_of(host)
+        zone_lost = self._presence.zone_lost(zone)
+        self._events.record(
+            "relay.owner_silent", owner=host, reason=reason, zone_lost=zone_lost
+        )
+        self._ping_zone_of(host)
+        if zone_lost:
+            for other, reads in self._reads.items():
+                if self._zone_of(other) == zone:
+                    for read in list(reads):
+                        read.cancel()
+        if self._looking is None or self._looking.done():
+            self._looking = self._tasks.spawn(self._look_for_silent())
+        self._on_silent()
+
+    async def _look_for_silent(self) -> None:
+        """Find out when silent hosts answer again: they get no work that would tell."""
+        while self._presence.silent_hosts:
+            await self._clock.sleep_ms(LOOK_UP_INTERVAL_MS / 2)
+            self._start_look_ups()
+
+    def _start_look_ups(self) -> None:
+        for host in self._presence.start_look_ups(self._clock.now_ms()):
+            if host not in self._checked:
                 self._checked.add(host)
-                self._tasks.spawn(self._look_for(host, address))
+                self._tasks.spawn(self._look_for(host))
 
-    async def _look_for(self, host: str, address: str) -> None:
-        client = None
+    async def _look_for(self, host: str) -> None:
+        """Ping a silent host on its stream and on a new one."""
+        previous = self._clients.get(host)
         try:
-            stream = await dial_within(self._dialer, address, DIAL_TIMEOUT_MS)
-            client = RpcClient(stream)
-            await client.call(PING, None, PING_TIMEOUT_MS)
-        except (DialError, NoAnswer, NotSent, RpcError) as error:
-            logger.debug("owner {} does not answer yet: {}", host, error)
-            if client is not None:
+            answered, client = await asyncio.gather(
+                self._answers(previous), self._dial_and_ping(host)
+            )
+            if answered and client is not None:
                 client.close()
-        else:
-            self._silent_since_ms.pop(host, None)
-            previous = self._clients.pop(host, None)
-            if previous is not None:
-                previous.close()
-            self._clients[host] = client
-            self._events.record("relay.owner_back", owner=host)
+            elif client is not None:
+                self._clients[host] = client
+                if previous is not None:
+                    self._tasks.spawn(self._close_later(previous))
+            elif not answered:
+                return
+            zone_was_lost = self._presence.zone_lost(self._zone_of(host))
+            self._record_answer(host)
+            if zone_was_lost:
+                self._start_look_ups()
         finally:
             self._checked.discard(host)
 
+    async def _answers(self, client: RpcClient | None) -> bool:
+        if client is None:
+            return False
+        try:
+            await client.call(PING, None, PING_TIMEOUT_MS)
+        except (NoAnswer, NotSent, RpcError):
+            return False
+        return True
+
+    async def _dial_and_ping(self, host: str) -> RpcClient | None:
+        try:
+            stream = await dial_within(
+                self._dialer, self._addresses[host], DIAL_TIMEOUT_MS
+            )
+        except DialError as error:
+            logger.debug("owner {} does not answer yet: {}", host, error)
+            return None
+        client = RpcClient(stream)
+        if await self._answers(client):
+            return client
+        client.close()
+        return None
+
+    async def _close_later(self, client: RpcClient) -> None:
+        await self._clock.sleep_ms(REPLACED_STREAM_MS)
+        client.close()
+
     async def _ping(self, host: str, client: RpcClient) -> None:
+        asked_ms = self._clock.now_ms()
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(PING_ZONE_AFTER_MS / MS_PER_S, self._ping_zone_of, host)
         try:
             await client.call(PING, None, PING_TIMEOUT_MS)
         except (NoAnswer, NotSent, RpcError) as error:
-            self.record_silence(host, str(error) or "the stream is closed")
+            self._record_silence(host, asked_ms, str(error) or "the stream is closed")
+        else:
+            self._record_answer(host)
         finally:
+            timer.cancel()
             self._checked.discard(host)
 
-    def close(self) -> None:
-        """Close all streams."""
-        self._tasks.cancel()
-        for client in self._clients.values():
-            client.close()
-        self._clients.clear()
+    def _ping_zone_of(self, host: str) -> None:
+        zone = self._zone_of(host)
+        for other, client in list(self._clients.items()):
+            if other != host and self._zone_of(other) == zone and not client.closed:
+                self.check(other, client)
 
 
 class RelayLink:
@@ -417,11 +548,16 @@
         # Also without an answer, a transaction may have been begun there.
         self._owner = (name, client)
         try:
-            raw = await client.call(RUN, batch, batch.limit_ms)
+            raw = await self._streams.run(name, client, batch, _reads_only(batch))
             result = msgspec.json.decode(raw, type=RelayResult)
         except NotSent:
             self._owner = None
             return RelayResult(error=f"owner {name} can't be reached", not_run=True)
+        except OwnerLostError:
+            # No transaction is open there that would have to be ended.
+            self._owner = None
+            self.close()
+            raise
         except (NoAnswer, RpcError, msgspec.DecodeError) as error:
             self._streams.check(name, client)
             self.close()
@@ -466,6 +602,17 @@
             client.close()
 
 
+def _reads_only(batch: RelayBatch) -> bool:
+    """Return whether a batch only reads, outside a transaction.
+
+    A read may run twice; a transaction that was begun would have to be ended.
+    """
+    return not (batch.in_transaction or batch.shape_writes) and all(
+        command.kind is CommandKind.STATEMENT and not command.statement.writes
+        for command in batch.commands
+    )
+
+
 class RelayDriver:
     """Opens links to targets, through owners where those hold the connections.
 
@@ -550,6 +697,21 @@
             TargetFault.TOO_MANY_CONNECTIONS, "no owner of the target can be reached"
         )
 
+    def reaches_any(self, owners: list[tuple[str, str]]) -> bool:
+        """Return whether an owner of a target is not known to be silent.
+
+        Parameters
+        ----------
+        owners : list of tuple of str
+            Name and address of each owner.
+
+        Returns
+        -------
+        bool
+            False if none of them may be sent new work.
+        """
+        return bool(self._streams.usable_of(owners))
+
     async def status(self, link: TargetLink) -> TargetStatus | None:
         """Return the status of a target that was connected to directly.
 
