perf: a lost leader is replaced without waiting for hosts that can't answer

Of the 2.5 to 2.8 s until a zone's leaders were replaced (promotion 300 ms), the survey took 450 ms, the time-out of hosts in the cut-off zone, and the turns up to 300 ms, most of them kept for hosts that may not claim the group.

A survey now ends once the missing answers can't change its result; the other queries go on, so that hosts silent for long are still found. Turns are taken by hosts that own targets of the group. Hosts asked about a leader share the probe that is in progress, and a leader whose owners are all silent is surveyed without a head start. The leases are waited for as before: nothing else proves that a silent host can't acknowledge a write (docs/design/zone-partition.md).

--- a/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/simulation.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/simulation.py
@@ -28,6 +28,7 @@
     PromotionResult,
     Survey,
 )
+from fennelhilld.promotion.survey import collect_views
 from fennelhilld.statements.messages import (
     Reply,
     Statement,
@@ -313,10 +314,11 @@
         simulation = self._simulation
         await simulation.awake(self._gateway)
         names = self._gateway.roster.sample(simulation.random)
-        views = await asyncio.gather(
-            *(self._view(simulation.gateway(name), group, target_id) for name in names)
-        )
-        return Survey(len(names), [view for view in views if view is not None])
+        queries = [
+            simulation.spawn(self._view(simulation.gateway(name), group, target_id))
+            for name in names
+        ]
+        return await collect_views(queries, target_id)
 
     async def _view(
         self, other: SessionGateway, group: str, target_id: str
--- a/packages/fennelhilld/src/fennelhilld/fleet/http.py
+++ b/packages/fennelhilld/src/fennelhilld/fleet/http.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 
 import msgspec
 from fennelhill_core.clock import MS_PER_S
 from fennelhill_core.sockets import http_client
 from fennelhill_core.streams import StreamEndpoint
+from fennelhill_core.tasks import Tasks
 from loguru import logger
 from tornado.httpclient import HTTPClientError, HTTPRequest
 from tornado.iostream import StreamClosedError
@@ -17,6 +17,7 @@
 from fennelhilld.gateway import SessionGateway
 from fennelhilld.observability.gateway_metrics import render_metrics
 from fennelhilld.promotion.messages import LeaderView, Survey
+from fennelhilld.promotion.survey import collect_views
 
 RELAY_PATH = "/relay"
 # The queried host probes the target itself, which takes up to 300 ms.
@@ -82,12 +83,13 @@
         The session gateway of this host; its roster has their addresses.
     """
 
-    __slots__ = ("_client", "_gateway", "_random")
+    __slots__ = ("_client", "_gateway", "_random", "_tasks")
 
     def __init__(self, gateway: SessionGateway) -> None:
         self._gateway = gateway
         self._client = http_client()
         self._random = random.SystemRandom()
+        self._tasks = Tasks()
 
     def names(self) -> list[str]:
         """Return the names of the other hosts.
@@ -116,12 +118,18 @@
         """
         roster = self._gateway.roster
         addresses = roster.sample(self._random)
-        views = await asyncio.gather(
-            *(self._query(address, group, target_id) for address in addresses.values())
-        )
-        for name, view in zip(addresses, views, strict=True):
-            roster.record_answer(name, view is not None)
-        return Survey(len(addresses), [view for view in views if view is not None])
+        queries = [
+            self._tasks.spawn(self._query_host(name, address, group, target_id))
+            for name, address in addresses.items()
+        ]
+        return await collect_views(queries, target_id)
+
+    async def _query_host(
+        self, name: str, address: str, group: str, target_id: str
+    ) -> LeaderView | None:
+        view = await self._query(address, group, target_id)
+        self._gateway.roster.record_answer(name, view is not None)
+        return view
 
     async def _query(
         self, address: str, group: str, target_id: str
--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -134,6 +134,7 @@
         )
         self.replacement.apply_claim = self.update_claim
         self.replacement.give_lease_up = self.host_queries.give_lease_up
+        self.replacement.claimants = self._claimants
         self._relay_driver: RelayDriver | None = None
         if dialer is not None:
             streams = OwnerStreams(
@@ -508,9 +509,17 @@
         In a shared group only owners of its targets do, in all zones that have one: a
         check takes connections.
         """
-        return not self.shares_connections(group.name) or any(
-            self.owns(target.entry) for target in group.targets.values()
-        )
+        claimants = self._claimants(group)
+        return claimants is None or self.host in claimants
+
+    def _claimants(self, group: GroupState) -> set[str] | None:
+        if not self.shares_connections(group.name):
+            return None
+        return {
+            owner
+            for target in group.targets.values()
+            for owner in self.owners(target.entry)
+        }
 
     def _max_connections(self, group_name: str) -> int:
         catalog = self.catalog.current
--- a/packages/fennelhilld/src/fennelhilld/promotion/choice.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/choice.py
@@ -6,7 +6,7 @@
 import xxhash
 
 from fennelhilld.links.messages import TargetStatus
-from fennelhilld.promotion.messages import Survey
+from fennelhilld.promotion.messages import LeaderView, Survey
 
 # Hosts claim a group in turn.  A turn is a little longer than the store takes to
 # answer a claim (6 ms) and to announce it through the feed, so that the next host
@@ -83,6 +83,32 @@
     return 2 * seeing < len(views) + 1
 
 
+def survey_is_decided(views: list[LeaderView], queried: int, target_id: str) -> bool:
+    """Return whether the missing answers can't change what follows from a survey.
+
+    Parameters
+    ----------
+    views : list of LeaderView
+        Answers so far.
+    queried : int
+        Number of hosts that were queried.
+    target_id : str
+        The leader in question.
+
+    Returns
+    -------
+    bool
+        True if more than half of the hosts answered, the one that asks included, and
+        the leader counts as lost, or as seen, whatever the others answer.
+    """
+    if 2 * (len(views) + 1) <= queried + 1:
+        return False
+    missing = queried - len(views)
+    seeing = sum(view.sees and view.leader == target_id for view in views)
+    lost = 2 * (seeing + missing) < len(views) + missing + 1
+    return lost or 2 * seeing >= queried + 1
+
+
 def turn_delay_ms(host: str, other_hosts: list[str], group: str) -> float:
     """Return how long a host waits before it claims a group.
 
--- a/packages/fennelhilld/src/fennelhilld/promotion/probing.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/probing.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from functools import partial
 
 import msgspec
 from fennelhill_core.clock import timeout_ms
 from fennelhill_core.events import EventLog
+from fennelhill_core.tasks import Tasks
 
 from fennelhilld.links.messages import (
     LinkDriver,
@@ -53,16 +55,22 @@
         Records probes that get no status.
     """
 
-    __slots__ = ("_driver", "_events", "_links")
+    __slots__ = ("_driver", "_events", "_links", "_running", "_tasks")
 
     def __init__(self, driver: LinkDriver, events: EventLog) -> None:
         self._driver = driver
         self._events = events
         self._links: dict[str, TargetLink] = {}
+        # Status probes in progress, by target.
+        self._running: dict[str, asyncio.Task[ProbeResult]] = {}
+        self._tasks = Tasks()
 
     async def probe(self, target: TargetState) -> ProbeResult:
         """Request a target's status, and keep the link for further probes.
 
+        Callers share a probe in progress: when a leader is lost, the queries of other
+        hosts come while this host probes it too.
+
         Parameters
         ----------
         target : TargetState
@@ -73,7 +81,11 @@
         ProbeResult
             Whether it answered, and its status if it answered and is not busy.
         """
-        return await self._exchange(target, self._driver.status)
+        running = self._running.get(target.entry.id)
+        if running is None or running.done():
+            running = self._tasks.spawn(self._exchange(target, self._driver.status))
+            self._running[target.entry.id] = running
+        return await asyncio.shield(running)
 
     async def demote(self, target: TargetState, term: int) -> TargetStatus | None:
         """Order a target that leads in an earlier term to become a replica.
--- a/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
@@ -117,6 +117,8 @@
         # Applies a claim that this host has written, and gives its own lease up.
         self.apply_claim: Callable[[str, ClaimRow], None] = lambda group, row: None
         self.give_lease_up: GiveLeaseUp | None = None
+        # Returns the hosts that may claim a group; None if all may.
+        self.claimants: Callable[[GroupState], set[str] | None] = lambda group: None
         # Whether this host is shutting down and replaces no more leaders.
         self.leaving = False
         self.store: ClaimStore | None = None
@@ -162,7 +164,10 @@
             await self._replace(group, leader, candidates, survey)
             return
         leader_probe = asyncio.ensure_future(self.prober.probe(leader))
-        await asyncio.wait({leader_probe}, timeout=LEADER_HEAD_START_MS / MS_PER_S)
+        # None of the leader's owners answers, so it hardly will.
+        owners_silent = leader.pool.relayed and leader.pool.unreachable
+        head_start_ms = 0.0 if owners_silent else LEADER_HEAD_START_MS
+        await asyncio.wait({leader_probe}, timeout=head_start_ms / MS_PER_S)
         if leader_probe.done() and self._confirm_leader(
             group, leader, leader_probe.result(), started_ms
         ):
@@ -376,6 +381,9 @@
         peer_names = [view.host for view in survey.views]
         if planned or leader is None:
             peer_names = self.peers.names() if self.peers else []
+        claimants = self.claimants(group)
+        if claimants is not None:
+            peer_names = [peer for peer in peer_names if peer in claimants]
         await self._clock.sleep_ms(turn_delay_ms(self.host, peer_names, name))
         now_ms = self._clock.now_ms()
         changed = group.leader() is not leader
--- /dev/null
+++ b/packages/fennelhilld/src/fennelhilld/promotion/survey.py
@@ -0,0 +1,39 @@
+"""Collects other hosts' views of a leader, for as long as they can matter."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+
+from fennelhilld.promotion.choice import survey_is_decided
+from fennelhilld.promotion.messages import LeaderView, Survey
+
+
+async def collect_views(
+    queries: list[Awaitable[LeaderView | None]], target_id: str
+) -> Survey:
+    """Wait for answers until those that are missing can't change the result.
+
+    The hosts of a zone that is partitioned off would each be waited for until their
+    time-out.  Queries that are still open then go on, and are not waited for.
+
+    Parameters
+    ----------
+    queries : list of awaitable
+        One for each host; None means that it did not answer.
+    target_id : str
+        The leader in question; empty if all answers are needed.
+
+    Returns
+    -------
+    Survey
+        How many hosts were queried, and the views that have come.
+    """
+    pending = {asyncio.ensure_future(query) for query in queries}
+    views: list[LeaderView] = []
+    while pending and not (
+        target_id and survey_is_decided(views, len(queries), target_id)
+    ):
+        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        views += [task.result() for task in done if task.result() is not None]
+    return Survey(len(queries), views)
--- a/packages/fennelhilld/src/fennelhilld/promotion/tests/test_choice.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/tests/test_choice.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 from fennelhill_core.tokens import Position
 from fennelhilld.links.messages import TargetStatus
 from fennelhilld.promotion.choice import (
@@ -9,6 +11,7 @@
     Candidate,
     leader_is_lost,
     most_advanced,
+    survey_is_decided,
     turn_delay_ms,
 )
 from fennelhilld.promotion.claims import CLAIM_TAKEOVER_MS, ClaimCache
@@ -63,6 +66,42 @@
         assert leader_is_lost(survey(0), "p")
 
 
+class TestSurveyIsDecided:
+    def test_only_if_no_missing_answer_changes_the_result(self):
+        """Guards against a leader replaced on too few answers."""
+        for queried in range(1, 8):
+            for answered in range(queried + 1):
+                for seeing in range(answered + 1):
+                    views = survey(
+                        queried, *(number < seeing for number in range(answered))
+                    ).views
+                    if not survey_is_decided(views, queried, "p"):
+                        continue
+                    assert 2 * (answered + 1) > queried + 1
+                    later = itertools.product((None, False, True), repeat=3)
+                    results = {
+                        leader_is_lost(
+                            Survey(
+                                queried,
+                                views
+                                + [
+                                    LeaderView("p", 1, sees)
+                                    for sees in answers[: queried - answered]
+                                    if sees is not None
+                                ],
+                            ),
+                            "p",
+                        )
+                        for answers in later
+                    }
+                    assert len(results) == 1
+
+    def test_without_the_answers_of_a_zone_that_is_cut_off(self):
+        """Guards against waiting for the time-out of hosts that can't answer."""
+        assert survey_is_decided(survey(12, *[False] * 8).views, 12, "p")
+        assert not survey_is_decided(survey(12, *[False] * 6).views[:5], 12, "p")
+
+
 class TestTurnDelay:
     def test_hosts_claim_one_turn_after_another(self):
         hosts = ["a", "b", "c"]
