fix: a survey that few hosts answered replaces no leader

The survey that confirms a loss must itself have answers of half of the hosts. The test fails without the change.

--- a/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
@@ -421,6 +421,10 @@
         """Return whether the other hosts' answers allow a replacement."""
         if self.peers is None:
             return True
+        answered = len(survey.views) + 1
+        if 2 * answered < survey.queried + 1 and not self.reach.cut_off:
+            # Begun while this host was cut off; a newer survey has reached the others.
+            return False
         newer = [view for view in survey.views if view.term > group.leadership.term]
         if newer:
             newest = max(newer, key=lambda view: view.term)
--- a/packages/fennelhilld/src/fennelhilld/promotion/tests/test_replacement.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/tests/test_replacement.py
@@ -6,6 +6,7 @@
 
 from fennelhill_bench.session_simulation.simulation import SessionSimulation
 from fennelhill_bench.virtual_time import run_virtual
+from fennelhilld.promotion.messages import LeaderView, Survey
 
 HOSTS = 24  # more than the 16 connections of a target
 
@@ -19,6 +20,22 @@
     run_virtual(run())
 
 
+class TestLossConfirmation:
+    def test_needs_answers_of_half_the_hosts_in_the_same_survey(self):
+        # At the end of a partition a newer survey showed that the host was not cut
+        # off any more; the answers of its own zone alone then replaced a leader.
+        async def main(simulation):
+            gateway = simulation.gateways[0]
+            gateway.replacement.reach.update(5.0, 12, 12)
+            group = gateway.env.group("g0")
+            views = [LeaderView("g0-0", 0, False) for _ in range(9)]
+            confirms = gateway.replacement._fleet_confirms_loss
+            assert not confirms(group, Survey(12, views[:4]))
+            assert confirms(group, Survey(12, views))
+
+        simulate(main)
+
+
 class TestTurns:
     def test_are_taken_by_hosts_that_own_targets_of_the_group(self):
         """Guards against turns kept for hosts that never claim the group."""
