feat: requests wait for a new leader only if it can come in time

While hosts are silent a replacement waits for their leases, 1.2 s besides the promotion. Requests for the leader waited until their time limit of 0.8 s and were then refused, or answered late. Reads that a replica may serve were refused with them once the lease was lost, also those that the old leader itself could serve as any other target.

The expected time until the new leader (claim, leases, the promotion time seen before) is compared with the time that a request has left; what can't be in time is refused at once as 1012 with that time as hint. This applies only while the host knows silent hosts, so fleets that hold their own connections behave as before. A request that can be answered before its time limit waits, even past its latency objective: a late answer is worth something, a refusal nothing. Reads within their age wait for a replica, never for the leader, and go to any target that has applied enough.

--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -147,6 +147,7 @@
             self._relay_driver = RelayDriver(
                 driver, self._owner_addresses, streams, clock
             )
+            self.env.hosts_silent = streams.any_silent
         self.relay = RelayService(self.env)
         self.samples = SampleSource(self._leader_owner_addresses, clock)
         self.env.samples = self.samples
@@ -376,6 +377,8 @@
         if claim.phase is ClaimPhase.CLAIMED:
             leadership.raise_fence(self._fence(row.version, claim, leadership))
         elif claim.phase is ClaimPhase.DONE:
+            if leadership.fence is not None and self.env.hosts_silent():
+                self.env.expectation.record(leadership.fence, now_ms)
             leadership.install_leader(claim.target, claim.term, now_ms)
         else:
             # This host may have missed the replacement before, or believe a target that
@@ -393,7 +396,14 @@
         if leadership.fence is not None:
             # The lease that counts is the one from before the first open claim.
             covered_until_ms = leadership.fence.covered_until_ms
-        return Fence(version, claim.target, claim.previous_term, covered_until_ms)
+        return Fence(
+            version,
+            claim.target,
+            claim.previous_term,
+            covered_until_ms,
+            self._clock.now_ms(),
+            claim.planned,
+        )
 
     def fair_share(self, group_name: str) -> int:
         """Return this host's equal share of a target's connections.
@@ -493,7 +503,7 @@
                 owners = self._owner_addresses(target.entry.id)
                 if not owners or target.pool.unreachable:
                     continue
-                if not self._relay_driver.reaches_any(owners):
+                if not self._relay_driver.usable_of(owners):
                     target.pool.mark_unreachable()
                     self.env.record_target_failure(target, "no owner of it answers")
 
@@ -501,7 +511,10 @@
         leader_id = group.leadership.leader_id
         if leader_id is None:
             return []
-        return [address for _, address in self._owner_addresses(leader_id)]
+        owners = self._owner_addresses(leader_id)
+        if self._relay_driver is not None:
+            owners = self._relay_driver.usable_of(owners)
+        return [address for _, address in owners]
 
     def _may_replace_leader(self, group: GroupState) -> bool:
         """Return whether this host checks and replaces the leader of a group.
--- a/packages/fennelhilld/src/fennelhilld/leadership/state.py
+++ b/packages/fennelhilld/src/fennelhilld/leadership/state.py
@@ -24,12 +24,18 @@
     covered_until_ms : float
         Until when answers of that leader count, on the clock that also advances while
         the host is suspended.
+    raised_ms : float
+        When this host learned of the claim, on its clock.
+    planned : bool
+        Whether the leader that is being replaced still answers.
     """
 
     claim_version: int
     target_id: str
     previous_term: int
     covered_until_ms: float
+    raised_ms: float = 0.0
+    planned: bool = False
 
 
 class GroupLeadership:
--- a/packages/fennelhilld/src/fennelhilld/relay/driver.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/driver.py
@@ -143,6 +143,10 @@
         """
         return [owner for owner in owners if self.usable(owner[0])]
 
+    def any_silent(self) -> bool:
+        """Return whether a host is known that has not answered since a ping."""
+        return bool(self._presence.silent_hosts)
+
     async def connect(self, host: str, address: str) -> RpcClient | None:
         """Return the stream to a host; open one if there is none.
 
@@ -697,20 +701,20 @@
             TargetFault.TOO_MANY_CONNECTIONS, "no owner of the target can be reached"
         )
 
-    def reaches_any(self, owners: list[tuple[str, str]]) -> bool:
-        """Return whether an owner of a target is not known to be silent.
+    def usable_of(self, owners: list[tuple[str, str]]) -> list[tuple[str, str]]:
+        """Return the owners of a target that are not known to be silent.
 
         Parameters
         ----------
         owners : list of tuple of str
-            Name and address of each owner.
+            Name and address of each owner, in the order of use.
 
         Returns
         -------
-        bool
-            False if none of them may be sent new work.
+        list of tuple of str
+            Those that may be sent new work.
         """
-        return bool(self._streams.usable_of(owners))
+        return self._streams.usable_of(owners)
 
     async def status(self, link: TargetLink) -> TargetStatus | None:
         """Return the status of a target that was connected to directly.
--- a/packages/fennelhilld/src/fennelhilld/statements/environment.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/environment.py
@@ -18,6 +18,7 @@
 from fennelhilld.freshness.sharing import SampleSource
 from fennelhilld.leader_lease.renewal import LeaseRenewal
 from fennelhilld.leader_lease.state import LeaderAccess
+from fennelhilld.leadership.expectation import ReplacementExpectation
 from fennelhilld.links.lease import Exchange, Lease
 from fennelhilld.links.messages import LinkRefusedError, TargetAnswer, TargetFault
 from fennelhilld.links.state import SessionContext
@@ -110,6 +111,9 @@
         # Fetches positions of leaders; None if this host sees enough of them itself.
         self.samples: SampleSource | None = None
         self.is_cut_off: Callable[[], bool] = lambda: False
+        # Whether hosts are silent whose leases a replacement has to wait for.
+        self.hosts_silent: Callable[[], bool] = lambda: False
+        self.expectation = ReplacementExpectation()
         self.on_leader_suspected: Callable[[GroupState], None] = lambda group: None
 
     def group(self, name: str) -> GroupState:
@@ -136,22 +140,25 @@
             )
         return state
 
-    def leader_unavailable(self, group: GroupState) -> bool:
+    def leader_unavailable(self, group: GroupState, left_ms: float = math.inf) -> bool:
         """Return whether a statement should not wait for a group's leader.
 
         Parameters
         ----------
         group : GroupState
             The group.
+        left_ms : float
+            Longest time that the statement can wait, in milliseconds.
 
         Returns
         -------
         bool
             True if this host has no lease and could not renew it, if the leader is
-            lost or unknown while this host is cut off from the fleet, or if it has
-            been lost for `FAIL_FAST_AFTER_MS` and can't be replaced now.
+            lost or unknown while this host is cut off from the fleet, if it has
+            been lost for `FAIL_FAST_AFTER_MS` and can't be replaced now, or if its
+            replacement is expected to take longer than the statement can wait.
         """
-        if self._lease_lost():
+        if self._lease_lost() or self.replacement_ms(group) > left_ms:
             return True
         leadership = group.leadership
         if leadership.failing_since_ms is None and group.leader() is not None:
@@ -184,7 +191,8 @@
         if self.is_cut_off():
             detail = "this host is cut off from the leader; connect again"
             return codes.OWNER_UNREACHABLE, detail
-        return codes.NO_PRIMARY, f"the leader is lost, and {group.leadership.obstacle}"
+        obstacle = group.leadership.obstacle or "its replacement takes too long"
+        return codes.NO_PRIMARY, f"the leader is lost, and {obstacle}"
 
     def refuse_leader_unavailable(
         self, statement: Statement, group: GroupState
@@ -205,9 +213,54 @@
         """
         code, detail = self.leader_unavailable_reason(group)
         return self.refuse(
-            statement, code, detail, group=group.name, **self.lease_inputs(group)
+            statement,
+            code,
+            detail,
+            group=group.name,
+            retry_ms=self.retry_ms(code, group),
+            **self.lease_inputs(group),
         )
 
+    def retry_ms(self, code: Code, group: GroupState) -> float | None:
+        """Return when a statement that was refused for want of a leader may be retried.
+
+        Parameters
+        ----------
+        code : Code
+            Its result code.
+        group : GroupState
+            The group.
+
+        Returns
+        -------
+        float or None
+            Milliseconds; None for the default of the code, as another host may be
+            tried at once.
+        """
+        return self.replacement_ms(group) if code is codes.NO_PRIMARY else None
+
+    def replacement_ms(self, group: GroupState) -> float:
+        """Return how long the replacement of a group's leader is expected to take.
+
+        Parameters
+        ----------
+        group : GroupState
+            The group.
+
+        Returns
+        -------
+        float
+            Milliseconds; 0 if the leader is not known to be lost, or if no host is
+            silent: it is then replaced within the time limit of most statements.
+        """
+        if not self.hosts_silent():
+            return 0.0
+        leader = group.leader()
+        lost = leader is None or (leader.pool.relayed and leader.pool.unreachable)
+        if not lost and group.leadership.fence is None:
+            return 0.0
+        return self.expectation.remaining_ms(group.leadership, self.clock.now_ms())
+
     def lease_inputs(self, group: GroupState) -> dict[str, object]:
         """Return what decides whether a leader may be used, for a log line.
 
--- a/packages/fennelhilld/src/fennelhilld/statements/execution.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/execution.py
@@ -172,7 +172,7 @@
         last_failure = "no link to the leader became free"
         retry_ms = None
         while (left_ms := deadline_ms - env.clock.now_ms()) >= MIN_WRITE_TIME_MS:
-            if env.leader_unavailable(group):
+            if env.leader_unavailable(group, left_ms - MIN_WRITE_TIME_MS):
                 return env.refuse_leader_unavailable(statement, group)
             try:
                 request = env.queued_request(
--- a/packages/fennelhilld/src/fennelhilld/statements/reading.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/reading.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from fennelhill_core import codes
@@ -111,9 +112,14 @@
             if left_ms < MIN_READ_TIME_MS:
                 break
             target = self._runner.choose_reader(group, self._database, self._tried)
-            if target in (None, group.leader()) and env.leader_unavailable(group):
-                return env.refuse_leader_unavailable(self._statement, group)
             minimum = self._runner.minimum_position(group, self._database)
+            # A read that a replica may serve waits for one, not for the leader; also a
+            # target that may have been replaced serves it, if it has applied enough.
+            wait_ms = math.inf if minimum else left_ms - MIN_READ_TIME_MS
+            if (target is None or minimum is None) and env.leader_unavailable(
+                group, wait_ms
+            ):
+                return env.refuse_leader_unavailable(self._statement, group)
             if minimum is None and not await env.leader_usable(group, left_ms):
                 continue
             if target is None:
--- a/packages/fennelhilld/src/fennelhilld/statements/transaction.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/transaction.py
@@ -185,10 +185,11 @@
         min_left_ms = MIN_WRITE_TIME_MS if commits_writes else MIN_REMAINING_MS
         while (left_ms := deadline_ms - env.clock.now_ms()) >= min_left_ms:
             if self._lease is None:
-                if self._leader_unavailable():
+                if self._leader_unavailable(left_ms - min_left_ms):
                     group = env.group(self.database.group)
                     code, detail = env.leader_unavailable_reason(group)
-                    return await self._fail(statement, code, detail)
+                    retry_ms = env.retry_ms(code, group)
+                    return await self._fail(statement, code, detail, retry_ms)
                 try:
                     begun = await self._begin(statement, deadline_ms)
                 except NoLinkError as error:
@@ -253,10 +254,10 @@
             await env.renewal.ensure(LEASE_WAIT_MS)
         return env.access.may_send(group) and group.leader() is self._target
 
-    def _leader_unavailable(self) -> bool:
+    def _leader_unavailable(self, left_ms: float) -> bool:
         env = self.runner.env
         group = env.group(self.database.group)
-        if not env.leader_unavailable(group):
+        if not env.leader_unavailable(group, left_ms):
             return False
         reader = self.runner.choose_reader(group, self.database, set())
         return self._at_leader or reader in (None, group.leader())
@@ -421,12 +422,24 @@
             )
         return await self._fail(statement, FAULT_CODES[fault], last_failure)
 
-    async def _fail(self, statement: Statement, code: Code, detail: str) -> Reply:
+    async def _fail(
+        self,
+        statement: Statement,
+        code: Code,
+        detail: str,
+        retry_ms: float | None = None,
+    ) -> Reply:
         target = self._target.entry.id if self._target else ""
         if code in (codes.OVERLOADED, codes.NO_PRIMARY) and self._has_run:
             code = codes.TRANSACTION_ABORTED
         await self.rollback()
         self.failed = True
         return self.runner.env.refuse(
-            statement, code, detail, self.state, self.database.group, target=target
+            statement,
+            code,
+            detail,
+            self.state,
+            self.database.group,
+            retry_ms,
+            target=target,
         )
--- a/scenarios/test_partition.py
+++ b/scenarios/test_partition.py
@@ -54,3 +54,29 @@
         for inside in (False, True):
             assert partition.share(-1_000.0, 0.0, inside) > 0.97
             assert partition.share(8_000.0, 10_000.0, inside) > 0.97
+        promoted = {
+            name
+            for name, model in partition.simulation.groups.items()
+            if model.promotions
+        }
+        assert promoted == {"g0", "g3"}
+
+    def test_leaders_inside_are_replaced_within_2500_ms(self):
+        """Guards against a replacement that waits for hosts inside, one by one."""
+        assert max(replay(1).replaced_ms.values()) <= 2_500.0
+
+    def test_outside_is_served_again_from_two_seconds_on(self):
+        """Guards against requests sent to owners, targets and leaders inside."""
+        partition = replay(1)
+        assert partition.share(2_000.0, 4_000.0, False) >= 0.85
+        assert partition.share(4_000.0, 6_000.0, False) >= 0.97
+
+    def test_nothing_that_is_known_to_be_lost_is_waited_for(self):
+        """Guards against operations that time out once the zone is known as lost."""
+        partition = replay(1)
+        lost = partition.losses(800.0, 6_000.0, False)
+        assert not any(loss.waited and loss.code for loss in lost)
+
+    def test_inside_reads_go_on_within_their_age(self):
+        """Guards against a leader that serves no read once its lead is unproven."""
+        assert replay(1).share(1_000.0, 2_000.0, True) >= 0.3
