fix: a host that can't prove any leader finds out that it is cut off

A host asked who reaches it only when it suspected a leader. In a zone with all primaries none is suspected, so its hosts stayed ready while they refused everything as 1030, and retries came back to them.

A host now asks when it has lost its lease, and when all owners of a zone are silent: either that zone is cut off or this one. Suspicion alone changes nothing; less than half of the answers does, as before. Such a query names no target, so it is answered at once: it is waited for 250 ms instead of 450 and ends once most have answered.

--- a/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/simulation.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/simulation.py
@@ -54,7 +54,9 @@
 ORDER_TIMEOUT_MS = 1_200.0  # until a lost answer is reported
 UNLISTED_AFTER_MS = 3_000.0  # without a heartbeat of a target
 PAUSE_CHECK_MS = 10.0
-SURVEY_TIMEOUT_MS = 450.0  # wait for hosts that do not answer
+# Wait for hosts that do not answer a survey, with and without a target to probe.
+SURVEY_TIMEOUT_MS = 450.0
+PRESENCE_TIMEOUT_MS = 250.0
 FEED_DELAY_MS = 5.0  # time until subscribed hosts receive a change
 STATEMENT_TIMEOUT_MS = 800.0
 LATENCY_GOAL_MS = 200.0
@@ -318,7 +320,7 @@
             simulation.spawn(self._view(simulation.gateway(name), group, target_id))
             for name in names
         ]
-        return await collect_views(queries, target_id)
+        return await collect_views(queries, group, target_id)
 
     async def _view(
         self, other: SessionGateway, group: str, target_id: str
@@ -326,7 +328,8 @@
         simulation = self._simulation
         reached = simulation.connected(self._gateway.host, other.host)
         if not reached or other.host in simulation.paused_hosts:
-            await simulation.clock.sleep_ms(SURVEY_TIMEOUT_MS)
+            limit_ms = SURVEY_TIMEOUT_MS if target_id else PRESENCE_TIMEOUT_MS
+            await simulation.clock.sleep_ms(limit_ms)
             return None
         return await other.replacement.leader_view(other.env.group(group), target_id)
 
--- a/packages/fennelhilld/src/fennelhilld/fleet/http.py
+++ b/packages/fennelhilld/src/fennelhilld/fleet/http.py
@@ -22,6 +22,8 @@
 RELAY_PATH = "/relay"
 # The queried host probes the target itself, which takes up to 300 ms.
 QUERY_TIMEOUT_MS = 450.0
+# Without a target to probe the queried host answers at once.
+PRESENCE_TIMEOUT_MS = 250.0
 
 
 class _LeaderHandler(RequestHandler):
@@ -122,7 +124,7 @@
             self._tasks.spawn(self._query_host(name, address, group, target_id))
             for name, address in addresses.items()
         ]
-        return await collect_views(queries, target_id)
+        return await collect_views(queries, group, target_id)
 
     async def _query_host(
         self, name: str, address: str, group: str, target_id: str
@@ -134,7 +136,8 @@
     async def _query(
         self, address: str, group: str, target_id: str
     ) -> LeaderView | None:
-        timeout_s = QUERY_TIMEOUT_MS / MS_PER_S
+        limit_ms = QUERY_TIMEOUT_MS if target_id else PRESENCE_TIMEOUT_MS
+        timeout_s = limit_ms / MS_PER_S
         request = HTTPRequest(
             f"http://{address}/leader?group={group}&target={target_id}",
             connect_timeout=timeout_s,
--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -496,8 +496,11 @@
             if name in addresses
         ]
 
-    def _on_owner_silent(self) -> None:
+    def _on_owner_silent(self, zone_lost: bool) -> None:
         """Stop using targets none of whose owners answers, and check their leaders."""
+        if zone_lost:
+            # Either that zone is cut off or this host is.
+            self._start_reach_check()
         for group in self.groups.values():
             for target in group.targets.values():
                 owners = self._owner_addresses(target.entry.id)
@@ -594,9 +597,10 @@
                 self._events.record("target.gone", group=entry.group, target=entry.id)
             if ticks % COUNTERS_LOG_TICKS == 0:
                 self._events.record("statements.counted", **self.env.counters.totals())
-            if self.replacement.reach.cut_off and not self._checking_reach:
-                self._checking_reach = True
-                self._tasks.spawn(self._check_reach())
+            # A host all of whose leaders are in its own zone suspects none of them; it
+            # finds that it is cut off when it can't renew its lease.
+            if self.replacement.reach.cut_off or self.renewal.missing_ms > 0.0:
+                self._start_reach_check()
             for group in list(self.groups.values()):
                 self._start_leader_check(group, now_ms)
                 for target in group.targets.values():
@@ -604,6 +608,11 @@
                 if ticks % TRIM_TICKS == 0:
                     self._adjust_pools(group)
 
+    def _start_reach_check(self) -> None:
+        if not self._checking_reach:
+            self._checking_reach = True
+            self._tasks.spawn(self._check_reach())
+
     async def _check_reach(self) -> None:
         try:
             await self.replacement.refresh_reach()
--- a/packages/fennelhilld/src/fennelhilld/promotion/choice.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/choice.py
@@ -83,6 +83,24 @@
     return 2 * seeing < len(views) + 1
 
 
+def answered_by_most(views: list[LeaderView], queried: int) -> bool:
+    """Return whether more than half of the hosts answered, the one that asks included.
+
+    Parameters
+    ----------
+    views : list of LeaderView
+        Answers so far.
+    queried : int
+        Number of hosts that were queried.
+
+    Returns
+    -------
+    bool
+        True if the host that asks is not cut off.
+    """
+    return 2 * (len(views) + 1) > queried + 1
+
+
 def survey_is_decided(views: list[LeaderView], queried: int, target_id: str) -> bool:
     """Return whether the missing answers can't change what follows from a survey.
 
@@ -101,7 +119,7 @@
         True if more than half of the hosts answered, the one that asks included, and
         the leader counts as lost, or as seen, whatever the others answer.
     """
-    if 2 * (len(views) + 1) <= queried + 1:
+    if not answered_by_most(views, queried):
         return False
     missing = queried - len(views)
     seeing = sum(view.sees and view.leader == target_id for view in views)
--- a/packages/fennelhilld/src/fennelhilld/promotion/survey.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/survey.py
@@ -5,12 +5,12 @@
 import asyncio
 from collections.abc import Awaitable
 
-from fennelhilld.promotion.choice import survey_is_decided
+from fennelhilld.promotion.choice import answered_by_most, survey_is_decided
 from fennelhilld.promotion.messages import LeaderView, Survey
 
 
 async def collect_views(
-    queries: list[Awaitable[LeaderView | None]], target_id: str
+    queries: list[Awaitable[LeaderView | None]], group: str, target_id: str
 ) -> Survey:
     """Wait for answers until those that are missing can't change the result.
 
@@ -21,8 +21,10 @@
     ----------
     queries : list of awaitable
         One for each host; None means that it did not answer.
+    group : str
+        The group; empty if only the number of answers matters.
     target_id : str
-        The leader in question; empty if all answers are needed.
+        The leader in question; empty if it is unknown, so that all answers matter.
 
     Returns
     -------
@@ -31,9 +33,15 @@
     """
     pending = {asyncio.ensure_future(query) for query in queries}
     views: list[LeaderView] = []
-    while pending and not (
-        target_id and survey_is_decided(views, len(queries), target_id)
-    ):
+    while pending and not _is_decided(views, len(queries), group, target_id):
         done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
         views += [task.result() for task in done if task.result() is not None]
     return Survey(len(queries), views)
+
+
+def _is_decided(
+    views: list[LeaderView], queried: int, group: str, target_id: str
+) -> bool:
+    if not group:
+        return answered_by_most(views, queried)
+    return bool(target_id) and survey_is_decided(views, queried, target_id)
--- a/packages/fennelhilld/src/fennelhilld/relay/driver.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/driver.py
@@ -80,7 +80,7 @@
     zone_of : callable
         Returns the availability zone of a listed host; empty if it is not listed.
     on_silent : callable
-        Called when a host has stopped answering.
+        Called when a host has stopped answering, with whether its zone is lost.
     """
 
     def __init__(
@@ -89,7 +89,7 @@
         clock: Clock,
         events: EventLog,
         zone_of: Callable[[str], str],
-        on_silent: Callable[[], None],
+        on_silent: Callable[[bool], None],
     ) -> None:
         self._dialer = dialer
         self._clock = clock
@@ -288,7 +288,7 @@
                         read.cancel()
         if self._looking is None or self._looking.done():
             self._looking = self._tasks.spawn(self._look_for_silent())
-        self._on_silent()
+        self._on_silent(zone_lost)
 
     async def _look_for_silent(self) -> None:
         """Find out when silent hosts answer again: they get no work that would tell."""
--- a/scenarios/test_partition.py
+++ b/scenarios/test_partition.py
@@ -6,11 +6,16 @@
 
 import pytest
 from fennelhill_bench.session_simulation.partition import (
+    CUT_ZONE,
+    HOSTS,
+    ZONES,
     Cause,
     ZonePartition,
     loss_cause,
 )
+from fennelhill_bench.session_simulation.simulation import Cut, SessionSimulation
 from fennelhill_bench.virtual_time import run_virtual
+from fennelhilld.catalog.state import ReadKind
 
 
 @functools.cache
@@ -80,3 +85,34 @@
     def test_inside_reads_go_on_within_their_age(self):
         """Guards against a leader that serves no read once its lead is unproven."""
         assert replay(1).share(1_000.0, 2_000.0, True) >= 0.3
+
+
+class TestReadiness:
+    def test_of_a_zone_with_all_leaders_ends_without_proof_and_comes_back(self):
+        # Hosts there suspected no leader, never asked who reaches them, and stayed in
+        # the balancer's rotation while they refused everything.
+        async def main():
+            simulation = SessionSimulation(1, HOSTS, zones=ZONES)
+            inside = [host for host in simulation.gateways if host.zone == CUT_ZONE]
+            outside = [host for host in simulation.gateways if host.zone != CUT_ZONE]
+            current = simulation.database(ReadKind.CURRENT)
+
+            async def write_everywhere(duration_ms):
+                until_ms = simulation.clock.now_ms() + duration_ms
+                while simulation.clock.now_ms() < until_ms:
+                    for gateway in simulation.gateways:
+                        simulation.spawn(simulation.client(gateway, current).write())
+                    await simulation.clock.sleep_ms(100.0)
+
+            await write_everywhere(1_000.0)
+            hosts = frozenset(gateway.host for gateway in inside)
+            simulation.cut(Cut(hosts, frozenset({"g0-0"})))
+            await write_everywhere(2_200.0)
+            assert not any(gateway.ready for gateway in inside)
+            assert all(gateway.ready for gateway in outside)
+            simulation.cut(Cut())
+            await write_everywhere(1_000.0)
+            assert all(gateway.ready for gateway in simulation.gateways)
+            simulation.close()
+
+        run_virtual(main())
