feat: a host that finds a zone silent has others check it

The first host to find a zone lost tells 8 others by datagram, and these tell 8 more. A host that is told pings its own streams to the zone; the notice itself excludes nothing, so that a host with a bad link can't close a zone for others. Each host passes a zone on at most once a second: at most 8 datagrams a second and zone. Telling all hosts was ruled out: n squared datagrams at once.

--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -12,6 +12,7 @@
 from fennelhilld.admission.policies import LoadPolicies
 from fennelhilld.catalog.state import Catalog, CatalogHolder, key_digest
 from fennelhilld.directory.state import TargetDirectory, TargetEntry
+from fennelhilld.fleet.notices import ZoneNotices
 from fennelhilld.fleet.roster import Roster
 from fennelhilld.freshness.sharing import SampleSource
 from fennelhilld.leader_lease.fencing import LeaseCollector
@@ -136,6 +137,7 @@
         self.replacement.give_lease_up = self.host_queries.give_lease_up
         self.replacement.claimants = self._claimants
         self._relay_driver: RelayDriver | None = None
+        self._notices: ZoneNotices | None = None
         if dialer is not None:
             streams = OwnerStreams(
                 dialer,
@@ -148,6 +150,10 @@
                 driver, self._owner_addresses, streams, clock
             )
             self.env.hosts_silent = streams.any_silent
+            self._notices = ZoneNotices(
+                host, self.roster, lambda: self.samples.peers, streams.check_zone, clock
+            )
+            self.host_queries.on_zone_notice = self._notices.receive
         self.relay = RelayService(self.env)
         self.samples = SampleSource(self._leader_owner_addresses, clock)
         self.env.samples = self.samples
@@ -189,6 +195,7 @@
         self.samples.close()
         if self._relay_driver is not None:
             self._relay_driver.close()
+            self._notices.close()
         self.replacement.prober.close()
         for group in self.groups.values():
             for target in group.targets.values():
@@ -496,9 +503,10 @@
             if name in addresses
         ]
 
-    def _on_owner_silent(self, zone_lost: bool) -> None:
+    def _on_owner_silent(self, zone: str, zone_lost: bool) -> None:
         """Stop using targets none of whose owners answers, and check their leaders."""
         if zone_lost:
+            self._notices.announce(zone)
             # Either that zone is cut off or this host is.
             self._start_reach_check()
         for group in self.groups.values():
--- a/packages/fennelhilld/src/fennelhilld/leader_lease/messages.py
+++ b/packages/fennelhilld/src/fennelhilld/leader_lease/messages.py
@@ -125,5 +125,26 @@
     age_ms: float = 0.0
 
 
-HostQuery = LeaseQuery | FenceOrder | DemotionOrder | SampleQuery
-HostAnswer = LeaseAnswer | FenceAnswer | DemotionAnswer | SampleAnswer
+class ZoneNotice(msgspec.Struct, tag="zone_notice", frozen=True):
+    """Tells a host that a zone has stopped answering the sender.
+
+    Parameters
+    ----------
+    zone : str
+        The zone.
+    hops : int
+        How many times the notice may still be sent.
+    """
+
+    zone: str
+    hops: int
+
+
+class ZoneNoticeAnswer(msgspec.Struct, tag="zone_notice_answer", frozen=True):
+    """Says that a `ZoneNotice` has arrived."""
+
+
+HostQuery = LeaseQuery | FenceOrder | DemotionOrder | SampleQuery | ZoneNotice
+HostAnswer = (
+    LeaseAnswer | FenceAnswer | DemotionAnswer | SampleAnswer | ZoneNoticeAnswer
+)
--- a/packages/fennelhilld/src/fennelhilld/leader_lease/service.py
+++ b/packages/fennelhilld/src/fennelhilld/leader_lease/service.py
@@ -17,6 +17,8 @@
     LeaseQuery,
     SampleAnswer,
     SampleQuery,
+    ZoneNotice,
+    ZoneNoticeAnswer,
 )
 from fennelhilld.leader_lease.renewal import LeaseRenewal
 from fennelhilld.placement.state import GroupState
@@ -54,6 +56,7 @@
         apply_claim: Callable[[str, ClaimRow], None],
         clock: Clock,
     ) -> None:
+        self.on_zone_notice: Callable[[ZoneNotice], None] = lambda notice: None
         self._renewal = renewal
         self._replacement = replacement
         self._group = group
@@ -79,6 +82,9 @@
             return self._answer_fence(query)
         if isinstance(query, SampleQuery):
             return self._answer_sample(query)
+        if isinstance(query, ZoneNotice):
+            self.on_zone_notice(query)
+            return ZoneNoticeAnswer()
         return self._answer_demotion(query)
 
     async def _answer_fence(self, order: FenceOrder) -> FenceAnswer:
--- a/packages/fennelhilld/src/fennelhilld/relay/driver.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/driver.py
@@ -80,7 +80,8 @@
     zone_of : callable
         Returns the availability zone of a listed host; empty if it is not listed.
     on_silent : callable
-        Called when a host has stopped answering, with whether its zone is lost.
+        Called when a host has stopped answering, with its zone and whether that one
+        is lost.
     """
 
     def __init__(
@@ -89,7 +90,7 @@
         clock: Clock,
         events: EventLog,
         zone_of: Callable[[str], str],
-        on_silent: Callable[[bool], None],
+        on_silent: Callable[[str, bool], None],
     ) -> None:
         self._dialer = dialer
         self._clock = clock
@@ -245,6 +246,18 @@
             self._checked.add(host)
             self._tasks.spawn(self._ping(host, client))
 
+    def check_zone(self, zone: str) -> None:
+        """Ping all hosts of a zone to which streams are open.
+
+        Parameters
+        ----------
+        zone : str
+            The zone.
+        """
+        for host, client in list(self._clients.items()):
+            if self._zone_of(host) == zone and not client.closed:
+                self.check(host, client)
+
     def close(self) -> None:
         """Close all streams."""
         self._tasks.cancel()
@@ -280,7 +293,7 @@
         self._events.record(
             "relay.owner_silent", owner=host, reason=reason, zone_lost=zone_lost
         )
-        self._ping_zone_of(host)
+        self.check_zone(zone)
         if zone_lost:
             for other, reads in self._reads.items():
                 if self._zone_of(other) == zone:
@@ -288,7 +301,7 @@
                         read.cancel()
         if self._looking is None or self._looking.done():
             self._looking = self._tasks.spawn(self._look_for_silent())
-        self._on_silent(zone_lost)
+        self._on_silent(zone, zone_lost)
 
     async def _look_for_silent(self) -> None:
         """Find out when silent hosts answer again: they get no work that would tell."""
@@ -354,7 +367,9 @@
     async def _ping(self, host: str, client: RpcClient) -> None:
         asked_ms = self._clock.now_ms()
         loop = asyncio.get_running_loop()
-        timer = loop.call_later(PING_ZONE_AFTER_MS / MS_PER_S, self._ping_zone_of, host)
+        timer = loop.call_later(
+            PING_ZONE_AFTER_MS / MS_PER_S, self.check_zone, self._zone_of(host)
+        )
         try:
             await client.call(PING, None, PING_TIMEOUT_MS)
         except (NoAnswer, NotSent, RpcError) as error:
@@ -365,12 +380,6 @@
             timer.cancel()
             self._checked.discard(host)
 
-    def _ping_zone_of(self, host: str) -> None:
-        zone = self._zone_of(host)
-        for other, client in list(self._clients.items()):
-            if other != host and self._zone_of(other) == zone and not client.closed:
-                self.check(other, client)
-
 
 class RelayLink:
     """A link to a target through its owners.
