feat: positions of a lost leader are shared between the hosts that saw it last

A host takes a new sample of a leader's position only when the old one has reached half of the allowed age. When the leader's owners fall silent, its reads of 1.5 s run out after 0.75 to 1.5 s, though other hosts saw the leader until the last moment.

While none of the leader's owners answers, the host asks four others that own targets of the group and takes the newest position, at most every 200 ms. A position is proven by the lease of the host that saw it, and its age counts from the query, as before.

--- a/packages/fennelhilld/src/fennelhilld/freshness/sharing.py
+++ b/packages/fennelhilld/src/fennelhilld/freshness/sharing.py
@@ -32,13 +32,30 @@
         empty if this host sees the leader's answers itself.
     clock : Clock
         Source of time.
+    others : callable
+        Returns the addresses of hosts that may have a newer sample than this one, for a
+        group none of whose leader's owners answers.
     """
 
-    __slots__ = ("_clock", "_owners", "_queries", "_retry_ms", "_tasks", "peers")
-
-    def __init__(self, owners: Callable[[GroupState], list[str]], clock: Clock) -> None:
+    __slots__ = (
+        "_clock",
+        "_others",
+        "_owners",
+        "_queries",
+        "_retry_ms",
+        "_tasks",
+        "peers",
+    )
+
+    def __init__(
+        self,
+        owners: Callable[[GroupState], list[str]],
+        clock: Clock,
+        others: Callable[[GroupState], list[str]] = lambda group: [],
+    ) -> None:
         self.peers: PeerQueries | None = None
         self._owners = owners
+        self._others = others
         self._clock = clock
         self._queries: dict[str, asyncio.Task[None]] = {}
         self._retry_ms: dict[str, float] = {}
@@ -84,20 +101,36 @@
         ):
             return None
         addresses = self._owners(group)
-        if not addresses:
+        others = [] if addresses else self._others(group)
+        if not addresses and not others:
             return None
-        query = self._tasks.spawn(self._query(group, addresses))
+        querying = (
+            self._query(group, addresses)
+            if addresses
+            else self._query_all(group, others)
+        )
+        query = self._tasks.spawn(querying)
         self._queries[group.name] = query
         return query
 
     async def _query(self, group: GroupState, addresses: list[str]) -> None:
         for address in addresses:
-            sent_ms = self._clock.boottime_ms()
-            answer = await self.peers.ask(
-                address, SampleQuery(group.name), QUERY_TIMEOUT_MS / 2
-            )
-            if isinstance(answer, SampleAnswer) and answer.position is not None:
-                # Counted from the sending of the query, so never too young.
-                group.freshness.add_sample(sent_ms - answer.age_ms, answer.position)
+            if await self._ask(group, address):
                 return
         self._retry_ms[group.name] = self._clock.now_ms() + RETRY_MS
+
+    async def _query_all(self, group: GroupState, addresses: list[str]) -> None:
+        """Ask hosts that have no newer source either: the newest sample counts."""
+        self._retry_ms[group.name] = self._clock.now_ms() + RETRY_MS
+        await asyncio.gather(*(self._ask(group, address) for address in addresses))
+
+    async def _ask(self, group: GroupState, address: str) -> bool:
+        sent_ms = self._clock.boottime_ms()
+        answer = await self.peers.ask(
+            address, SampleQuery(group.name), QUERY_TIMEOUT_MS / 2
+        )
+        if not isinstance(answer, SampleAnswer) or answer.position is None:
+            return False
+        # Counted from the sending of the query, so never too young.
+        group.freshness.add_sample(sent_ms - answer.age_ms, answer.position)
+        return True
--- a/packages/fennelhilld/src/fennelhilld/freshness/tests/test_sharing.py
+++ b/packages/fennelhilld/src/fennelhilld/freshness/tests/test_sharing.py
@@ -27,10 +27,10 @@
         return answer
 
 
-def run(check, answers):
+def run(check, answers, owners=("first", "second"), others=()):
     async def main():
         clock = VirtualClock()
-        source = SampleSource(lambda _: ["first", "second"], clock)
+        source = SampleSource(lambda _: list(owners), clock, lambda _: list(others))
         source.peers = PeersStub(clock, answers)
         group = GroupState("g", lambda kind, **detail: None, ExpectedTime())
         await check(source, group, clock)
@@ -70,6 +70,22 @@
 
         run(check, {})
 
+    def test_takes_the_newest_of_other_hosts_while_no_owner_answers(self):
+        """Guards against reads refused for want of a position that others know."""
+
+        async def check(source, group, clock):
+            sent_ms = clock.boottime_ms()
+            await source.fetch(group)
+            assert group.freshness.newest_sample().sent_ms == sent_ms - 100.0
+            await source.fetch(group)
+            assert len(source.peers.asked) == 3
+
+        answers = {
+            "a": SampleAnswer(Position(1, 3), 400.0),
+            "b": SampleAnswer(Position(1, 5), 100.0),
+        }
+        run(check, answers, owners=(), others=("a", "b", "c"))
+
     def test_renews_a_sample_only_once_it_is_old(self):
         async def check(source, group, clock):
             group.freshness.add_sample(clock.boottime_ms(), Position(1, 1))
--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -61,6 +61,8 @@
 FOLLOWER_CHECK_INTERVAL_MS = 1_000.0
 # Entries per target in the cache of owners, beyond which it is cleared.
 MAX_CACHE_ENTRIES_PER_TARGET = 10
+# Hosts that are asked for a leader's position while none of its owners answers.
+MAX_SAMPLE_QUERIES = 4
 DEFAULT_CONNECTIONS = 16  # per target, until a catalog sets the limit
 
 
@@ -155,7 +157,9 @@
             )
             self.host_queries.on_zone_notice = self._notices.receive
         self.relay = RelayService(self.env)
-        self.samples = SampleSource(self._leader_owner_addresses, clock)
+        self.samples = SampleSource(
+            self._leader_owner_addresses, clock, self._claimant_addresses
+        )
         self.env.samples = self.samples
         self._driver = self._relay_driver or driver
         self._clock = clock
@@ -527,6 +531,17 @@
             owners = self._relay_driver.usable_of(owners)
         return [address for _, address in owners]
 
+    def _claimant_addresses(self, group: GroupState) -> list[str]:
+        """Return hosts that may know a newer position of a leader than this one."""
+        addresses = self.roster.addresses
+        owners = [
+            (name, addresses[name])
+            for name in owner_order(self.host, list(self._claimants(group) or ()))
+            if name in addresses
+        ]
+        usable = self._relay_driver.usable_of(owners) if self._relay_driver else []
+        return [address for _, address in usable[:MAX_SAMPLE_QUERIES]]
+
     def _may_replace_leader(self, group: GroupState) -> bool:
         """Return whether this host checks and replaces the leader of a group.
 
