--- a/packages/fennelhilld/src/fennelhilld/promotion/survey.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/survey.py
@@ -31,11 +31,13 @@
     Survey
         How many hosts were queried, and the views that have come.
     """
-    pending = {asyncio.ensure_future(query) for query in queries}
+    tasks = [asyncio.ensure_future(query) for query in queries]
+    pending = set(tasks)
     views: list[LeaderView] = []
     while pending and not _is_decided(views, len(queries), group, target_id):
         done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-        views += [task.result() for task in done if task.result() is not None]
+        answers = [task.result() for task in tasks if task in done]
+        views += [view for view in answers if view is not None]
     return Survey(len(queries), views)
 
 
--- a/packages/fennelhilld/src/fennelhilld/relay/driver.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/driver.py
@@ -105,7 +105,7 @@
         # Hosts that are being pinged or looked for.
         self._checked: set[str] = set()
         # Reads in progress by host; given up when the host's zone is lost.
-        self._reads: dict[str, set[asyncio.Future]] = {}
+        self._reads: dict[str, dict[asyncio.Future, None]] = {}
         self._looking: asyncio.Task | None = None
         self._tasks = Tasks()
 
@@ -213,9 +213,9 @@
         """
         stop_watching = self._watch(host, client)
         call = asyncio.ensure_future(client.call(RUN, batch, batch.limit_ms))
-        reads = self._reads.setdefault(host, set())
+        reads = self._reads.setdefault(host, {})
         if reads_only:
-            reads.add(call)
+            reads[call] = None
         try:
             raw = await call
         except asyncio.CancelledError:
@@ -225,7 +225,7 @@
             raise
         finally:
             stop_watching()
-            reads.discard(call)
+            reads.pop(call, None)
         self._record_answer(host)
         return raw
 
--- a/scenarios/test_partition.py
+++ b/scenarios/test_partition.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import functools
 
 import pytest
+from fennelhill_bench.session_simulation.liveness import LivenessCheck
 from fennelhill_bench.session_simulation.partition import (
     CUT_ZONE,
     HOSTS,
@@ -116,3 +118,31 @@
             simulation.close()
 
         run_virtual(main())
+
+
+class TestRestart:
+    def test_of_all_hosts_after_a_partition_serves_each_group_within_a_second(self):
+        """Guards against states of the partition or the start that hold hosts back."""
+
+        async def main():
+            simulation = SessionSimulation(1, HOSTS, zones=ZONES)
+            load = simulation.spawn(simulation.run_clients(40, 6_000.0))
+            inside = [
+                host.host for host in simulation.gateways if host.zone == CUT_ZONE
+            ]
+            await simulation.clock.sleep_ms(1_000.0)
+            simulation.cut(Cut(frozenset(inside), frozenset({"g0-0"})))
+            await simulation.clock.sleep_ms(4_000.0)
+            simulation.cut(Cut())
+            await load
+            hosts = [gateway.host for gateway in simulation.gateways]
+            await asyncio.gather(
+                *(simulation.restart_host(host, 1_000.0) for host in hosts)
+            )
+            assert await LivenessCheck(simulation, 1_000.0).run() == []
+            violations = simulation.observer.violations
+            violations += simulation.observer.check_final_logs(simulation.groups)
+            assert violations == []
+            simulation.close()
+
+        run_virtual(main())
