fix: hosts that refuse don't make their zone count as cut off

A stream that is closed by its host's end, as in a restart, failed the ping at once. Two such hosts within a few milliseconds made the whole zone lost until another of its hosts answered, and reads there were sent elsewhere.

Only hosts that left a message unanswered for 100 ms count.

--- a/packages/fennelhilld/src/fennelhilld/relay/presence.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/presence.py
@@ -7,6 +7,9 @@
 # With one silent host of a zone the host has failed; with two and no answer of the
 # others since, the zone is cut off.
 MIN_SILENT_HOSTS = 2
+# A host that is found silent sooner has refused: its process has ended, and its zone is
+# reached.
+MIN_UNANSWERED_MS = 100.0
 # Silent hosts of each zone that are looked for at a time.  One answer shows that the
 # zone is back, and then all of them are looked for.
 LOOK_UPS_PER_ZONE = 3
@@ -42,7 +45,7 @@
         # When each host answered last, and when it was found to be silent.
         self._answered_ms: dict[str, float] = {}
         self._silent_ms: dict[str, float] = {}
-        # When the message was sent that a silent host left unanswered.
+        # When the message was sent that a host left unanswered for `MIN_UNANSWERED_MS`.
         self._asked_ms: dict[str, float] = {}
         self._looked_for_ms: dict[str, float] = {}
 
@@ -86,7 +89,8 @@
         if host in self._silent_ms:
             return False
         self._silent_ms[host] = now_ms
-        self._asked_ms[host] = asked_ms
+        if now_ms - asked_ms >= MIN_UNANSWERED_MS:
+            self._asked_ms[host] = asked_ms
         self._looked_for_ms[host] = now_ms
         return True
 
@@ -120,11 +124,11 @@
             True if several of its hosts are silent, and none has answered since the
             first of them was asked.
         """
-        if not self._silent_ms or not zone:
+        if not self._asked_ms or not zone:
             return False
         asked_ms = [
-            self._asked_ms[host]
-            for host in self._silent_ms
+            sent_ms
+            for host, sent_ms in self._asked_ms.items()
             if self._zone_of(host) == zone
         ]
         if len(asked_ms) < MIN_SILENT_HOSTS:
@@ -173,6 +177,10 @@
 
     def _forget_unlisted(self) -> None:
         for host in [name for name in self._silent_ms if not self._zone_of(name)]:
-            for known in (self._silent_ms, self._asked_ms, self._looked_for_ms):
-                del known[host]
-            self._answered_ms.pop(host, None)
+            for known in (
+                self._silent_ms,
+                self._asked_ms,
+                self._looked_for_ms,
+                self._answered_ms,
+            ):
+                known.pop(host, None)
--- a/packages/fennelhilld/src/fennelhilld/relay/tests/test_presence.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/tests/test_presence.py
@@ -38,6 +38,14 @@
         assert known.usable("a4")
         assert not known.usable("a0")
 
+    def test_of_hosts_that_refuse_does_not_exclude_their_zone(self):
+        """Guards against a zone given up while two of its hosts are restarted."""
+        known = presence()
+        for host in ("a0", "a1"):
+            known.record_silence(host, 249.0, 250.0)
+            assert not known.usable(host)
+        assert known.usable("a2")
+
     def test_ends_with_an_answer_and_not_with_time(self):
         known = presence("a0", "a1")
         known.start_look_ups(1e6)
