perf: the loss of a zone is worked out once, not at each request

Whether a host may be used went through the answers of all hosts each time, and each silent host of a lost zone went through all targets: at 510 groups and 28 hosts in a zone some 40,000 owner orders at the moment of the partition.

Lost zones are kept and worked out again with an answer or a silence; targets are gone through for the first silent host and once for the zone, and only where an owner is concerned.

--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -507,18 +507,25 @@
             if name in addresses
         ]
 
-    def _on_owner_silent(self, zone: str, zone_lost: bool) -> None:
+    def _on_owner_silent(self, host: str, zone_lost: bool) -> None:
         """Stop using targets none of whose owners answers, and check their leaders."""
+        zone = self.roster.zones.get(host, "")
+        silent = {host}
         if zone_lost:
             self._notices.announce(zone)
             # Either that zone is cut off or this host is.
             self._start_reach_check()
+            silent.update(name for name, at in self.roster.zones.items() if at == zone)
         for group in self.groups.values():
+            if not self.shares_connections(group.name):
+                continue
             for target in group.targets.values():
-                owners = self._owner_addresses(target.entry.id)
-                if not owners or target.pool.unreachable:
+                if target.pool.unreachable or silent.isdisjoint(
+                    self.owners(target.entry)
+                ):
                     continue
-                if not self._relay_driver.usable_of(owners):
+                owners = self._owner_addresses(target.entry.id)
+                if owners and not self._relay_driver.usable_of(owners):
                     target.pool.mark_unreachable()
                     self.env.record_target_failure(target, "no owner of it answers")
 
--- a/packages/fennelhilld/src/fennelhilld/relay/driver.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/driver.py
@@ -80,8 +80,8 @@
     zone_of : callable
         Returns the availability zone of a listed host; empty if it is not listed.
     on_silent : callable
-        Called when a host has stopped answering, with its zone and whether that one
-        is lost.
+        Called with a host that has stopped answering, and whether its zone is lost;
+        not again for a zone that is lost.
     """
 
     def __init__(
@@ -286,9 +286,10 @@
 
     def _record_silence(self, host: str, asked_ms: float, reason: str) -> None:
         """Give a host no new work, and ping the other hosts of its zone."""
+        zone = self._zone_of(host)
+        was_lost = self._presence.zone_lost(zone)
         if not self._presence.record_silence(host, asked_ms, self._clock.now_ms()):
             return
-        zone = self._zone_of(host)
         zone_lost = self._presence.zone_lost(zone)
         self._events.record(
             "relay.owner_silent", owner=host, reason=reason, zone_lost=zone_lost
@@ -301,7 +302,9 @@
                         read.cancel()
         if self._looking is None or self._looking.done():
             self._looking = self._tasks.spawn(self._look_for_silent())
-        self._on_silent(zone, zone_lost)
+        if not was_lost:
+            # After that it changes nothing that another host of the zone is silent.
+            self._on_silent(host, zone_lost)
 
     async def _look_for_silent(self) -> None:
         """Find out when silent hosts answer again: they get no work that would tell."""
--- a/packages/fennelhilld/src/fennelhilld/relay/presence.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/presence.py
@@ -36,6 +36,7 @@
         "_answered_ms",
         "_asked_ms",
         "_looked_for_ms",
+        "_lost_zones",
         "_silent_ms",
         "_zone_of",
     )
@@ -48,6 +49,7 @@
         # When the message was sent that a host left unanswered for `MIN_UNANSWERED_MS`.
         self._asked_ms: dict[str, float] = {}
         self._looked_for_ms: dict[str, float] = {}
+        self._lost_zones: set[str] = set()
 
     def record_answer(self, host: str, now_ms: float) -> bool:
         """Record that a host has answered.
@@ -67,7 +69,10 @@
         self._answered_ms[host] = now_ms
         self._asked_ms.pop(host, None)
         self._looked_for_ms.pop(host, None)
-        return self._silent_ms.pop(host, None) is not None
+        was_silent = self._silent_ms.pop(host, None) is not None
+        if self._lost_zones:
+            self._update_zone(self._zone_of(host))
+        return was_silent
 
     def record_silence(self, host: str, asked_ms: float, now_ms: float) -> bool:
         """Record that a host has left a message unanswered.
@@ -91,6 +96,7 @@
         self._silent_ms[host] = now_ms
         if now_ms - asked_ms >= MIN_UNANSWERED_MS:
             self._asked_ms[host] = asked_ms
+            self._update_zone(self._zone_of(host))
         self._looked_for_ms[host] = now_ms
         return True
 
@@ -124,20 +130,7 @@
             True if several of its hosts are silent, and none has answered since the
             first of them was asked.
         """
-        if not self._asked_ms or not zone:
-            return False
-        asked_ms = [
-            sent_ms
-            for host, sent_ms in self._asked_ms.items()
-            if self._zone_of(host) == zone
-        ]
-        if len(asked_ms) < MIN_SILENT_HOSTS:
-            return False
-        return all(
-            answered_ms <= min(asked_ms)
-            for host, answered_ms in self._answered_ms.items()
-            if self._zone_of(host) == zone
-        )
+        return zone in self._lost_zones
 
     def start_look_ups(self, now_ms: float) -> list[str]:
         """Return the silent hosts to look for now.
@@ -170,6 +163,23 @@
         """Hosts that have not answered since an unanswered message."""
         return list(self._silent_ms)
 
+    def _update_zone(self, zone: str) -> None:
+        """Recompute whether a zone is lost; requests only look the result up."""
+        asked_ms = [
+            sent_ms
+            for host, sent_ms in self._asked_ms.items()
+            if self._zone_of(host) == zone
+        ]
+        lost = len(asked_ms) >= MIN_SILENT_HOSTS and all(
+            answered_ms <= min(asked_ms)
+            for host, answered_ms in self._answered_ms.items()
+            if self._zone_of(host) == zone
+        )
+        if lost and zone:
+            self._lost_zones.add(zone)
+        else:
+            self._lost_zones.discard(zone)
+
     def _interval_ms(self, host: str, now_ms: float) -> float:
         if now_ms - self._silent_ms[host] >= LONG_SILENCE_MS:
             return LONG_SILENCE_INTERVAL_MS
@@ -184,3 +194,5 @@
                 self._answered_ms,
             ):
                 known.pop(host, None)
+            for zone in list(self._lost_zones):
+                self._update_zone(zone)
