fix: a leader that said that it does not lead is looked for as before

Without a known leader and without a claim the expected time of a replacement was used, though another host has usually replaced the leader by then and a probe finds the new one within 150 ms.

--- a/packages/fennelhilld/src/fennelhilld/statements/environment.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/environment.py
@@ -256,7 +256,8 @@
         if not self.hosts_silent():
             return 0.0
         leader = group.leader()
-        lost = leader is None or (leader.pool.relayed and leader.pool.unreachable)
+        # A leader that said itself that it does not lead has been replaced already.
+        lost = leader is not None and leader.pool.relayed and leader.pool.unreachable
         if not lost and group.leadership.fence is None:
             return 0.0
         return self.expectation.remaining_ms(group.leadership, self.clock.now_ms())
