fix: no connection of nobody serves an organisation

Cause: a host that became an owner, or ceased to be one, while it opened a link got a connection to the target under no organisation's name in a pool of relayed links, and the next request of any organisation took it. Ruled out: to refuse the opening only; a link that was opened before a change of owners is idle when it comes. Change: while the configuration names organisations, a link is used only in the way in which the target is reached now; others are closed when an idle link is looked for or returned.

--- a/packages/fennelhilld/src/fennelhilld/links/pool.py
+++ b/packages/fennelhilld/src/fennelhilld/links/pool.py
@@ -576,6 +576,14 @@
         # The most recently used link is the least likely to be broken unnoticed.
         return self._idle.pop(usable[-1])
 
+    def _is_usable(self, link: PooledLink) -> bool:
+        """Return whether a link fits the way in which the target is reached now.
+
+        A connection that was opened for no organisation, while this host became an
+        owner or ceased to be one, would run an organisation's statements as nobody's.
+        """
+        return self._link_budget() is None or link.through_owner == self._relayed()
+
     def _mark_in_use(self, link: PooledLink) -> PooledLink:
         self.in_use += 1
         self._used.add(link)
@@ -588,11 +596,12 @@
         self._last_closed_ms = self._clock.now_ms()
 
     def _drop_closed(self) -> None:
-        if not self.by_organisation:
-            for link in self._idle:
-                if link.organisation:
-                    # Left over from a time when links belonged to organisations here.
-                    self._close(link)
+        left_over = not self.by_organisation
+        for link in self._idle:
+            # From a time when links belonged to organisations here, or when the target
+            # was reached in the other way.
+            if (left_over and link.organisation) or not self._is_usable(link):
+                self._close(link)
         self._idle = [link for link in self._idle if not link.connection.closed]
 
     def _offer(self, link: PooledLink) -> None:
@@ -604,6 +613,7 @@
                 waiter.link.set_result(self._mark_in_use(link))
                 return
         self._idle.append(link)
+        self._drop_closed()
         self._serve_waiters()
         if self._waiters:
             self._grow()
--- a/packages/fennelhilld/src/fennelhilld/links/state.py
+++ b/packages/fennelhilld/src/fennelhilld/links/state.py
@@ -64,6 +64,7 @@
         "paused",
         "prepared",
         "rests_since_ms",
+        "through_owner",
         "values",
     )
 
@@ -72,6 +73,8 @@
     ) -> None:
         self.connection = connection
         self.organisation = organisation
+        # Whether an owner picks the connection to the target for each batch.
+        self.through_owner: bool = getattr(connection, "through_owner", False)
         self.values: dict[str, str] = {}
         self.prepared: set[str] = set()
         self.opened_ms = now_ms
--- a/packages/fennelhilld/src/fennelhilld/links/tests/test_allocation.py
+++ b/packages/fennelhilld/src/fennelhilld/links/tests/test_allocation.py
@@ -281,3 +281,19 @@
         result = replay(factors={rank: 8.0})
         assert result.p95_ms(range(11, 81)) <= 40.0
         assert result.too_many == 0
+
+
+class TestChangeOfOwners:
+    def test_no_connection_of_nobody_serves_an_organisation(self):
+        """Guards against statements that a target runs under no organisation's name."""
+
+        async def check(fixture):
+            fixture.pool._relayed = lambda: True
+            # Opened directly: this host became an owner meanwhile.
+            waiting = asyncio.ensure_future(fixture.take("one"))
+            await fixture.clock.sleep_ms(50.0)
+            assert not waiting.done()
+            fixture.pool._relayed = lambda: False
+            assert (await waiting).organisation == "one"
+
+        run(check)
--- a/packages/fennelhilld/src/fennelhilld/relay/driver.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/driver.py
@@ -452,6 +452,11 @@
         # counts suspended time.
         self._send_by_ms = math.inf
 
+    @property
+    def through_owner(self) -> bool:
+        """Whether an owner picks the connection to the target for each batch."""
+        return True
+
     @property
     def closed(self) -> bool:
         """Whether the link can't be used any more."""
