feat: a benchmark of what a daemon computes; checks look at groups in doubt only

Change: `make measure ROUND=processor` counts the calls of the product's functions in virtual time, for an idle host's second in fleets of 6, 74 and 195 and for a read, a current read and a write, directly and through owners; the check of a group ends at once if neither its leader nor a replacement is in doubt.

Ruled out: a count of the event loop's waits (checks of all simulated hosts fall into one), statements without a pair of idle periods (the fleet's rest is larger).

--- a/packages/fennelhill-bench/src/fennelhill_bench/__main__.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/__main__.py
@@ -9,7 +9,10 @@
 from fennelhill_core.settings import Settings
 from loguru import logger
 
-from fennelhill_bench import throughput  # noqa: F401 - registers its rounds
+from fennelhill_bench import (  # noqa: F401 - they register their rounds
+    processor,
+    throughput,
+)
 from fennelhill_bench.demo import DURATION_MS, run_demo
 from fennelhill_bench.deployment import Plan
 from fennelhill_bench.load_simulation import report  # noqa: F401 - registers its round
--- a/packages/fennelhill-bench/src/fennelhill_bench/virtual_time.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/virtual_time.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import selectors
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
 from fennelhill_core.clock import Clock
@@ -64,6 +64,8 @@
     """Runs programs without sockets, deterministically and without waiting."""
 
     def __init__(self) -> None:
+        # Timers that were set so far.
+        self.timer_count = 0
         self._virtual_selector = _VirtualTimeSelector()
         super().__init__(self._virtual_selector)
 
@@ -77,6 +79,30 @@
         """
         return self._virtual_selector.skipped_s
 
+    def call_at(
+        self, when: float, callback: Callable[..., object], *args: Any, **kwargs: Any
+    ) -> asyncio.TimerHandle:
+        """Set a timer, and count it.
+
+        Parameters
+        ----------
+        when : float
+            Virtual time in seconds.
+        callback : callable
+            Called at that time.
+        *args : object
+            Its arguments.
+        **kwargs : object
+            As in `asyncio.loop.call_at`.
+
+        Returns
+        -------
+        asyncio.TimerHandle
+            The timer.
+        """
+        self.timer_count += 1
+        return super().call_at(when, callback, *args, **kwargs)
+
     def pause(self, duration_s: float) -> None:
         """Advance virtual time as if the process had been suspended.
 
--- a/packages/fennelhilld/src/fennelhilld/draining/tests/test_clients.py
+++ b/packages/fennelhilld/src/fennelhilld/draining/tests/test_clients.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
+
+import pytest
 from fennelhill_bench.virtual_time import VirtualClock, run_virtual
 from fennelhill_core.events import EventLog
 from fennelhilld.draining.clients import (
     BALANCER_NOTICE_MS,
     CLOSING_RESERVE_MS,
+    IDLE_CHECK_INTERVAL_MS,
     ClientDrain,
 )
 from fennelhilld.promotion.reach import FleetReach
@@ -78,3 +82,30 @@
     def test_ends_in_time_while_a_statement_runs(self):
         _, ended_ms = drain(60_000.0)
         assert ended_ms <= SHUTDOWN_MS - CLOSING_RESERVE_MS + 50
+
+
+class TestHostThatIsCutOff:
+    @pytest.mark.parametrize("cut_off_ms", [10.0, 700.0, 2_099.0, 5_000.0])
+    def test_closes_idle_connections_once_the_balancer_has_noticed(self, cut_off_ms):
+        """Guards against clients that wait at a host that can't serve them.
+
+        The loop looks seldom while the host is in contact with the fleet.
+        """
+
+        async def main():
+            clock = VirtualClock()
+            connections = set()
+            connection = ConnectionStub(connections, clock)
+            reach = FleetReach(clock, EventLog("h", "z", clock))
+            loop = asyncio.ensure_future(
+                ClientDrain(connections, reach, clock).close_idle_while_cut_off()
+            )
+            await clock.sleep_ms(cut_off_ms)
+            reach.update(clock.now_ms(), 0, 5)
+            await clock.sleep_ms(BALANCER_NOTICE_MS + 2 * IDLE_CHECK_INTERVAL_MS)
+            loop.cancel()
+            return connection.closed_ms - cut_off_ms
+
+        closed_after_ms = run_virtual(main())
+        assert closed_after_ms >= BALANCER_NOTICE_MS
+        assert closed_after_ms <= BALANCER_NOTICE_MS + IDLE_CHECK_INTERVAL_MS
--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -852,15 +852,17 @@
             return
         if now_ms < self._next_check_ms.get(group.name, 0.0):
             return
+        leader = group.leader()
+        if (
+            leader is not None
+            and not leader.entry.leaving
+            and not group.leadership.in_doubt
+        ):
+            return
         if not self._may_replace_leader(group):
             self._follow_leader(group, now_ms)
             return
-        leadership = group.leadership
-        leader = group.leader()
-        suspect = (
-            leadership.failing_since_ms is not None or leadership.fence is not None
-        )
-        if leader is None or leader.entry.leaving or suspect:
+        if leader is None or leader.entry.leaving or group.leadership.suspect:
             self._groups_being_checked.add(group.name)
             self._tasks.spawn(self._check_leader(group))
 
--- a/packages/fennelhilld/src/fennelhilld/leader_lease/tests/test_renewal.py
+++ b/packages/fennelhilld/src/fennelhilld/leader_lease/tests/test_renewal.py
@@ -102,6 +102,34 @@
 
         simulate(main)
 
+    def test_is_renewed_in_time_when_it_is_used_again(self):
+        """Guards against a loop that sleeps on while the lease is wanted again."""
+
+        async def main(simulation):
+            renewal = simulation.gateways[0].renewal
+            for unused_ms in (100.0, UNUSED_AFTER_MS + 10.0, 20_000.0):
+                assert await renewal.ensure(100.0)
+                await simulation.clock.sleep_ms(unused_ms)
+                assert await renewal.ensure(100.0)
+                for _ in range(10):
+                    await simulation.clock.sleep_ms(200.0)
+                    renewal.use()
+                    assert renewal.lease.age_ms < RENEWAL_AGE_MS + 2 * FRESH_AGE_MS
+
+        simulate(main)
+
+    def test_costs_nothing_while_it_is_not_used(self):
+        """Guards against wake-ups of idle hosts, of which a large fleet has many."""
+
+        async def main(simulation):
+            renewal = simulation.gateways[0].renewal
+            await simulation.clock.sleep_ms(UNUSED_AFTER_MS)
+            count = renewal.renewal_count + renewal.failure_count
+            await simulation.clock.sleep_ms(10_000.0)
+            assert renewal.renewal_count + renewal.failure_count == count
+
+        simulate(main)
+
     def test_a_host_without_the_store_gets_proofs_through_others(self):
         async def main(simulation):
             for gateway in simulation.gateways:
--- a/packages/fennelhilld/src/fennelhilld/leadership/state.py
+++ b/packages/fennelhilld/src/fennelhilld/leadership/state.py
@@ -89,14 +89,15 @@
         self._record_event = record
         self._changed = asyncio.Event()
 
+    @property
+    def suspect(self) -> bool:
+        """Whether the leader fails or is being replaced."""
+        return self.failing_since_ms is not None or self.fence is not None
+
     @property
     def in_doubt(self) -> bool:
-        """Whether the leader fails, is being replaced, or could not be."""
-        return (
-            self.failing_since_ms is not None
-            or self.fence is not None
-            or bool(self.obstacle)
-        )
+        """Whether the leader is suspect, or could not be replaced when it was."""
+        return self.suspect or bool(self.obstacle)
 
     def confirm_leader(self, target_id: str, term: int, sent_ms: float) -> None:
         """Record that a target answered as the leader.
--- a/packages/fennelhilld/src/fennelhilld/relay/tests/test_streams.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/tests/test_streams.py
@@ -9,7 +9,7 @@
 from fennelhill_bench.virtual_time import VirtualClock, run_virtual
 from fennelhill_core.events import EventLog
 from fennelhill_core.rpc import RpcServer
-from fennelhilld.relay.driver import OwnerLostError, OwnerStreams
+from fennelhilld.relay.driver import QUIET_MS, OwnerLostError, OwnerStreams
 from fennelhilld.relay.messages import PING, RUN, RelayBatch, RelayResult
 
 ANSWER_MS = 500.0
@@ -99,3 +99,25 @@
             assert owners.ran == ["a0", "a1", "b0"]
 
         simulate(main)
+
+
+class TestSlowTarget:
+    def test_an_owner_that_answers_pings_is_pinged_ever_less(self):
+        """Guards against pings that load the owners of a slow target further."""
+
+        async def main(owners):
+            client = await owners.streams.connect("a0", "a0")
+            pings = []
+            check = owners.streams.check
+            owners.streams.check = lambda *args: (
+                pings.append(owners.clock.now_ms()),
+                check(*args),
+            )
+            sent_ms = owners.clock.now_ms()
+            batch = RelayBatch("g", "g-0", [], 800.0, 10.0)
+            await owners.streams.run("a0", client, batch, reads_only=True)
+            assert pings[0] - sent_ms == pytest.approx(QUIET_MS)
+            assert len(pings) <= 2
+            assert owners.streams.usable("a0")
+
+        simulate(main)
