fix: a zone that is cut off tells its clients when they are served again

Ruled out: a hint where the host is cut off alone, as its clients' next connections go to other hosts of its zone; a hint for a lost lease without a lost fleet, where nothing is known about the other hosts.

Change: FleetReach says when the clients' next connections leave this side of the partition, and the refusals of 1030 and 1015 name that time.

--- a/packages/fennelhilld/src/fennelhilld/draining/clients.py
+++ b/packages/fennelhilld/src/fennelhilld/draining/clients.py
@@ -6,11 +6,9 @@
 
 from fennelhill_core.clock import Clock
 
-from fennelhilld.promotion.reach import FleetReach
+from fennelhilld.promotion.reach import BALANCER_NOTICE_MS, FleetReach
 from fennelhilld.statements.session import Session
 
-# The load balancer probes once a second and removes a host after two failed probes.
-BALANCER_NOTICE_MS = 2_100.0
 # Last part of the shutdown time, reserved for closing connections that are still open.
 CLOSING_RESERVE_MS = 600.0
 # A connection that has been idle this long has no request on its way: a round trip to
--- a/packages/fennelhilld/src/fennelhilld/draining/tests/test_clients.py
+++ b/packages/fennelhilld/src/fennelhilld/draining/tests/test_clients.py
@@ -8,12 +8,11 @@
 from fennelhill_bench.virtual_time import VirtualClock, run_virtual
 from fennelhill_core.events import EventLog
 from fennelhilld.draining.clients import (
-    BALANCER_NOTICE_MS,
     CLOSING_RESERVE_MS,
     IDLE_CHECK_INTERVAL_MS,
     ClientDrain,
 )
-from fennelhilld.promotion.reach import FleetReach
+from fennelhilld.promotion.reach import BALANCER_NOTICE_MS, FleetReach
 
 SHUTDOWN_MS = 6_000.0
 
--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -223,6 +223,7 @@
         self._tasks = Tasks()
         self.env.organisation_share = self.shares.share
         self.env.is_cut_off = lambda: self.replacement.reach.cut_off
+        self.env.clients_leave_in_ms = self.replacement.reach.clients_leave_in_ms
         self.env.on_leader_suspected = self._on_leader_suspected
         # Called after a version was installed that may leave sessions without access.
         self.on_access_withdrawn: Callable[[], None] = lambda: None
--- a/packages/fennelhilld/src/fennelhilld/promotion/reach.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/reach.py
@@ -5,6 +5,9 @@
 from fennelhill_core.clock import Clock
 from fennelhill_core.events import EventLog
 
+# The load balancer probes once a second and removes a host after two failed probes.
+BALANCER_NOTICE_MS = 2_100.0
+
 
 class FleetReach:
     """Decides whether this host is cut off, by the number of hosts that answer it.
@@ -24,6 +27,7 @@
     """
 
     __slots__ = (
+        "_alone",
         "_clock",
         "_events",
         "_last_queried_ms",
@@ -40,6 +44,8 @@
         # Whether more than half of the queried hosts answered; fewer can't end the
         # leases of the others.
         self.has_majority = True
+        # Whether no other host answered.
+        self._alone = False
         self._last_queried_ms = float("-inf")
 
     def update(self, queried_ms: float, answered: int, queried: int) -> None:
@@ -58,6 +64,7 @@
         if queried_ms < self._last_queried_ms:
             return
         self._last_queried_ms = queried_ms
+        self._alone = answered == 0
         self.has_majority = 2 * (answered + 1) > queried + 1
         cut_off = 2 * (answered + 1) < queried + 1
         if cut_off == self.cut_off:
@@ -76,3 +83,17 @@
             Milliseconds; 0 if it is not cut off.
         """
         return self._clock.now_ms() - self.cut_off_since_ms if self.cut_off else 0.0
+
+    def clients_leave_in_ms(self) -> float:
+        """Return when clients that connect again reach hosts that are not cut off.
+
+        Returns
+        -------
+        float
+            Milliseconds until the load balancer sends no more connections to this side
+            of a partition; 0 from then on, if this host is not cut off, and if it is
+            alone: its clients' next connections go to other hosts of its zone.
+        """
+        if not self.cut_off or self._alone:
+            return 0.0
+        return max(0.0, BALANCER_NOTICE_MS - self.cut_off_for_ms())
--- a/packages/fennelhilld/src/fennelhilld/statements/environment.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/environment.py
@@ -118,6 +118,9 @@
         # Returns an organisation's share of the load, from 0 to 1.
         self.organisation_share: Callable[[str], float] = lambda organisation: 0.0
         self.is_cut_off: Callable[[], bool] = lambda: False
+        # Milliseconds until clients that connect again reach hosts that are not cut
+        # off; 0 if they do already.
+        self.clients_leave_in_ms: Callable[[], float] = lambda: 0.0
         # Whether the catalog was not confirmed for longer than the settings allow.
         self.is_catalog_outdated: Callable[[], bool] = lambda: False
         # Whether hosts are silent whose leases a replacement has to wait for.
@@ -256,10 +259,13 @@
         Returns
         -------
         float or None
-            Milliseconds; None for the default of the code, as another host may be
-            tried at once.
+            Milliseconds; None for the default of the code.  While this host is cut off
+            and the load balancer still sends clients here, their next connection would
+            be refused too; after that another host may be tried at once.
         """
-        return self.replacement_ms(group) if code is codes.NO_PRIMARY else None
+        if code is codes.NO_PRIMARY:
+            return self.replacement_ms(group)
+        return self.clients_leave_in_ms() or None
 
     def replacement_ms(self, group: GroupState) -> float:
         """Return how long the replacement of a group's leader is expected to take.
--- a/scenarios/adapter/test_daemon.py
+++ b/scenarios/adapter/test_daemon.py
@@ -13,9 +13,9 @@
 from fennelhill_bench.platform_stand_ins.lineserver import LineClient
 from fennelhill_bench.platform_stand_ins.platform import until
 from fennelhill_core.clock import MS_PER_S
-from fennelhilld.draining.clients import BALANCER_NOTICE_MS
 from fennelhilld.fleet.roster import UNRESPONSIVE_AFTER_MS
 from fennelhilld.links.messages import LinkRefusedError
+from fennelhilld.promotion.reach import BALANCER_NOTICE_MS
 from fennelhilld.statements.transaction import Transaction
 
 
--- a/scenarios/test_sessions.py
+++ b/scenarios/test_sessions.py
@@ -15,6 +15,7 @@
 from fennelhill_bench.session_simulation.targets import Traits
 from fennelhill_bench.virtual_time import run_virtual
 from fennelhill_core import codes
+from fennelhill_core.codes import Outcome
 from fennelhilld.catalog.state import ReadKind
 from fennelhilld.leader_lease.state import CLOCK_MARGIN_MS, LEASE_MS, LeaderLease
 from fennelhilld.leadership.state import Fence
@@ -26,6 +27,7 @@
     LeaderView,
     Survey,
 )
+from fennelhilld.promotion.reach import BALANCER_NOTICE_MS
 from fennelhilld.promotion.replacement import PROMOTION_TIMEOUT_MS, LeaderReplacement
 from fennelhilld.statements.environment import FAIL_FAST_AFTER_MS
 from fennelhilld.statements.messages import TransactionState
@@ -936,6 +938,31 @@
 
         run_virtual(main())
 
+    @pytest.mark.parametrize("sleep_ms", [0.0, 1_000.0])
+    def test_hints_of_a_zone_alone_are_never_0_while_its_clients_come_back(
+        self, sleep_ms
+    ):
+        """Guards against clients whose further tries reach the same zone."""
+
+        async def main():
+            simulation = SessionSimulation(1, hosts=6, zones=3)
+            hosts = {gateway.host for gateway in simulation.gateways[::3]}
+            gateway = simulation.gateways[0]
+            client = simulation.client(gateway, simulation.database(ReadKind.CURRENT))
+            await client.read()
+            simulation.partition(hosts, set())
+            while not gateway.replacement.reach.cut_off:
+                await client.write()
+            await simulation.clock.sleep_ms(sleep_ms)
+            reply = await client.write()
+            assert reply.code.outcome is Outcome.NOT_RUN
+            hint_ms = float(reply.detail.rpartition("try again in ")[2].split()[0])
+            left_ms = BALANCER_NOTICE_MS - gateway.replacement.reach.cut_off_for_ms()
+            assert hint_ms == pytest.approx(left_ms, abs=50.0)
+            simulation.close()
+
+        run_virtual(main())
+
     def test_serves_again_after_a_cut_without_requests(self):
         async def main():
             simulation = SessionSimulation(1, hosts=3)
