--- a/packages/fennelhill-bench/tests/test_processor.py
+++ b/packages/fennelhill-bench/tests/test_processor.py
@@ -29,7 +29,7 @@
         """Guards against a leader that leaves and is replaced a check later."""
 
         async def main():
-            simulation = SessionSimulation(1, 6, 1, zones=3)
+            simulation = SessionSimulation(1, LARGE_FLEET, 1, zones=3)
             gateway = simulation.gateways[0]
             await simulation.clock.sleep_ms(3_000.0 + delay_ms)
             checked = []
@@ -47,7 +47,7 @@
         """Guards against wake-ups of hosts that have nothing to do."""
 
         async def main():
-            simulation = SessionSimulation(1, 6, 1, zones=3)
+            simulation = SessionSimulation(1, LARGE_FLEET, 1, zones=3)
             gateway = simulation.gateways[0]
             await simulation.clock.sleep_ms(3_000.0)
             checked = []
@@ -58,3 +58,18 @@
 
         assert run_virtual(main()) <= 5_000.0 / CALM_TICK_MS + 1
         assert gateway_module.TRIM_INTERVAL_MS % CALM_TICK_MS == 0
+
+    def test_are_as_frequent_as_before_in_a_small_fleet(self):
+        """Guards against other timing where each host keeps its own connections."""
+
+        async def main():
+            simulation = SessionSimulation(1, SMALL_FLEET, 1, zones=3)
+            gateway = simulation.gateways[0]
+            await simulation.clock.sleep_ms(3_000.0)
+            checked = []
+            gateway._start_leader_check = lambda group, now_ms: checked.append(now_ms)
+            await simulation.clock.sleep_ms(5_000.0)
+            simulation.close()
+            return len(checked)
+
+        assert run_virtual(main()) >= 5_000.0 / TICK_MS - 1
--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -48,11 +48,11 @@
 from fennelhilld.statements.session import Session
 from fennelhilld.store_era.state import SETTLING_MS, EraWatch
 
-# Interval of the periodic checks while a leader, a target or this host's reach is in
-# doubt.
+# Interval of the periodic checks.
 TICK_MS = 100.0
-# The same while nothing is.  Each check wakes the process, and most hosts of a large
-# fleet have little else to do.
+# The same in a fleet whose owners hold the connections, while no leader, no target and
+# not this host's reach is in doubt.  Each check wakes the process, and most hosts of
+# such a fleet have little else to do.
 CALM_TICK_MS = 250.0
 # Pause before the next check of a group whose leader is unknown or fails.
 LEADER_CHECK_INTERVAL_MS = 150.0
@@ -817,8 +817,9 @@
                     self._adjust_pools(group)
 
     async def _wait_for_tick(self) -> None:
-        """Wait for the next check; longer while nothing is in doubt."""
-        if self._in_doubt():
+        """Wait for the next check; longer in a large fleet without any doubt."""
+        large = any(self.ownership.shares_connections(name) for name in self.groups)
+        if not large or self._in_doubt():
             await self._clock.sleep_ms(TICK_MS)
             return
         self._doubt.clear()
