perf: connections are protocols of the event loop, and a start imports less

Change: clients and targets are read by an asyncio protocol that wakes the reader at once (byte_streams); hosts exchange frames with a length over TCP (frames) and each request starts where its message is read; the loop is uvloop's; the daemon runs without site and docstrings, and imports YAML, metrics, the web framework and WebSockets only once they are asked for; no collection runs while modules load.

Older builds: a host announces its port for frames in its row, as a field that older builds ignore, and still serves WebSockets; a refused stream of frames is followed by a WebSocket, for a host that went back to an older build under a newer row.

--- a/packages/fennelhill-bench/src/fennelhill_bench/deployment.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/deployment.py
@@ -20,7 +20,8 @@
     Team,
     hash_token,
 )
-from fennelhill_core.streams import Dialer, StreamEndpoint, WebSocketDialer
+from fennelhill_core.streams import Dialer
+from fennelhill_core.websockets import StreamEndpoint, WebSocketDialer
 from fennelhilld.daemon import PEER_PATH, TARGET_PATH, Daemon, Dependencies
 from fennelhilld.failover.coordinator import GroupRow
 from tornado.httpserver import HTTPServer
--- a/packages/fennelhill-bench/src/fennelhill_bench/platform_stand_ins/platform.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/platform_stand_ins/platform.py
@@ -28,7 +28,6 @@
 DATABASES = {"current": "primary", "aged": "bounded_stale", "own": "read_own"}
 MAX_AGE_MS = 1_500
 VERSION_STEP = 3
-MAX_PORT = 65_535
 POLL_INTERVAL_S = 0.01
 
 
@@ -140,8 +139,7 @@
                 "ready": self._ports.reserve(),
             },
             "internal_ports": [
-                int(self._ports.reserve().rpartition(":")[2]),
-                MAX_PORT,
+                int(self._ports.reserve().rpartition(":")[2]) for _ in range(2)
             ],
             "platform": {"address": self.address, "form": "table"},
             "cloud_api": {"address": self.address},
--- a/packages/fennelhill-bench/src/fennelhill_bench/servers.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/servers.py
@@ -14,7 +14,7 @@
     StoreUnavailableError,
 )
 from fennelhill_core.settings import Settings
-from fennelhill_core.streams import StreamEndpoint
+from fennelhill_core.websockets import StreamEndpoint
 from fennelhilld.daemon import TARGET_PATH
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
--- a/packages/fennelhill-bench/src/fennelhill_bench/throughput.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/throughput.py
@@ -11,8 +11,8 @@
 import msgspec
 from fennelhill_core.clock import MS_PER_S, Clock
 from fennelhill_core.rpc import Request, Response
-from fennelhill_core.streams import WebSocketDialer
 from fennelhill_core.tokens import Position
+from fennelhill_core.websockets import WebSocketDialer
 from fennelhilld.daemon import TARGET_PATH
 from fennelhilld.targets.driver import JsonRpcDriver
 from fennelhilld.targets.messages import Batch, Begin, End, Statement, Status
--- a/packages/fennelhill-core/src/fennelhill_core/rpc.py
+++ b/packages/fennelhill-core/src/fennelhill_core/rpc.py
@@ -4,12 +4,14 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any
 
 import msgspec
 from loguru import logger
 
-from fennelhill_core.clock import timeout_ms
+from fennelhill_core.clock import MS_PER_S, timeout_ms
+from fennelhill_core.frames import FrameStream
 from fennelhill_core.streams import Stream, StreamClosed
 from fennelhill_core.tasks import Tasks
 
@@ -82,6 +84,53 @@
         self.error = error
 
 
+class PendingCall:
+    """A request that was sent, until its answer is received or given up.
+
+    Parameters
+    ----------
+    future : asyncio.Future
+        Gets the encoded result.
+    on_end : callable
+        Called once the answer was received or is no longer waited for.
+    """
+
+    __slots__ = ("_future", "_on_end")
+
+    def __init__(
+        self, future: asyncio.Future[msgspec.Raw], on_end: Callable[[], None]
+    ) -> None:
+        self._future = future
+        self._on_end = on_end
+
+    @property
+    def cancelled(self) -> bool:
+        """Whether `cancel` was called before there was an answer."""
+        return self._future.cancelled()
+
+    def cancel(self) -> None:
+        """Wait no longer; `answer` raises ``CancelledError``."""
+        self._future.cancel()
+
+    async def answer(self) -> msgspec.Raw:
+        """Wait for the answer; call it once.
+
+        Returns
+        -------
+        msgspec.Raw
+            The encoded result.
+
+        Raises
+        ------
+        NotSent, NoAnswer, RpcError
+            As `RpcClient.call`.
+        """
+        try:
+            return await self._future
+        finally:
+            self._on_end()
+
+
 class RpcClient:
     """Sends requests over one stream and matches the answers by id.
 
@@ -100,6 +149,7 @@
     __slots__ = (
         "_abandoned_ids",
         "_closed_future",
+        "_frames",
         "_next_id",
         "_pending",
         "_reader",
@@ -123,7 +173,13 @@
         self._closed_future: asyncio.Future[None] = (
             asyncio.get_running_loop().create_future()
         )
-        self._reader = asyncio.ensure_future(self._read())
+        self._reader: asyncio.Task | None = None
+        # A stream that hands its messages over needs no task that reads them.
+        self._frames = stream if isinstance(stream, FrameStream) else None
+        if self._frames is not None:
+            self._frames.deliver_to(self._receive, self.close)
+        else:
+            self._reader = asyncio.ensure_future(self._read())
 
     async def call(self, method: str, params: Any, limit_ms: float) -> msgspec.Raw:
         """Send a request and wait for its answer.
@@ -151,14 +207,75 @@
         RpcError
             If the answer is an error object.
         """
+        return await self.start(method, params, limit_ms).answer()
+
+    def start(self, method: str, params: Any, limit_ms: float) -> PendingCall:
+        """Send a request whose answer is waited for by the caller.
+
+        Parameters
+        ----------
+        method : str
+            Name of the method.
+        params : object
+            Parameters that msgspec can encode.
+        limit_ms : float
+            Time-out for the answer in milliseconds.
+
+        Returns
+        -------
+        PendingCall
+            The request.
+
+        Raises
+        ------
+        NotSent
+            If nothing was sent.
+        """
         if self.closed:
             raise NotSent
         request_id = self._next_id
         self._next_id += 1
-        future = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        future = loop.create_future()
         self._pending[request_id] = future
         params_json = msgspec.Raw(_encoder.encode(params))
         message = _encoder.encode(Request(method, params_json, request_id))
+        if self._frames is None:
+            sending = self._send(request_id, future, method, message, limit_ms)
+            return PendingCall(asyncio.ensure_future(sending), lambda: None)
+        timer = loop.call_later(
+            max(0.0, limit_ms) / MS_PER_S, self._expire, future, method, limit_ms
+        )
+        try:
+            self._frames.write(message)
+        except StreamClosed:
+            self._end_call(request_id, timer)
+            raise NotSent from None
+        return PendingCall(future, partial(self._end_call, request_id, timer))
+
+    def _end_call(self, request_id: int, timer: asyncio.TimerHandle) -> None:
+        timer.cancel()
+        # The id is kept, so that a late answer is not treated as a protocol violation.
+        if self._pending.pop(request_id, None) is not None:
+            self._abandon(request_id)
+
+    @staticmethod
+    def _expire(
+        future: asyncio.Future[msgspec.Raw], method: str, limit_ms: float
+    ) -> None:
+        if not future.done():
+            error = NoAnswer(f"{method}: no answer in {limit_ms:.0f} ms")
+            future.set_exception(error)
+
+    async def _send(
+        self,
+        request_id: int,
+        future: asyncio.Future[msgspec.Raw],
+        method: str,
+        message: bytes,
+        limit_ms: float,
+    ) -> msgspec.Raw:
+        """Send a request over a stream that may make the sender wait."""
         try:
             async with timeout_ms(limit_ms):
                 await self._stream.send(message)
@@ -169,8 +286,7 @@
             self.close()
             raise NoAnswer(f"{method}: stream closed") from None
         finally:
-            # A time-out cancels the future.  Its id is kept, so that a late answer
-            # is not treated as a protocol violation.
+            # A time-out cancels the future.
             if self._pending.pop(request_id, None) and future.cancelled():
                 self._abandon(request_id)
 
@@ -182,7 +298,8 @@
         if not self._closed_future.done():
             self._closed_future.set_result(None)
         self._stream.close()
-        self._reader.cancel()
+        if self._reader is not None:
+            self._reader.cancel()
         for future in self._pending.values():
             if not future.done():
                 future.set_exception(NoAnswer("stream closed"))
@@ -204,23 +321,30 @@
 
     async def _read(self) -> None:
         try:
-            while True:
-                message = await self._stream.receive()
-                self.received_messages += 1
-                self._dispatch(message)
-        except (StreamClosed, ProtocolError, msgspec.DecodeError):
+            while not self.closed:
+                self._receive(await self._stream.receive())
+        except StreamClosed:
+            self.close()
+
+    def _receive(self, message: bytes) -> None:
+        self.received_messages += 1
+        try:
+            self._dispatch(message)
+        except (ProtocolError, msgspec.DecodeError):
             self.close()
 
     def _dispatch(self, message: bytes) -> None:
         frame = _decode_frame(message)
         if frame.method is not None or frame.id is None:
             raise ProtocolError("message is not a response")
-        future = self._pending.get(frame.id)
-        if future is None or future.done():
+        future = self._pending.pop(frame.id, None)
+        if future is None:
             if frame.id not in self._abandoned_ids:
                 raise ProtocolError(f"no pending request has id {frame.id}")
             del self._abandoned_ids[frame.id]
             return
+        if future.done():
+            return  # Given up, but its caller has not run since.
         if frame.error is not None:
             future.set_exception(RpcError(frame.error))
         else:
@@ -253,6 +377,9 @@
             The accepted stream.
         """
         tasks = Tasks()
+        if isinstance(stream, FrameStream):
+            await self._serve_frames(stream, tasks)
+            return
         try:
             while True:
                 frame = _decode_frame(await stream.receive())
@@ -260,6 +387,25 @@
         except (StreamClosed, msgspec.DecodeError):
             stream.close()
 
+    async def _serve_frames(self, stream: FrameStream, tasks: Tasks) -> None:
+        """Start each request where its message is read."""
+        closed = asyncio.get_running_loop().create_future()
+
+        def on_message(message: bytes) -> None:
+            try:
+                frame = _decode_frame(message)
+            except msgspec.DecodeError:
+                stream.close()
+                return
+            tasks.spawn(self._answer(stream, frame))
+
+        def on_close() -> None:
+            if not closed.done():
+                closed.set_result(None)
+
+        stream.deliver_to(on_message, on_close)
+        await closed
+
     async def _answer(self, stream: Stream, frame: _Frame) -> None:
         handler = self._handlers.get(frame.method or "")
         try:
--- a/packages/fennelhill-core/src/fennelhill_core/tokens.py
+++ b/packages/fennelhill-core/src/fennelhill_core/tokens.py
@@ -6,10 +6,13 @@
 import binascii
 import hashlib
 import hmac
+from typing import TYPE_CHECKING
 
 import msgspec
 
-from fennelhill_core.settings import Fleet
+if TYPE_CHECKING:
+    # The settings import a YAML parser, which users of positions do not need.
+    from fennelhill_core.settings import Fleet
 
 MAC_BYTES = 12
 MAX_MAC_KEY_BYTES = 64  # limit of BLAKE2b
--- a/packages/fennelhilld/src/fennelhilld/daemon.py
+++ b/packages/fennelhilld/src/fennelhilld/daemon.py
@@ -18,13 +18,9 @@
 from fennelhill_core.platform_clients import HttpHostList, HttpTableService
 from fennelhill_core.rpc import RpcServer
 from fennelhill_core.settings import EntryHost, Settings, SettingsError
-from fennelhill_core.streams import (
-    Dialer,
-    Stream,
-    StreamEndpoint,
-    WebSocketDialer,
-)
+from fennelhill_core.streams import Dialer, Stream
 from fennelhill_core.tasks import Tasks
+from fennelhill_core.websockets import StreamEndpoint, WebSocketDialer
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 from tornado.web import Application
--- a/packages/fennelhilld/src/fennelhilld/fleet/roster.py
+++ b/packages/fennelhilld/src/fennelhilld/fleet/roster.py
@@ -36,6 +36,7 @@
     __slots__ = (
         "_clock",
         "_departed",
+        "_frame_addresses",
         "_removed",
         "_silent_since_ms",
         "addresses",
@@ -51,6 +52,8 @@
         self.zones: dict[str, str] = {}
         # Processor capacity by host, in cores.
         self.capacities: dict[str, float] = {}
+        # Where hosts accept streams of frames; older builds don't.
+        self._frame_addresses: dict[str, str] = {}
         # Number of hosts added and removed so far.
         self.change_count = 0
         # The store's version of the newest change to the list that is known.
@@ -65,7 +68,12 @@
         return len(self.addresses)
 
     def put(
-        self, name: str, address: str, zone: str = "", capacity: float = 1.0
+        self,
+        name: str,
+        address: str,
+        zone: str = "",
+        capacity: float = 1.0,
+        frame_address: str = "",
     ) -> None:
         """Add or update a host that has registered.
 
@@ -79,9 +87,12 @@
             Its availability zone.
         capacity : float
             Its processor capacity, in cores.
+        frame_address : str
+            ``ip:port`` where it accepts streams of frames; empty if it does not.
         """
         self.change_count += name not in self.addresses
         self.addresses[name] = address
+        self._frame_addresses[name] = frame_address
         self.capacities[name] = capacity
         self.zones[name] = zone
         self._silent_since_ms.pop(name, None)
@@ -98,10 +109,29 @@
         if name in self.addresses:
             self._removed[name] = (self.addresses[name], self._clock.now_ms())
         self.addresses.pop(name, None)
+        self._frame_addresses.pop(name, None)
         self.zones.pop(name, None)
         self.capacities.pop(name, None)
         self._silent_since_ms.pop(name, None)
 
+    def frame_address_of(self, address: str) -> str:
+        """Return where the host with an address accepts streams of frames.
+
+        Parameters
+        ----------
+        address : str
+            ``ip:port`` for queries of other hosts.
+
+        Returns
+        -------
+        str
+            ``ip:port``; empty if no host with this address announces it.
+        """
+        for name, known in self.addresses.items():
+            if known == address:
+                return self._frame_addresses[name]
+        return ""
+
     def record_departure(self, name: str, version: StoreVersion) -> None:
         """Remember that a host's row was removed from the store.
 
--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -403,6 +403,7 @@
         zone: str = "",
         version: StoreVersion = UNKNOWN_VERSION,
         capacity: float = 1.0,
+        frame_address: str = "",
     ) -> bool:
         """Add or update another host of the fleet.
 
@@ -418,6 +419,8 @@
             The store's version of this change, in the era that the row names.
         capacity : float
             Processor capacity of the host, in cores.
+        frame_address : str
+            ``ip:port`` where it accepts streams of frames; empty if it does not.
 
         Returns
         -------
@@ -430,7 +433,7 @@
         if self._listed_members is not None:
             self._listed_members.add(name)
         if name != self.host:
-            self.roster.put(name, address, zone, capacity)
+            self.roster.put(name, address, zone, capacity, frame_address)
         self.roster.version = StoreVersion(max(version, self.roster.version))
         return True
 
--- a/packages/fennelhilld/src/fennelhilld/relay/driver.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/driver.py
@@ -11,7 +11,7 @@
 import msgspec
 from fennelhill_core.clock import MS_PER_S, Clock
 from fennelhill_core.events import EventLog
-from fennelhill_core.rpc import NoAnswer, NotSent, RpcClient, RpcError
+from fennelhill_core.rpc import NoAnswer, NotSent, PendingCall, RpcClient, RpcError
 from fennelhill_core.streams import Dialer, DialError, dial_within
 from fennelhill_core.tasks import Tasks
 from loguru import logger
@@ -107,7 +107,7 @@
         # Hosts that are being pinged or looked for.
         self._checked: set[str] = set()
         # Reads in progress by host; given up when the host's zone is lost.
-        self._reads: dict[str, dict[asyncio.Future, None]] = {}
+        self._reads: dict[str, dict[PendingCall, None]] = {}
         self._looking: asyncio.Task | None = None
         self._tasks = Tasks()
         self.reports = LoadReports(clock)
@@ -214,15 +214,15 @@
         NotSent, NoAnswer, RpcError
             As `RpcClient.call`.
         """
+        call = client.start(RUN, batch, batch.limit_ms)
         stop_watching = self._watch(host, client)
-        call = asyncio.ensure_future(client.call(RUN, batch, batch.limit_ms))
         reads = self._reads.setdefault(host, {})
         if reads_only:
             reads[call] = None
         try:
-            raw = await call
+            raw = await call.answer()
         except asyncio.CancelledError:
-            if call.cancelled() and not asyncio.current_task().cancelling():
+            if call.cancelled and not asyncio.current_task().cancelling():
                 raise OwnerLostError(f"owner {host}: its zone is lost") from None
             call.cancel()
             raise
@@ -504,7 +504,7 @@
             self._target_id,
             remaining,
             urgency.limit_ms,
-            urgency.limit_ms,
+            max(0.0, min(urgency.limit_ms, urgency.wait_ms)),
             urgency.priority,
             urgency.due_in_ms,
             self._number,
@@ -537,7 +537,9 @@
 
         An owner waits no longer than the batch may be sent, which ends with a permit.
         """
-        deadline_ms = self._clock.now_ms() + batch.limit_ms
+        started_ms = self._clock.now_ms()
+        deadline_ms = started_ms + batch.limit_ms
+        wait_until_ms = started_ms + batch.wait_ms
         owners = self._owners(batch.organisation)
         # Without owners this host connects to the target itself.  The pool replaces a
         # closed link; an open one would be taken again and again.
@@ -547,7 +549,7 @@
         waits_ms = [
             self._streams.reports.expected_wait_ms(name, batch) for name, _ in usable
         ]
-        if usable and min(waits_ms) > batch.limit_ms:
+        if usable and min(waits_ms) > batch.wait_ms:
             return RelayResult(
                 error="each owner's queue is too long",
                 not_run=True,
@@ -556,7 +558,7 @@
         usable = [
             owner
             for owner, wait_ms in zip(usable, waits_ms, strict=True)
-            if wait_ms <= batch.limit_ms
+            if wait_ms <= batch.wait_ms
         ]
         for position, wait_ms in owner_plan(len(usable), batch.organisation):
             name, address = usable[position]
@@ -569,8 +571,9 @@
                 return RelayResult(
                     error="the permit expired", not_run=True, expected_ms=0.0
                 )
+            still_ms = max(0.0, wait_until_ms - self._clock.now_ms())
             batch.limit_ms = left_ms
-            batch.wait_ms = min(left_ms, wait_ms, may_wait_ms)
+            batch.wait_ms = min(left_ms, wait_ms, may_wait_ms, still_ms)
             result = await self._call(name, client, batch)
             if not result.not_run:
                 break
--- a/scenarios/adapter/adapter_deployment.py
+++ b/scenarios/adapter/adapter_deployment.py
@@ -4,12 +4,12 @@
 
 import asyncio
 
+from adapter.daemon import PlatformDaemon
 from adapter.node import load_node_settings
 from fennelhill_bench.platform_stand_ins.lineserver import LineClient
 from fennelhill_bench.platform_stand_ins.platform import PlatformStandIns, until
 from fennelhill_bench.session_simulation.targets import Traits
 from fennelhill_core.sockets import http_client
-from main import PlatformDaemon
 
 FAST_TRAITS = {"set_up_ms": 1.0, "service_ms": 1.0, "lag_ms": 5.0, "promote_ms": 200.0}
 
--- a/scenarios/adapter/test_lines.py
+++ b/scenarios/adapter/test_lines.py
@@ -19,6 +19,7 @@
     parse_statement,
 )
 from fennelhill_core import codes
+from fennelhill_core.byte_streams import ByteStream
 from fennelhill_core.codes import CODES, Outcome
 from fennelhill_core.tokens import Position
 from fennelhilld.links.messages import Command, CommandKind
@@ -29,17 +30,13 @@
 NOT_RUN_WORDS = {"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY"}
 
 
-class ChunkStream:
-    """A stream that delivers the given chunks and then stays silent."""
-
-    def __init__(self, *chunks):
-        self.chunks = list(chunks)
-
-    def read_bytes(self, count, partial):
-        future = asyncio.get_running_loop().create_future()
-        if self.chunks:
-            future.set_result(self.chunks.pop(0))
-        return future
+def stream_of(*chunks):
+    """Return a stream that has received the given chunks and then stays silent."""
+    stream = ByteStream()
+    loop = asyncio.get_running_loop()
+    for chunk in chunks:
+        loop.call_soon(stream.data_received, chunk)
+    return stream
 
 
 class TestStatements:
@@ -177,7 +174,7 @@
 class TestLineReader:
     def read(self, *chunks, count=1, timeout_s=0.05):
         async def main():
-            reader = LineReader(ChunkStream(*chunks))
+            reader = LineReader(stream_of(*chunks))
             return [await reader.read_line(timeout_s) for _ in range(count)]
 
         return asyncio.run(main())
--- a/scenarios/adapter/test_organisations.py
+++ b/scenarios/adapter/test_organisations.py
@@ -7,6 +7,7 @@
 import sys
 
 import pytest
+from adapter.daemon import PlatformDaemon
 from adapter.node import load_node_settings
 from adapter_deployment import run_deployed
 from fennelhill_bench.platform_stand_ins.lineserver import (
@@ -23,7 +24,6 @@
 from fennelhilld.catalog.intake import CatalogIntake
 from fennelhilld.gateway import STARTUP_PHASE_MS
 from loguru import logger
-from main import PlatformDaemon
 
 NORTH_KEY, SOUTH_KEY, SPARE_KEY = "k-north-5e11", "k-south-77ab", "k-spare-90cd"
 KNOWN_KEYS = {NORTH_KEY: "north", SOUTH_KEY: "south", SPARE_KEY: "south"}
--- a/scenarios/adapter/test_quotas.py
+++ b/scenarios/adapter/test_quotas.py
@@ -5,12 +5,12 @@
 import asyncio
 
 import yaml
+from adapter.daemon import PlatformDaemon
 from adapter.node import load_node_settings
 from fennelhill_bench.platform_stand_ins.lineserver import LineClient
 from fennelhill_bench.platform_stand_ins.platform import PlatformStandIns, until
 from fennelhill_bench.session_simulation.targets import Traits
 from fennelhilld.observability.gateway_metrics import render_metrics
-from main import PlatformDaemon
 
 ZONES = ("a", "a", "b")
 RATE, BURST = 40.0, 10.0
