fix: an owner answers before the asking host gives up

Three owners had some 50 requests each waiting, for as long as the asking hosts waited for the answers. So the hosts gave up at the moment at which the statements ran: in 6 s 2,724 reads were given up unanswered, and 2,524 refused with 2005, which keeps clients from trying again although nothing ran.

Ruled out: links lost over the target's cap (open links 3 of 7), a wrong estimate of the replicas' lag (their answers show that they are behind for that long).

Change: the wait at an owner ends early enough for the statement and the way back (admission/forwarding), the statement gets only the time that is left, a read waits at an owner no longer than it would for a link of its own host before it tries another target, and a read that reached no target is refused as not run. An older owner does with the shorter wait what it did before.

--- a/packages/fennelhilld/src/fennelhilld/links/lease.py
+++ b/packages/fennelhilld/src/fennelhilld/links/lease.py
@@ -224,9 +224,14 @@
         request = self._request
         if request is None:
             return Urgency(limit_ms, send_by_ms=send_by_ms)
-        due_in_ms = request.due_ms - self._clock.now_ms()
+        now_ms = self._clock.now_ms()
         return Urgency(
-            limit_ms, request.priority, due_in_ms, request.organisation, send_by_ms
+            limit_ms,
+            request.priority,
+            request.due_ms - now_ms,
+            request.organisation,
+            send_by_ms,
+            request.give_up_ms - now_ms,
         )
 
     def _handle_overdue(self, sent_ms: float) -> None:
--- a/packages/fennelhilld/src/fennelhilld/links/messages.py
+++ b/packages/fennelhilld/src/fennelhilld/links/messages.py
@@ -192,6 +192,9 @@
     send_by_ms : float
         Until when the commands may be sent to a target, on the clock that counts
         suspended time.
+    wait_ms : float
+        Longest wait for a connection to the target, in milliseconds; after that the
+        commands are of use elsewhere.
     """
 
     limit_ms: float
@@ -199,6 +202,7 @@
     due_in_ms: float = 0.0
     organisation: str = ""
     send_by_ms: float = math.inf
+    wait_ms: float = math.inf
 
 
 class TargetLink(Protocol):
--- a/packages/fennelhilld/src/fennelhilld/relay/service.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/service.py
@@ -8,6 +8,7 @@
 from fennelhill_core.rpc import RpcServer
 from fennelhill_core.streams import Stream
 
+from fennelhilld.admission.forwarding import RETURN_MS, longest_wait_ms
 from fennelhilld.admission.order import QueuedRequest
 from fennelhilld.links.lease import Lease
 from fennelhilld.links.messages import (
@@ -84,16 +85,18 @@
 
     async def run(self, params: msgspec.Raw) -> RelayResult:
         batch = msgspec.json.decode(params, type=RelayBatch)
+        # The asking host waits no longer than this.
+        deadline_ms = self._env.clock.now_ms() + batch.limit_ms
         self._running.add(batch.link)
         try:
-            result = await self._run(batch)
+            result = await self._run(batch, deadline_ms)
             result.load = self._report(batch)
             return result
         finally:
             self._running.discard(batch.link)
             self._closed.discard(batch.link)
 
-    async def _run(self, batch: RelayBatch) -> RelayResult:
+    async def _run(self, batch: RelayBatch, deadline_ms: float) -> RelayResult:
         if batch.in_transaction:
             held = self._leases.pop(batch.link, None)
             if held is None and batch.link in self._rolled_back:
@@ -119,7 +122,13 @@
                 )
             if lease is None:
                 return RelayResult(error="the target can't be reached", not_run=True)
-        return await self._exchange(batch, target, lease)
+            if deadline_ms - self._env.clock.now_ms() <= RETURN_MS:
+                # A link that was still to be opened came too late.
+                lease.release()
+                return RelayResult(
+                    error="no link in time", not_run=True, expected_ms=0.0
+                )
+        return await self._exchange(batch, target, lease, deadline_ms)
 
     def _report(self, batch: RelayBatch) -> LoadReport | None:
         target = self._target(batch)
@@ -176,7 +185,11 @@
         request = QueuedRequest(
             batch.priority,
             now_ms + batch.due_in_ms,
-            now_ms + batch.wait_ms,
+            now_ms
+            + min(
+                batch.wait_ms,
+                longest_wait_ms(batch.limit_ms, target.pool.mean_response_ms),
+            ),
             batch.organisation,
         )
         # Another owner has sent what its own links don't serve: not sent on again.
@@ -185,7 +198,11 @@
         )
 
     async def _exchange(
-        self, batch: RelayBatch, target: TargetState, lease: Lease
+        self,
+        batch: RelayBatch,
+        target: TargetState,
+        lease: Lease,
+        deadline_ms: float,
     ) -> RelayResult:
         env = self._env
         shape = PreparedShape(batch.shape_writes, batch.shape) if batch.shape else None
@@ -194,13 +211,12 @@
             # Under a lease its answers are samples, which other hosts ask for.
             env.renewal.use()
         commands = lease.link.replay(_context(batch), shape)
+        left_ms = deadline_ms - env.clock.now_ms()
         try:
-            exchange = await lease.exchange(
-                [*commands, *batch.commands], batch.limit_ms
-            )
+            exchange = await lease.exchange([*commands, *batch.commands], left_ms)
         except LinkLostError as error:
             lease.release()
-            env.record_lost_link(target, lease, str(error), batch.limit_ms)
+            env.record_lost_link(target, lease, str(error), left_ms)
             not_run = not lease.sent and not batch.in_transaction
             return RelayResult(error=str(error), not_run=not_run)
         answer = exchange.answers[-1]
--- a/packages/fennelhilld/src/fennelhilld/statements/reading.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/reading.py
@@ -205,8 +205,10 @@
 
     def _failure_reply(self) -> Reply:
         env, group = self._env, self._group
-        code = codes.READ_UNANSWERED if self._attempts else codes.CONNECTIONS_EXHAUSTED
-        if not self._attempts and env.wait_failure_code(group) is codes.NO_PRIMARY:
+        code = codes.CONNECTIONS_EXHAUSTED
+        if self._may_have_run:
+            code = codes.READ_UNANSWERED
+        elif env.wait_failure_code(group) is codes.NO_PRIMARY:
             code = codes.NO_PRIMARY
         return env.refuse(
             self._statement,
@@ -243,6 +245,7 @@
         except NoLinkError as error:
             lease.release()
             self._permit.unused()
+            self._attempts -= 1
             self._record_no_link(target, error)
             return None
         except LinkLostError as error:
@@ -302,6 +305,7 @@
         env = self._env
         now_ms = env.clock.now_ms()
         fault = answer.fault
+        self._may_have_run = self._may_have_run or not fault.not_run
         env.record_retry(self._statement, target, describe_fault(answer))
         if fault is TargetFault.BEHIND and minimum is not None:
             env.record_replica_answer(self._group, target, answer, minimum)
