feat: rolling upgrades from any commit, on loopback, and owners that drain

Checked from outside: no write runs twice, none that was acknowledged is missing, none that was refused as not run has run, each statement runs on its organisation's link.

Found by its first runs: an owner that stops ended its streams at once, so that writes of other hosts on its links had unknown outcomes after each planned restart.

Builds without this do as before.

--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,9 @@
 PYTHON ?= python3
 BIN := .venv/bin
 ROUND ?= demo
+FROM ?= HEAD~1
 
-.PHONY: demo test lint measure clean
+.PHONY: demo test lint measure upgrade clean
 
 .venv/ready: constraints.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv .venv
@@ -29,5 +30,8 @@
 measure: .venv/ready
 	$(BIN)/python -m fennelhill_bench measure --round=$(ROUND)
 
+upgrade: .venv/ready
+	$(BIN)/python -m fennelhill_bench upgrade --commit=$(FROM)
+
 clean:
 	rm -rf .venv
--- a/packages/fennelhill-bench/src/fennelhill_bench/__main__.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/__main__.py
@@ -18,6 +18,7 @@
 from fennelhill_bench.load_simulation import report  # noqa: F401 - registers its round
 from fennelhill_bench.platform_stand_ins.demo import DURATION_MS as PLATFORM_DURATION_MS
 from fennelhill_bench.platform_stand_ins.demo import run_platform_demo
+from fennelhill_bench.platform_stand_ins.upgrade import run_upgrades
 from fennelhill_bench.rounds import ROUNDS
 from fennelhill_bench.servers import serve_until_stopped
 
@@ -46,6 +47,23 @@
         kept &= asyncio.run(run_platform_demo(PLATFORM_DURATION_MS, seed))
         raise SystemExit(0 if kept else 1)
 
+    def upgrade(self, commit: str, trouble: str = "", seed: int = 1) -> None:
+        """Run hosts of an older build beside this one; status 1 if a promise broke.
+
+        Parameters
+        ----------
+        commit : str
+            The older build, as any name of a commit.
+        trouble : str
+            One of none, primary_lost, store_away and key_withdrawn; all if empty.
+        seed : int
+            Seed of all random choices.
+        """
+        _log_only_warnings()
+        troubles = [trouble] if trouble else []
+        kept = asyncio.run(run_upgrades(str(commit), troubles, seed))
+        raise SystemExit(0 if kept else 1)
+
     def serve(self, settings: str, instant: bool = False) -> None:
         """Serve the stand-ins that a settings file names until SIGTERM or SIGINT.
 
--- a/packages/fennelhill-bench/src/fennelhill_bench/platform_stand_ins/platform.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/platform_stand_ins/platform.py
@@ -54,6 +54,8 @@
         self.organisations: list | None = None
         self.public: set[str] = set()
         self.bounds: dict = {"grace_s": 4}
+        # Connections that the configuration allows to each target.
+        self.max_connections = 16
         self.version = 0
         self.address = ""
         self._ports = ReservedPorts()
@@ -102,7 +104,7 @@
         document = {
             "version": self.version,
             "routes": routes,
-            "services": [{"name": GROUP, "max_conns": 16}],
+            "services": [{"name": GROUP, "max_conns": self.max_connections}],
             "limits": {"tx_idle_ms": 400, "header_timeout_ms": 500},
         }
         if self.organisations is not None:
--- a/packages/fennelhill-core/src/fennelhill_core/http_servers.py
+++ b/packages/fennelhill-core/src/fennelhill_core/http_servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
@@ -77,13 +78,13 @@
     tornado.httpserver.HTTPServer
         The server, which does not listen yet.
     """
+    return HTTPServer(partial(_answer_probe, healthy))
 
-    def answer(request: HTTPServerRequest) -> None:
-        status = 200 if healthy() else 503
-        request.connection.write_headers(
-            ResponseStartLine("HTTP/1.1", status, responses[status]),
-            HTTPHeaders({"Content-Length": "0"}),
-        )
-        request.connection.finish()
 
-    return HTTPServer(answer)
+def _answer_probe(healthy: Callable[[], bool], request: HTTPServerRequest) -> None:
+    status = 200 if healthy() else 503
+    request.connection.write_headers(
+        ResponseStartLine("HTTP/1.1", status, responses[status]),
+        HTTPHeaders({"Content-Length": "0"}),
+    )
+    request.connection.finish()
--- a/packages/fennelhilld/src/fennelhilld/relay/service.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/service.py
@@ -37,6 +37,8 @@
 # Least time until a request is due for which a wait is reported, in service times: with
 # less it would count as late.
 DUE_IN_SERVICE_TIMES = 3.0
+# How often a host that stops looks whether it has answered everything.
+DRAIN_CHECK_INTERVAL_MS = 10.0
 
 
 class RelayService:
@@ -48,10 +50,36 @@
         Groups, clock and log of this host.
     """
 
-    __slots__ = ("_env",)
+    __slots__ = ("_env", "_sessions", "closing")
 
     def __init__(self, env: Environment) -> None:
         self._env = env
+        # Whether batches that don't continue a transaction are sent back as not run.
+        self.closing = False
+        self._sessions: set[_RelaySession] = set()
+
+    async def drain(self, transactions_ms: float, limit_ms: float) -> None:
+        """Finish what other hosts have sent, and take on nothing new.
+
+        Without it, a planned stop of an owner leaves the outcome of the writes that run
+        on its links unknown to the hosts that sent them.
+
+        Parameters
+        ----------
+        transactions_ms : float
+            Longest wait for the open transactions of other hosts, in milliseconds.
+        limit_ms : float
+            Longest wait for the answers to batches, in milliseconds.
+        """
+        self.closing = True
+        clock = self._env.clock
+        started_ms = clock.now_ms()
+        while (elapsed_ms := clock.now_ms() - started_ms) < limit_ms:
+            running = any(session.running for session in self._sessions)
+            open_ = any(session.in_transaction for session in self._sessions)
+            if not running and not (open_ and elapsed_ms < transactions_ms):
+                return
+            await clock.sleep_ms(DRAIN_CHECK_INTERVAL_MS)
 
     async def serve(self, stream: Stream) -> None:
         """Serve a stream until it ends; its open transactions are then rolled back.
@@ -61,19 +89,22 @@
         stream : Stream
             The accepted stream.
         """
-        session = _RelaySession(self._env)
+        session = _RelaySession(self._env, self)
+        self._sessions.add(session)
         try:
             handlers = {RUN: session.run, CLOSE: session.close, PING: session.ping}
             await RpcServer(handlers).serve(stream)
         finally:
+            self._sessions.discard(session)
             session.close_all()
 
 
 class _RelaySession:
     """The open transactions of one other host."""
 
-    def __init__(self, env: Environment) -> None:
+    def __init__(self, env: Environment, service: RelayService) -> None:
         self._env = env
+        self._service = service
         # Links with an open transaction, by number.
         self._leases: dict[int, tuple[TargetState, Lease]] = {}
         # Numbers of links on which a batch runs, and of those closed meanwhile.
@@ -83,8 +114,20 @@
         self._rolled_back: set[int] = set()
         self._ended = False
 
+    @property
+    def running(self) -> bool:
+        """Whether a batch runs."""
+        return bool(self._running)
+
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction is open between two batches."""
+        return bool(self._leases)
+
     async def run(self, params: msgspec.Raw) -> RelayResult:
         batch = msgspec.json.decode(params, type=RelayBatch)
+        if self._service.closing and not batch.in_transaction:
+            return RelayResult(error="the owner is stopping", not_run=True)
         # The asking host waits no longer than this.
         deadline_ms = self._env.clock.now_ms() + batch.limit_ms
         self._running.add(batch.link)
--- a/packages/fennelhilld/src/fennelhilld/relay/tests/test_relay.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/tests/test_relay.py
@@ -55,6 +55,13 @@
     return simulation.client(gateway, simulation.database(reads))
 
 
+def first_owner(simulation, gateway, target_id="g0-0"):
+    """Return the owner that a host uses first."""
+    owners = gateway.owners(gateway.directory.get(target_id))
+    name = owner_order(gateway.host, owners)[0]
+    return next(other for other in simulation.gateways if other.host == name)
+
+
 class TestRelay:
     def test_only_owners_connect_to_a_target(self):
         async def main(simulation, dialer):
@@ -185,6 +192,41 @@
 
         simulate(main)
 
+    def test_an_owner_that_stops_answers_what_it_was_sent(self):
+        # Guards against writes whose outcome is unknown after each planned restart.
+        async def main(simulation, dialer):
+            gateway = relaying_host(simulation)
+            client = client_of(simulation, gateway)
+            assert (await client.write()).code is None
+            owner = first_owner(simulation, gateway)
+            simulation.groups["g0"].leader.traits.network_ms = 30.0
+            write = asyncio.ensure_future(client.write())
+            await simulation.clock.sleep_ms(15.0)
+            assert not write.done()
+            started_ms = simulation.clock.now_ms()
+            await owner.relay.drain(1_000.0, 1_000.0)
+            assert simulation.clock.now_ms() - started_ms < 200.0
+            assert (await write).code is None
+            assert (await client.write()).code is None  # through another owner
+
+        simulate(main)
+
+    def test_an_owner_that_stops_lets_transactions_end(self):
+        async def main(simulation, dialer):
+            gateway = relaying_host(simulation)
+            client = client_of(simulation, gateway)
+            await client.begin()
+            assert (await client.write()).code is None
+            owner = first_owner(simulation, gateway)
+            draining = asyncio.ensure_future(owner.relay.drain(1_000.0, 2_000.0))
+            await simulation.clock.sleep_ms(100.0)
+            assert (await client.write()).code is None
+            assert (await client.commit()).code is None
+            await simulation.clock.sleep_ms(50.0)
+            assert draining.done()
+
+        simulate(main)
+
     def test_a_transaction_that_begins_after_its_sender_gave_up_is_rolled_back(self):
         async def main(simulation, dialer):
             leader = simulation.groups["g0"].leader
