--- a/packages/fennelhill-core/src/fennelhill_core/rpc.py
+++ b/packages/fennelhill-core/src/fennelhill_core/rpc.py
@@ -289,6 +289,8 @@
             # A time-out cancels the future.
             if self._pending.pop(request_id, None) and future.cancelled():
                 self._abandon(request_id)
+            elif future.done() and not future.cancelled():
+                future.exception()  # Retrieved: the sender may know it already.
 
     def close(self) -> None:
         """Close the stream; pending calls end with `NoAnswer`."""
