--- a/packages/fennelhill-bench/src/fennelhill_bench/platform_stand_ins/upgrade.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/platform_stand_ins/upgrade.py
@@ -34,6 +34,7 @@
 BETWEEN_HOSTS_S = 0.8
 STOP_TIMEOUT_S = 8.0
 STORE_AWAY_S = 2.0
+STORE_COPY_AGE_MS = 500.0
 BUILDS_FOLDER = Path("build") / "upgrade"
 # Answers that promise that the statement had no effect.
 NOT_RUN_WORDS = {"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY"}
@@ -312,7 +313,7 @@
 
 @TROUBLES.register("store_away")
 async def lose_store(upgrade: RollingUpgrade) -> None:
-    """Take the store away for `STORE_AWAY_S` while both builds run.
+    """Take the store away for `STORE_AWAY_S`; it comes back from a copy.
 
     Parameters
     ----------
@@ -321,7 +322,7 @@
     """
     upgrade.stand_ins.store.go_away()
     await asyncio.sleep(STORE_AWAY_S)
-    upgrade.stand_ins.store.come_back()
+    upgrade.stand_ins.store.come_back(STORE_COPY_AGE_MS)
 
 
 @TROUBLES.register("key_withdrawn")
