fix: a write on a connection that has just broken ends its stream

Cause: uvloop closes the handle of a connection at once when it breaks, and reports it in the next turn of the loop. Until then its calls raise RuntimeError, which nobody expects: a statement would end as an internal fault although nothing was sent, and a planned stop would end its drain. Found by reading.

Change: a transport that is closing counts as closed, before it says so.

Measured: two tests with such a transport, which fail without the change.

--- a/packages/fennelhill-core/src/fennelhill_core/byte_streams.py
+++ b/packages/fennelhill-core/src/fennelhill_core/byte_streams.py
@@ -81,7 +81,7 @@
         """
         if self.ended:
             raise StreamEndedError(self._reason)
-        if self._reading_paused:
+        if self._reading_paused and not self._transport.is_closing():
             self._reading_paused = False
             self._transport.resume_reading()
         loop = asyncio.get_running_loop()
@@ -112,7 +112,8 @@
         StreamEndedError
             If the connection is closed.
         """
-        if self.closed:
+        # A transport that broke a moment ago refuses calls before it says so.
+        if self.closed or self._transport.is_closing():
             raise StreamEndedError(self._reason)
         self._transport.write(data)
 
@@ -137,7 +138,7 @@
 
     def close_write_side(self) -> None:
         """Tell the peer that nothing more follows; what it sends can still be read."""
-        if not self.closed:
+        if not self.closed and not self._transport.is_closing():
             self._transport.write_eof()
 
     def close(self) -> None:
--- a/packages/fennelhill-core/src/fennelhill_core/frames.py
+++ b/packages/fennelhill-core/src/fennelhill_core/frames.py
@@ -94,7 +94,8 @@
         StreamClosed
             If the stream is closed.
         """
-        if self.closed:
+        # A transport that broke a moment ago refuses calls before it says so.
+        if self.closed or self._transport.is_closing():
             raise StreamClosed
         self._transport.write(_LENGTH.pack(len(message)) + message)
 
--- a/packages/fennelhill-core/tests/test_byte_streams.py
+++ b/packages/fennelhill-core/tests/test_byte_streams.py
@@ -140,14 +140,41 @@
         assert with_peer(scenario)
 
 
+class BrokenTransport(asyncio.Transport):
+    """A connection that broke; like uvloop's, it refuses all further calls."""
+
+    def __init__(self):
+        super().__init__({"socket": NoSocket()})
+
+    def is_closing(self):
+        return True
+
+    def write(self, data):
+        raise RuntimeError("the handler is closed")
+
+    write_eof = resume_reading = write
+
+
+class NoSocket:
+    def setsockopt(self, *arguments):
+        pass
+
+
+class TestBrokenConnection:
+    def test_ends_the_stream_before_the_event_loop_says_so(self):
+        # A write in the turn of the event loop in which a connection broke ended the
+        # drain of a host, or a statement, with an error that nobody expected.
+        stream = ByteStream()
+        stream.connection_made(BrokenTransport())
+        with pytest.raises(StreamEndedError):
+            stream.write(b"late")
+        stream.close_write_side()
+
+
 class TestAcceptedStream:
     def test_is_handed_over_once_it_is_connected(self):
         opened = []
         stream = ByteStream(opened.append)
 
-        class Transport(asyncio.Transport):
-            def get_extra_info(self, name, default=None):
-                return type("S", (), {"setsockopt": lambda *arguments: None})()
-
-        stream.connection_made(Transport())
+        stream.connection_made(BrokenTransport())
         assert opened == [stream]
--- a/packages/fennelhill-core/tests/test_frames.py
+++ b/packages/fennelhill-core/tests/test_frames.py
@@ -27,6 +27,9 @@
     def abort(self):
         self.aborted = True
 
+    def is_closing(self):
+        return self.aborted
+
 
 class NoSocket:
     def setsockopt(self, *arguments):
@@ -98,6 +101,14 @@
         stream.data_received(b"GET /relay HTTP/1.1\r\n\r\n")
         assert stream.closed
 
+    def test_a_connection_that_breaks_is_closed_before_it_says_so(self):
+        # The event loop reports a broken connection in its next turn, and a write until
+        # then must not end in an error that no caller knows.
+        stream, transport = opened_stream()
+        transport.aborted = True
+        with pytest.raises(StreamClosed):
+            stream.write(b"late")
+
     def test_tells_the_receiver_once_that_it_has_ended(self):
         stream, _ = opened_stream()
         ends = []
