--- a/packages/fennelhill-bench/src/fennelhill_bench/__main__.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/__main__.py
@@ -47,7 +47,13 @@
         kept &= asyncio.run(run_platform_demo(PLATFORM_DURATION_MS, seed))
         raise SystemExit(0 if kept else 1)
 
-    def upgrade(self, commit: str, trouble: str = "", seed: int = 1) -> None:
+    def upgrade(
+        self,
+        commit: str,
+        trouble: str = "",
+        seed: int = 1,
+        organisations: bool = True,
+    ) -> None:
         """Run hosts of an older build beside this one; status 1 if a promise broke.
 
         Parameters
@@ -58,10 +64,12 @@
             One of none, primary_lost, store_away and key_withdrawn; all if empty.
         seed : int
             Seed of all random choices.
+        organisations : bool
+            False for builds that don't know organisations.
         """
         _log_only_warnings()
         troubles = [trouble] if trouble else []
-        kept = asyncio.run(run_upgrades(str(commit), troubles, seed))
+        kept = asyncio.run(run_upgrades(str(commit), troubles, seed, organisations))
         raise SystemExit(0 if kept else 1)
 
     def serve(self, settings: str, instant: bool = False) -> None:
--- a/packages/fennelhill-bench/src/fennelhill_bench/platform_stand_ins/upgrade.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/platform_stand_ins/upgrade.py
@@ -103,18 +103,23 @@
         The builds.
     seed : int
         Seed of the clients' choices.
+    organisations : bool
+        Whether links belong to organisations, which builds before 158d37d don't know.
     """
 
-    def __init__(self, older: Build, newer: Build, seed: int) -> None:
+    def __init__(
+        self, older: Build, newer: Build, seed: int, organisations: bool = True
+    ) -> None:
         self._older, self._newer = older, newer
         self._random = random.Random(seed)
         traits = Traits(max_connections=MAX_CONNECTIONS, set_up_ms=2.0, service_ms=3.0)
         self.stand_ins = PlatformStandIns(traits)
         self.stand_ins.max_connections = MAX_CONNECTIONS
-        self.stand_ins.organisations = [
-            {"name": name, "api_keys": [key for key in KEYS if KEYS[key] == name]}
-            for name in sorted(set(KEYS.values()))
-        ]
+        if organisations:
+            self.stand_ins.organisations = [
+                {"name": name, "api_keys": [key for key in KEYS if KEYS[key] == name]}
+                for name in sorted(set(KEYS.values()))
+            ]
         self.keys = list(KEYS)
         self.results: Counter[str] = Counter()
         self.acknowledged: set[str] = set()
@@ -334,6 +339,8 @@
     upgrade : RollingUpgrade
         The run.
     """
+    if upgrade.stand_ins.organisations is None:
+        return
     withdrawn = upgrade.keys.pop()
     upgrade.stand_ins.organisations = [
         {**entry, "api_keys": [key for key in entry["api_keys"] if key != withdrawn]}
@@ -342,7 +349,9 @@
     upgrade.stand_ins.configure()
 
 
-async def run_upgrades(commit: str, troubles: list[str], seed: int) -> bool:
+async def run_upgrades(
+    commit: str, troubles: list[str], seed: int, organisations: bool = True
+) -> bool:
     """Run a rolling upgrade from a commit of the history, and back, for each trouble.
 
     Parameters
@@ -353,6 +362,8 @@
         Names of registered troubles; all if empty.
     seed : int
         Seed of the clients' choices.
+    organisations : bool
+        Whether links belong to organisations.
 
     Returns
     -------
@@ -362,5 +373,6 @@
     older, newer = extract_build(commit), Build("this", Path.cwd())
     kept = True
     for trouble in troubles or list(TROUBLES):
-        kept &= await RollingUpgrade(older, newer, seed).run(trouble)
+        upgrade = RollingUpgrade(older, newer, seed, organisations)
+        kept &= await upgrade.run(trouble)
     return kept
