test: a relay session knows its service

Cause: one test makes a session of its own, which since the drain of owners needs the service that it belongs to. The assertions are unchanged.

Measured: the tests of the relay package pass.

--- a/packages/fennelhilld/src/fennelhilld/relay/tests/test_organisations.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/tests/test_organisations.py
@@ -14,7 +14,7 @@
 from fennelhilld.catalog.state import Organisation
 from fennelhilld.links.allocation import MIN_REST_MS
 from fennelhilld.relay.messages import RelayBatch
-from fennelhilld.relay.service import _RelaySession
+from fennelhilld.relay.service import RelayService, _RelaySession
 from fennelhilld.statements.session import Session
 
 NAMES = [f"org-{rank}" for rank in range(1, 13)]
@@ -149,7 +149,7 @@
                 if gateway.owns(gateway.directory.get(name))
             )
             batch = RelayBatch("g0", target_id, [], 100.0, 100.0, organisation="org-1")
-            session = _RelaySession(gateway.env)
+            session = _RelaySession(gateway.env, RelayService(gateway.env))
             result = await session.run(msgspec.Raw(msgspec.json.encode(batch)))
             assert result.not_run
             assert result.error == "unknown organisation"
