feat: how old a host's knowledge of the store's tables may be

Change: the age by table as a metric and every 10 s in store.table_ages; store.lost says how long the call that failed had waited. No decision depends on them.

Measured: a test that fails without the change; tests of the directory pass.

--- a/packages/fennelhilld/src/fennelhilld/directory/follower.py
+++ b/packages/fennelhilld/src/fennelhilld/directory/follower.py
@@ -119,6 +119,9 @@
         self._step: asyncio.Task[None] | None = None
         self._outage_since_ms: float | None = None
         self._refresh_failed = False
+        # When the call in progress, and the last one that was answered, were sent.
+        self._sent_ms = float("-inf")
+        self._known_ms = float("-inf")
         self._retry_delay_ms = RETRY_MIN_MS
 
     @property
@@ -130,6 +133,15 @@
         """
         return self._outage_since_ms is not None or self._refresh_failed
 
+    @property
+    def age_ms(self) -> float:
+        """How old the newest answer may be; infinite before the first one.
+
+        The time is counted from the sending of the call, so it also shows a call that
+        is never answered.
+        """
+        return self._clock.boottime_ms() - self._known_ms
+
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
@@ -159,6 +171,7 @@
         restarting = self._outdated
         previous_version = self._last_version
         is_snapshot = restarting or self._last_version is None
+        self._sent_ms = self._clock.boottime_ms()
         try:
             rows = await self._read()
         except HistoryGoneError:
@@ -174,6 +187,7 @@
         except StoreUnavailableError as error:
             await self._back_off(error)
         else:
+            self._known_ms = max(self._known_ms, self._sent_ms)
             self._record_store_return()
             after_outage = self._outage_since_ms is not None or restarting
             if restarting:
@@ -213,12 +227,14 @@
         """
         if self._last_version is None:
             raise StoreUnavailableError(StoreFault.DOWN)
+        sent_ms = self._clock.boottime_ms()
         try:
             rows, is_snapshot = await self._read_now()
         except StoreUnavailableError:
             self._refresh_failed = True
             raise
         self._refresh_failed = False
+        self._known_ms = max(self._known_ms, sent_ms)
         after_outage = self._outage_since_ms is not None or self._outdated
         self._apply_rows(rows, is_snapshot, after_outage)
 
@@ -263,7 +279,13 @@
     async def _back_off(self, error: StoreUnavailableError) -> None:
         if self._outage_since_ms is None:
             self._outage_since_ms = self._clock.now_ms()
-            self._events.record("store.lost", table=self._table, reason=str(error))
+            waited_ms = round(self._clock.boottime_ms() - self._sent_ms)
+            self._events.record(
+                "store.lost",
+                table=self._table,
+                reason=str(error),
+                waited_ms=waited_ms,
+            )
         jitter_factor = self._random.uniform(MIN_JITTER_FACTOR, 1.0)
         await self._clock.sleep_ms(self._retry_delay_ms * jitter_factor)
         self._retry_delay_ms = min(RETRY_MAX_MS, self._retry_delay_ms * 2)
--- a/packages/fennelhilld/src/fennelhilld/directory/tests/test_follower.py
+++ b/packages/fennelhilld/src/fennelhilld/directory/tests/test_follower.py
@@ -47,6 +47,10 @@
         self.version += 1
         return [self.version], self.version
 
+    async def never_answer(self, table, after, at_once=False):
+        await self.clock.sleep_ms(2_000 if at_once else 30_000)
+        raise StoreUnavailableError(StoreFault.NO_ANSWER)
+
     def _call(self):
         self.calls_ms.append(self.clock.now_ms())
         if self.down:
@@ -136,6 +140,27 @@
 
         follow(check)
 
+    def test_the_age_grows_while_a_poll_is_not_answered(self):
+        # A feed that waits and one whose poll was lost looked alike.
+        async def main():
+            clock = VirtualClock()
+            source = TableSourceStub(clock)
+            events = EventLog("h", "z", clock)
+            follower = TableFollower(
+                source, "t", lambda *_: None, clock, events, random.Random(1)
+            )
+            task = asyncio.ensure_future(follower.run())
+            await clock.sleep_ms(1_100)
+            assert follower.age_ms <= 600
+            source.changes = source.never_answer
+            await clock.sleep_ms(35_000)
+            assert follower.age_ms > 30_000
+            (lost,) = [event for event in events.since(0) if event.kind == "store.lost"]
+            assert lost.detail["waited_ms"] == 30_000
+            task.cancel()
+
+        run_virtual(main())
+
     def test_backs_off_while_the_store_is_down(self):
         async def check(clock, source, applied):
             source.down = True
--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from functools import partial
 
@@ -17,6 +18,7 @@
 
 from fennelhilld.admission.policies import LoadPolicies
 from fennelhilld.catalog.state import Catalog, CatalogHolder
+from fennelhilld.directory.follower import TableFollower
 from fennelhilld.directory.state import TargetDirectory, TargetEntry
 from fennelhilld.fleet.notices import ZoneNotices
 from fennelhilld.fleet.roster import Roster
@@ -127,6 +129,8 @@
             self.catalog,
             self.shares,
         )
+        # Followers of the store's tables, by table.
+        self.tables: dict[str, TableFollower] = {}
         self.eras = EraWatch(clock, events)
         self.eras.on_change.append(self._begin_era)
         # Hosts that the store lists in this era; None until it was read in full.
@@ -792,6 +796,17 @@
             pool.close()
         self.ownership.forget(target.entry.id)
 
+    def _record_table_ages(self) -> None:
+        ages_ms = {
+            f"{table}_age_ms": round(follower.age_ms)
+            for table, follower in self.tables.items()
+            if math.isfinite(follower.age_ms)
+        }
+        if ages_ms:
+            self._events.record(
+                "store.table_ages", catalog_version=self.catalog.version, **ages_ms
+            )
+
     async def _tick_forever(self) -> None:
         trim_ms = counters_ms = self._clock.now_ms()
         while True:
@@ -805,6 +820,7 @@
             if now_ms >= counters_ms + COUNTERS_LOG_INTERVAL_MS:
                 counters_ms = now_ms
                 self._events.record("statements.counted", **self.env.counters.totals())
+                self._record_table_ages()
             # A host all of whose leaders are in its own zone suspects none of them; it
             # finds that it is cut off when it can't renew its lease.
             if self.replacement.reach.cut_off or self.renewal.missing_ms > 0.0:
--- a/packages/fennelhilld/src/fennelhilld/observability/gateway_metrics.py
+++ b/packages/fennelhilld/src/fennelhilld/observability/gateway_metrics.py
@@ -125,6 +125,12 @@
     eras = gauge("fennelhill_store_eras_total", "Answers and eras of the store.")
     eras.set({"event": "returned"}, gateway.eras.change_count)
     eras.set({"event": "not_believed"}, gateway.eras.disbelieved_count)
+    table_age = gauge(
+        "fennelhill_store_table_age_ms",
+        "How old the store's newest answer about a table may be.",
+    )
+    for table, follower in gateway.tables.items():
+        table_age.set({"table": table}, follower.age_ms)
     _add_quotas(gauge, gateway.quotas)
     version = gauge("fennelhill_catalog_version", "Configuration in force.")
     version.set({}, gateway.catalog.version)
