fix: polls that were given up take no room from other calls to the store

Cause: the HTTP client counts a request whose caller has given it up until its own time limit, 30 s for a poll, and serves 30 at a time. Since a poll that missed a change is sent anew, a series of short outages could leave so many behind that claims and registrations wait for a second and fail. Found by reading, as the same cause: a request that nobody answers is kept for 30 s.

--- a/packages/fennelhill-core/src/fennelhill_core/sockets.py
+++ b/packages/fennelhill-core/src/fennelhill_core/sockets.py
@@ -18,8 +18,8 @@
 # A connection fails if sent data stays unacknowledged for this long; a round trip
 # between zones takes 3 ms and a lost packet is retransmitted after 200 ms.
 TCP_USER_TIMEOUT_MS = 1_500
-# Limit of one HTTP client.  Subscriptions to change feeds are long polls and must not
-# use all of it.
+# Limit of one HTTP client.  A request whose caller has given it up counts until its own
+# time limit, so long polls need a client of their own.
 MAX_CONCURRENT_REQUESTS = 30
 
 
@@ -104,11 +104,16 @@
         return stream
 
 
-def http_client() -> SimpleAsyncHTTPClient:
+def http_client(max_requests: int = MAX_CONCURRENT_REQUESTS) -> SimpleAsyncHTTPClient:
     """Return an HTTP client that opens a connection for each call.
 
     A reused connection may have failed without notice; a new one costs one round trip.
 
+    Parameters
+    ----------
+    max_requests : int
+        Requests in progress at a time; further ones wait.
+
     Returns
     -------
     tornado.simple_httpclient.SimpleAsyncHTTPClient
@@ -116,7 +121,7 @@
     """
     resolver = NumericResolver()
     client = SimpleAsyncHTTPClient(
-        force_instance=True, max_clients=MAX_CONCURRENT_REQUESTS, resolver=resolver
+        force_instance=True, max_clients=max_requests, resolver=resolver
     )
     client.tcp_client = _KeepaliveTCPClient(resolver=resolver)
     return client
--- a/scenarios/adapter/test_lost_polls.py
+++ b/scenarios/adapter/test_lost_polls.py
@@ -5,8 +5,11 @@
 import asyncio
 
 import pytest
+from adapter.store import FLEET_TABLE, StoreClient
 from adapter_deployment import run_deployed
 from fennelhill_bench.platform_stand_ins.platform import DATABASES, until
+from fennelhill_core.platform import StoreVersion
+from fennelhill_core.sockets import MAX_CONCURRENT_REQUESTS
 
 TABLES = 3
 SILENCE_S = 1.0
@@ -75,3 +78,26 @@
             )
 
         run_deployed(tmp_path, check, hosts)
+
+
+class TestPollsThatWereGivenUp:
+    def test_leave_room_for_other_calls(self, tmp_path):
+        # They count as requests in progress, and further calls waited for them.
+        async def check(deployment):
+            eras = deployment.daemons[0].gateway.eras
+            store = StoreClient(deployment.stand_ins.address, eras)
+            _, version = await store.read_table(FLEET_TABLE)
+            before = deployment.stand_ins.store.waiting_polls
+            polls = [
+                asyncio.ensure_future(store.changes(FLEET_TABLE, StoreVersion(version)))
+                for _ in range(2 * MAX_CONCURRENT_REQUESTS)
+            ]
+            await until(
+                lambda: deployment.stand_ins.store.waiting_polls == before + len(polls)
+            )
+            for poll in polls:
+                poll.cancel()
+            async with asyncio.timeout(1.0):
+                await store.read_table(FLEET_TABLE)
+
+        run_deployed(tmp_path, check)
