test: random troubles of hosts and store delay no change beyond its bound

Cause: the confirmation of tables has many orders of events.

Change: a seeded model with lost polls, outages with and without answers, hosts that are cut off and datagrams that are lost, overlapping; each change is known within 3 s, or within 4 s of the host's last trouble.

--- a/packages/fennelhilld/src/fennelhilld/directory/tests/test_confirmation.py
+++ b/packages/fennelhilld/src/fennelhilld/directory/tests/test_confirmation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import random
 
 import pytest
@@ -25,7 +26,14 @@
 POLL_LIMIT_MS = 30_000.0
 # Stated target: from the acknowledgement of a change until every host acts on it.
 IN_FORCE_MS = 3_000.0
+# A host counts as connected this long after a trouble of its own or of the store.
+CONTACT_MS = 4_000.0
+TICK_MS = 20.0  # of the checks
 TABLES = ("config", "targets")
+# A long run by hand sets more of them.
+SEEDS = int(os.environ.get("FENNELHILL_SEEDS", "5"))
+# As the store's client limits its calls.
+SILENT_CALL_MS = 2_000.0
 
 
 class Row:
@@ -43,6 +51,8 @@
         self.changed = asyncio.Event()
         # Polls that were sent before this time are never answered.
         self.polls_lost_ms = float("-inf")
+        # Whether calls that fail get no answer at all.
+        self.silent = False
 
     def change(self, table):
         self.version = StoreVersion(self.version + 1)
@@ -117,7 +127,7 @@
         sent_ms = clock.now_ms()
         self.checks += at_once
         self.polls += not at_once
-        await self._call()
+        await self._call(SILENT_CALL_MS if at_once else POLL_LIMIT_MS)
         while True:
             rows = [row for row in store.rows[table] if row.store_version > after]
             if rows or at_once:
@@ -127,9 +137,11 @@
                 await clock.sleep_ms(POLL_LIMIT_MS - (clock.now_ms() - sent_ms))
                 raise StoreUnavailableError(StoreFault.NO_ANSWER)
 
-    async def _call(self):
+    async def _call(self, limit_ms=SILENT_CALL_MS):
         await self.fleet.clock.sleep_ms(CALL_MS)
         if self.cut_off:
+            if self.fleet.store.silent:
+                await self.fleet.clock.sleep_ms(limit_ms)
             raise StoreUnavailableError(StoreFault.DOWN)
 
 
@@ -306,3 +318,91 @@
             assert fresh.confirmation.answer(TableQuery()).tables == {}
 
         run_fleet(check, 2)
+
+
+class Troubles:
+    """Random troubles, one after the other or at once, and when each host was calm."""
+
+    def __init__(self, fleet, seed):
+        self.fleet = fleet
+        self.random = random.Random(seed)
+        self.disturbed_ms = dict.fromkeys(fleet.hosts, float("-inf"))
+        self.under_way = 0
+
+    async def run(self, duration_ms):
+        clock = self.fleet.clock
+        end_ms = clock.now_ms() + duration_ms
+        tasks = []
+        while clock.now_ms() < end_ms:
+            trouble = self.random.choice([self.polls, self.outage, self.cut, self.mute])
+            tasks.append(asyncio.ensure_future(trouble()))
+            await clock.sleep_ms(self.random.uniform(100, 9_000))
+        await asyncio.gather(*tasks)
+
+    async def polls(self):
+        self.fleet.store.lose_polls()
+        self.record(self.fleet.hosts)
+
+    async def outage(self):
+        self.fleet.store.silent = self.random.random() < 0.5
+        await self.last(list(self.fleet.hosts.values()), "cut_off")
+        self.fleet.store.silent = False
+
+    async def cut(self):
+        await self.last(
+            [self.random.choice(list(self.fleet.hosts.values()))], "cut_off"
+        )
+
+    async def mute(self):
+        # Datagrams between hosts are lost; the store's answers are not.
+        count = self.random.randint(1, len(self.fleet.hosts))
+        hosts = self.random.sample(list(self.fleet.hosts.values()), count)
+        for host in hosts:
+            host.silent = True
+        await self.fleet.clock.sleep_ms(self.random.uniform(100, 6_000))
+        for host in hosts:
+            host.silent = False
+
+    async def last(self, hosts, fault):
+        for host in hosts:
+            setattr(host, fault, True)
+        duration_ms = self.random.uniform(100, 6_000)
+        for _ in range(20):
+            self.record(host.name for host in hosts)
+            await self.fleet.clock.sleep_ms(duration_ms / 20)
+        for host in hosts:
+            setattr(host, fault, False)
+        self.record(host.name for host in hosts)
+
+    def record(self, names):
+        now_ms = self.fleet.clock.now_ms()
+        self.disturbed_ms.update(dict.fromkeys(names, now_ms))
+
+
+class TestRandomTroubles:
+    @pytest.mark.parametrize("seed", range(SEEDS))
+    def test_delay_no_change_at_a_host_that_is_in_contact(self, seed):
+        async def check(fleet):
+            troubles = Troubles(fleet, seed)
+            running = asyncio.ensure_future(troubles.run(60_000))
+            due = []
+            clock = fleet.clock
+            while not running.done() or due:
+                if not running.done() and troubles.random.random() < 0.03:
+                    table = troubles.random.choice(TABLES)
+                    due.append((clock.now_ms(), table, fleet.store.change(table)))
+                await clock.sleep_ms(20)
+                due = [
+                    change for change in due if self.is_due(fleet, troubles, *change)
+                ]
+
+        run_fleet(check, 7)
+
+    @staticmethod
+    def is_due(fleet, troubles, changed_ms, table, version):
+        now_ms = fleet.clock.now_ms()
+        late = [host for host in fleet.hosts.values() if not host.knows(table, version)]
+        for host in late:
+            contact_ms = troubles.disturbed_ms[host.name] + CONTACT_MS
+            assert now_ms <= max(changed_ms + IN_FORCE_MS, contact_ms) + TICK_MS
+        return bool(late)
