fix: a poll whose answer is arriving is not asked for again

Cause: the check of a table that another host reports as changed did not know that this host's own poll was being answered. A configuration of 1.5 MB takes 2.4 s over a link of 5 Mbit/s: it would have been read twice, and the check would have failed at its time limit and ended the poll.

Change: the store's client tells when an answer begins to arrive, and the table is not checked for up to 3 s. An answer that stops arriving is found after that.

The test of polls that were given up waited for a count that its own host could change; it waits for that host's registration and polls now, with the same assertion.

--- a/packages/fennelhilld/src/fennelhilld/directory/follower.py
+++ b/packages/fennelhilld/src/fennelhilld/directory/follower.py
@@ -21,6 +21,9 @@
 # reconnected by then, which limits the delay.
 RETRY_MIN_MS = 250.0
 RETRY_MAX_MS = 1_400.0
+# Longest time for the rest of an answer that has begun to arrive: 1.5 MB take 2.4 s
+# over a link of 5 Mbit/s.  A check meanwhile would only take from that link.
+ARRIVAL_MS = 3_000.0
 MIN_JITTER_FACTOR = 0.7  # least share of the delay that a host waits
 
 
@@ -73,11 +76,16 @@
         """
 
     async def changes(
-        self, table: str, after: StoreVersion, at_once: bool = False
+        self,
+        table: str,
+        after: StoreVersion,
+        at_once: bool = False,
+        on_answer: Callable[[], None] | None = None,
     ) -> tuple[list[TableRow], StoreVersion]:
         """Return the changes after a version, and the version to continue from.
 
-        Waits for a change unless `at_once` is set.  Raises `HistoryGoneError`,
+        Waits for a change unless `at_once` is set.  `on_answer` is called when the
+        answer begins to arrive.  Raises `HistoryGoneError`,
         `UnprovenRowsError` or `StoreUnavailableError`.
         """
 
@@ -137,6 +145,8 @@
         self._outdated = False
         self._step: asyncio.Task[None] | None = None
         self._phase = Phase.READ
+        # When the answer to the poll in progress began to arrive.
+        self._arriving_ms = float("-inf")
         self._outage_since_ms: float | None = None
         self._refresh_failed = False
         # When the call in progress, and the last one that was answered, were sent.
@@ -161,7 +171,8 @@
     @property
     def polling(self) -> bool:
         """Whether it waits for the store to tell of a change."""
-        return self.following and self._phase is Phase.POLL
+        arriving = self._clock.boottime_ms() < self._arriving_ms + ARRIVAL_MS
+        return self.following and self._phase is Phase.POLL and not arriving
 
     @property
     def age_ms(self) -> float:
@@ -391,14 +402,18 @@
         at_once = self._outage_since_ms is not None
         if not at_once:
             self._phase = Phase.POLL
+        self._arriving_ms = float("-inf")
         rows, version = await self._source.changes(
-            self._table, self._last_version, at_once
+            self._table, self._last_version, at_once, self._record_arrival
         )
         # A refresh may have read later changes meanwhile.
         self._last_version = max(self._last_version, version)
         self._raise_newest_change(rows)
         return rows
 
+    def _record_arrival(self) -> None:
+        self._arriving_ms = self._clock.boottime_ms()
+
     def _end_wait(self) -> None:
         """Send the next call now, if that could take long."""
         if self._step is not None and self._phase in (Phase.POLL, Phase.BACK_OFF):
--- a/packages/fennelhilld/src/fennelhilld/directory/tests/test_confirmation.py
+++ b/packages/fennelhilld/src/fennelhilld/directory/tests/test_confirmation.py
@@ -75,6 +75,8 @@
         self.zone = zone
         self.cut_off = False
         self.silent = False
+        # From the beginning of the answer to a poll to its end.
+        self.arrival_ms = 0.0
         self.polls = 0
         self.checks = 0
         self.events = EventLog(name, zone, clock)
@@ -122,7 +124,7 @@
         await self._call()
         return list(self.fleet.store.rows[table]), self.fleet.store.version
 
-    async def changes(self, table, after, at_once=False):
+    async def changes(self, table, after, at_once=False, on_answer=None):
         store, clock = self.fleet.store, self.fleet.clock
         sent_ms = clock.now_ms()
         self.checks += at_once
@@ -131,7 +133,11 @@
         while True:
             rows = [row for row in store.rows[table] if row.store_version > after]
             if rows or at_once:
-                return rows, store.version
+                version = store.version
+                if on_answer is not None and rows:
+                    on_answer()
+                    await clock.sleep_ms(self.arrival_ms)
+                return rows, version
             await store.changed.wait()
             if sent_ms <= store.polls_lost_ms:
                 await clock.sleep_ms(POLL_LIMIT_MS - (clock.now_ms() - sent_ms))
@@ -280,6 +286,33 @@
 
         run_fleet(check, 30, pause_ms=1_000.0)
 
+    @pytest.mark.parametrize("number", [0, -1])
+    def test_are_not_made_while_a_poll_is_being_answered(self, number):
+        # A large configuration over a slow link would be read twice, and neither call
+        # would end within its time limit.
+        async def check(fleet):
+            host = [fleet.first, *fleet.others()][number]
+            host.arrival_ms = 2_400.0
+            await fleet.clock.sleep_ms(300)  # to between two checks
+            version = fleet.store.change("config")
+            await fleet.clock.sleep_ms(100)
+            checks = host.checks
+            took_ms = await fleet.time_until_known("config", version)
+            assert 2_200 <= took_ms <= IN_FORCE_MS
+            others = 2_400 / 750 + 1  # of the other table, if it is the first host
+            assert host.checks - checks <= (others if host is fleet.first else 0)
+
+        run_fleet(check, 6)
+
+    def test_are_made_if_an_answer_stops_arriving(self):
+        async def check(fleet):
+            host = fleet.others()[-1]
+            host.arrival_ms = POLL_LIMIT_MS
+            version = fleet.store.change("config")
+            assert await fleet.time_until_known("config", version) <= CONTACT_MS
+
+        run_fleet(check, 6)
+
 
 class TestWhatAHostStates:
     def test_is_no_younger_than_the_sending_of_an_answered_call(self):
--- a/packages/fennelhilld/src/fennelhilld/directory/tests/test_follower.py
+++ b/packages/fennelhilld/src/fennelhilld/directory/tests/test_follower.py
@@ -46,7 +46,7 @@
         self.reads_ms.append(self.clock.now_ms())
         return [ALL], self.version
 
-    async def changes(self, table, after, at_once=False):
+    async def changes(self, table, after, at_once=False, on_answer=None):
         self._call()
         self.at_once.append(at_once)
         if self.history_gone:
@@ -58,7 +58,7 @@
         self.version = StoreVersion(self.version + 1)
         return [RowStub(self.version)], self.version
 
-    async def never_answer(self, table, after, at_once=False):
+    async def never_answer(self, table, after, at_once=False, on_answer=None):
         await self.clock.sleep_ms(2_000 if at_once else 30_000)
         raise StoreUnavailableError(StoreFault.NO_ANSWER)
 
@@ -260,7 +260,7 @@
             task = asyncio.ensure_future(follower.run())
             await clock.sleep_ms(100)
 
-            async def unproven(table, after, at_once=False):
+            async def unproven(table, after, at_once=False, on_answer=None):
                 raise UnprovenRowsError(["row"], after)
 
             source.changes = unproven
--- a/scenarios/adapter/test_feeds.py
+++ b/scenarios/adapter/test_feeds.py
@@ -74,7 +74,7 @@
         rows = [row for (name, _), row in self.store.rows.items() if name == table]
         return self.copies(rows), self.version()
 
-    async def changes(self, table, after, at_once=False):
+    async def changes(self, table, after, at_once=False, on_answer=None):
         await self.call(self.store.reads)
         while True:
             self.check()
--- a/scenarios/adapter/test_lost_polls.py
+++ b/scenarios/adapter/test_lost_polls.py
@@ -84,17 +84,17 @@
     def test_leave_room_for_other_calls(self, tmp_path):
         # They count as requests in progress, and further calls waited for them.
         async def check(deployment):
-            eras = deployment.daemons[0].gateway.eras
-            store = StoreClient(deployment.stand_ins.address, eras)
+            gateway = deployment.daemons[0].gateway
+            await until(lambda: gateway.renewal.registered)
+            store = StoreClient(deployment.stand_ins.address, gateway.eras)
             _, version = await store.read_table(FLEET_TABLE)
-            before = deployment.stand_ins.store.waiting_polls
+            stand_in = deployment.stand_ins.store
+            await until(lambda: stand_in.waiting_polls == TABLES)
             polls = [
                 asyncio.ensure_future(store.changes(FLEET_TABLE, StoreVersion(version)))
                 for _ in range(2 * MAX_CONCURRENT_REQUESTS)
             ]
-            await until(
-                lambda: deployment.stand_ins.store.waiting_polls == before + len(polls)
-            )
+            await until(lambda: stand_in.waiting_polls == TABLES + len(polls))
             for poll in polls:
                 poll.cancel()
             async with asyncio.timeout(1.0):
