fix: an entry of nested lists hides no change of targets

Cause: msgspec raises RecursionError for a value that is nested too deeply, also in a field that the type does not know. The feed expected DecodeError and ValueError, so the error dropped the whole batch of rows; the follower read the table anew, met the entry again, and so on for as long as it stood there.

Ruled out: a lost poll (the table was read anew each time), and the claims (nobody saw the draining entry).

Change: one function decodes what others have written, and reports such a document like any other that can't be decoded. An error while an entry is applied is recorded as target.unusable and leaves the other entries in force.

--- a/packages/fennelhill-core/src/fennelhill_core/rpc.py
+++ b/packages/fennelhill-core/src/fennelhill_core/rpc.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from fennelhill_core.clock import MS_PER_S, timeout_ms
+from fennelhill_core.documents import decode_json
 from fennelhill_core.frames import FrameStream
 from fennelhill_core.streams import Stream, StreamClosed
 from fennelhill_core.tasks import Tasks
@@ -65,7 +66,7 @@
 
 
 _encoder = msgspec.json.Encoder()
-_decode_frame = msgspec.json.Decoder(_Frame).decode
+_decode_frame = partial(decode_json, document_type=_Frame)
 
 Handler = Callable[[msgspec.Raw], Awaitable[Any]]
 
--- a/packages/fennelhilld/src/fennelhilld/fleet/datagrams.py
+++ b/packages/fennelhilld/src/fennelhilld/fleet/datagrams.py
@@ -131,7 +131,7 @@
         """Answer a query, or complete one; called by asyncio."""
         try:
             message = _DECODER.decode(data)
-        except (msgspec.DecodeError, ValueError) as error:
+        except (ValueError, RecursionError) as error:
             self._record_fault(f"{address[0]}:{address[1]}", error)
             return
         if isinstance(message, _Reply):
--- a/packages/fennelhilld/src/fennelhilld/fleet/queries.py
+++ b/packages/fennelhilld/src/fennelhilld/fleet/queries.py
@@ -9,6 +9,7 @@
 
 import msgspec
 from fennelhill_core.clock import MS_PER_S
+from fennelhill_core.documents import decode_json
 from fennelhill_core.sockets import http_client
 from fennelhill_core.tasks import Tasks
 from loguru import logger
@@ -142,7 +143,7 @@
         )
         try:
             response = await self._client.fetch(request)
-            return msgspec.json.decode(response.body, type=LeaderView)
+            return decode_json(response.body, LeaderView)
         except (
             OSError,
             HTTPClientError,
--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -332,11 +332,25 @@
     def put_target(self, entry: TargetEntry) -> None:
         """Add or update a target from the platform's list.
 
+        An error is logged: others may have written the entry, and it must not keep
+        this host from learning the other entries.
+
         Parameters
         ----------
         entry : TargetEntry
             The entry.
         """
+        try:
+            self._apply_entry(entry)
+        except Exception as error:
+            self._events.record(
+                "target.unusable",
+                group=entry.group,
+                target=entry.id,
+                reason=repr(error),
+            )
+
+    def _apply_entry(self, entry: TargetEntry) -> None:
         now_ms = self._clock.now_ms()
         self._doubt.set()
         previous_entry = self.directory.put(entry, now_ms)
--- a/packages/fennelhilld/src/fennelhilld/relay/driver.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/driver.py
@@ -10,6 +10,7 @@
 
 import msgspec
 from fennelhill_core.clock import MS_PER_S, Clock
+from fennelhill_core.documents import decode_json
 from fennelhill_core.events import EventLog
 from fennelhill_core.rpc import NoAnswer, NotSent, PendingCall, RpcClient, RpcError
 from fennelhill_core.streams import Dialer, DialError, dial_within
@@ -610,7 +611,7 @@
         self._owner = (name, client)
         try:
             raw = await self._streams.run(name, client, batch, _reads_only(batch))
-            result = msgspec.json.decode(raw, type=RelayResult)
+            result = decode_json(raw, RelayResult)
             self._streams.reports.record(name, batch, result.load)
         except NotSent:
             self._owner = None
--- a/packages/fennelhilld/src/fennelhilld/relay/service.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/service.py
@@ -5,6 +5,7 @@
 from functools import partial
 
 import msgspec
+from fennelhill_core.documents import decode_json
 from fennelhill_core.rpc import RpcServer
 from fennelhill_core.streams import Stream
 
@@ -125,7 +126,7 @@
         return bool(self._leases)
 
     async def run(self, params: msgspec.Raw) -> RelayResult:
-        batch = msgspec.json.decode(params, type=RelayBatch)
+        batch = decode_json(params, RelayBatch)
         if self._service.closing and not batch.in_transaction:
             return RelayResult(error="the owner is stopping", not_run=True)
         # The asking host waits no longer than this.
@@ -189,7 +190,7 @@
         )
 
     async def close(self, params: msgspec.Raw) -> RelayResult:
-        call = msgspec.json.decode(params, type=RelayClose)
+        call = decode_json(params, RelayClose)
         held = self._leases.pop(call.link, None)
         self._rolled_back.discard(call.link)
         if held is not None:
