fix: a target's address that can't be connected to breaks nothing else

Cause: the address was taken if it had a port. Connecting then looked the name up, and its encoding raised UnicodeError, which is no OSError. That ended the check of the leader with the probes of all other targets, and left requests waiting for a link that nobody opened any more.

Evidence: "a background task failed" with UnicodeError in the logs, from TargetProber._exchange and TargetPool._open. Ruled out: an unreachable but valid address, which holds.

Connecting to any other address raises an OSError and looks nothing up. Besides, an unforeseen error of one connect is a refusal of that link, one of a probe is no answer of that target, and one of a periodic check does not keep the other checks from running.

--- a/packages/fennelhill-core/src/fennelhill_core/byte_streams.py
+++ b/packages/fennelhill-core/src/fennelhill_core/byte_streams.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
-from fennelhill_core.sockets import set_tcp_timeouts
+from fennelhill_core.sockets import set_tcp_timeouts, split_address
 
 # While nobody waits for data, a connection is read no further than this.
 MAX_UNREAD_BYTES = 64 * 1024
@@ -248,11 +248,11 @@
     Raises
     ------
     OSError
-        If the connection can't be opened.
+        If the connection can't be opened, also if the address is invalid.
     """
-    ip, _, port = address.rpartition(":")
+    ip, port = split_address(address)
     loop = asyncio.get_running_loop()
-    _, stream = await loop.create_connection(ByteStream, ip, int(port))
+    _, stream = await loop.create_connection(ByteStream, ip, port)
     return stream
 
 
--- a/packages/fennelhill-core/src/fennelhill_core/frames.py
+++ b/packages/fennelhill-core/src/fennelhill_core/frames.py
@@ -8,7 +8,7 @@
 from collections.abc import Awaitable, Callable
 
 from fennelhill_core.byte_streams import listen
-from fennelhill_core.sockets import set_tcp_timeouts
+from fennelhill_core.sockets import set_tcp_timeouts, split_address
 from fennelhill_core.streams import MAX_MESSAGE_BYTES, DialError, StreamClosed
 from fennelhill_core.tasks import Tasks
 
@@ -254,14 +254,14 @@
         DialError
             If the connection is refused, or ends before the peer's first frame.
         """
-        ip, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         opened = loop.create_future()
         try:
+            ip, port = split_address(address)
             _, stream = await loop.create_connection(
                 lambda: FrameStream(lambda _: _wake(opened), lambda: _wake(opened)),
                 ip,
-                int(port),
+                port,
             )
         except OSError as error:
             raise DialError(f"{address}: {error}") from error
--- a/packages/fennelhill-core/src/fennelhill_core/sockets.py
+++ b/packages/fennelhill-core/src/fennelhill_core/sockets.py
@@ -21,6 +21,53 @@
 # Limit of one HTTP client.  A request whose caller has given it up counts until its own
 # time limit, so long polls need a client of their own.
 MAX_CONCURRENT_REQUESTS = 30
+MAX_PORT = 65_535
+MAX_QUOTED_CHARS = 40  # of an invalid address, in the text of an error
+
+
+class InvalidAddressError(OSError, ValueError):
+    """An address is not of the form ``ip:port``; nothing can be sent there."""
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split the address of a server; names of hosts are not looked up.
+
+    Parameters
+    ----------
+    address : str
+        An IPv4 address and a port, ``ip:port``.
+
+    Returns
+    -------
+    ip : str
+        The IPv4 address.
+    port : int
+        The port, from 1 to `MAX_PORT`.
+
+    Raises
+    ------
+    InvalidAddressError
+        If it is not of that form.
+
+    Examples
+    --------
+    >>> split_address("10.0.0.1:8080")
+    ('10.0.0.1', 8080)
+    """
+    ip, _, text = address.rpartition(":")
+    is_number = text.isascii() and text.isdigit() and len(text) <= len(str(MAX_PORT))
+    port = int(text) if is_number else 0
+    if not 0 < port <= MAX_PORT or not _is_ipv4(ip):
+        raise InvalidAddressError(f"invalid address: {address[:MAX_QUOTED_CHARS]!r}")
+    return ip, port
+
+
+def _is_ipv4(ip: str) -> bool:
+    try:
+        socket.inet_pton(socket.AF_INET, ip)
+    except (OSError, ValueError):
+        return False
+    return True
 
 
 def set_tcp_timeouts(sock: socket.socket) -> None:
@@ -57,14 +104,14 @@
     Raises
     ------
     OSError
-        If the connection can't be opened.
+        If the connection can't be opened, also if the address is invalid.
     """
-    ip, _, port = address.rpartition(":")
+    target = split_address(address)
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     set_tcp_timeouts(sock)
     stream = IOStream(sock)
     try:
-        return await stream.connect((ip, int(port)))
+        return await stream.connect(target)
     except BaseException:
         stream.close()
         raise
--- a/packages/fennelhill-core/src/fennelhill_core/websockets.py
+++ b/packages/fennelhill-core/src/fennelhill_core/websockets.py
@@ -74,7 +74,7 @@
             connection = await websocket_connect(
                 request, max_message_size=MAX_MESSAGE_BYTES
             )
-        except (OSError, HTTPClientError, StreamClosedError) as error:
+        except (OSError, ValueError, HTTPClientError, StreamClosedError) as error:
             raise DialError(f"{address}: {error}") from error
         return _ClientStream(connection)
 
--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -15,6 +15,7 @@
 from fennelhill_core.platform import StoreVersion
 from fennelhill_core.streams import Dialer
 from fennelhill_core.tasks import Tasks
+from loguru import logger
 
 from fennelhilld.admission.policies import LoadPolicies
 from fennelhilld.catalog.state import Catalog, CatalogHolder
@@ -846,11 +847,25 @@
             if trims:
                 trim_ms = now_ms
             for group in list(self.groups.values()):
-                self._start_leader_check(group, now_ms)
-                for target in group.targets.values():
-                    target.pool.probe()
-                if trims:
-                    self._adjust_pools(group)
+                self._check_group(group, now_ms, trims)
+
+    def _check_group(self, group: GroupState, now_ms: float, trims: bool) -> None:
+        self._attempt(self._start_leader_check, group, now_ms)
+        for target in list(group.targets.values()):
+            self._attempt(target.pool.probe)
+            if trims:
+                self._attempt(self._adjust_pools, group, target)
+
+    @staticmethod
+    def _attempt(check: Callable[..., None], *arguments: object) -> None:
+        """Run a periodic check; an error does not keep the other checks from running.
+
+        Otherwise one entry that others have written could do so for all groups.
+        """
+        try:
+            check(*arguments)
+        except Exception as error:
+            logger.opt(exception=error).error("a periodic check failed")
 
     async def _wait_for_tick(self) -> None:
         """Wait for the next check; longer in a large fleet without any doubt."""
@@ -933,18 +948,13 @@
             if not self._groups_being_checked:
                 self.replacement.prober.close()
 
-    def _adjust_pools(self, group: GroupState) -> None:
-        for target in group.targets.values():
-            for pool in target.pools:
-                pool.trim()
-            leads = target.entry.id == group.leadership.leader_id
-            same_zone = target.entry.zone == self.zone
-            if (
-                (leads or same_zone)
-                and not target.entry.leaving
-                and not self.env.leaving
-            ):
-                target.pool.warm(self._expected_organisations(target, leads))
+    def _adjust_pools(self, group: GroupState, target: TargetState) -> None:
+        for pool in target.pools:
+            pool.trim()
+        leads = target.entry.id == group.leadership.leader_id
+        same_zone = target.entry.zone == self.zone
+        if (leads or same_zone) and not target.entry.leaving and not self.env.leaving:
+            target.pool.warm(self._expected_organisations(target, leads))
 
     def _expected_organisations(self, target: TargetState, leads: bool) -> list[str]:
         """Return the busiest organisations whose requests come to this host's links."""
--- a/packages/fennelhilld/src/fennelhilld/links/pool.py
+++ b/packages/fennelhilld/src/fennelhilld/links/pool.py
@@ -8,6 +8,7 @@
 
 from fennelhill_core.clock import MS_PER_S, Clock
 from fennelhill_core.tasks import Tasks
+from loguru import logger
 
 from fennelhilld.admission.order import QueuedRequest
 from fennelhilld.admission.policies import LoadPolicies
@@ -922,15 +923,16 @@
                 OPEN_TIMEOUT_MS,
                 organisation,
             )
-        except LinkRefusedError as error:
+        except asyncio.CancelledError:
+            self._end_opening(organisation)
+            raise
+        except Exception as error:
             self._end_opening(organisation)
-            self._handle_refusal(error)
+            refusal = self._as_refusal(error)
+            self._handle_refusal(refusal)
             if self.by_organisation:
-                self._handle_missing_link(organisation, error)
+                self._handle_missing_link(organisation, refusal)
             return
-        except BaseException:
-            self._end_opening(organisation)
-            raise
         self._end_opening(organisation)
         self.counters.opened += 1
         self.unreachable = False
@@ -939,6 +941,15 @@
             return
         self._offer(PooledLink(connection, self._clock.now_ms(), organisation))
 
+    def _as_refusal(self, error: Exception) -> LinkRefusedError:
+        """Return why a link was not opened, so that no request waits for it."""
+        if isinstance(error, LinkRefusedError):
+            return error
+        logger.opt(exception=error).error(
+            "opening a link to {} failed unexpectedly", self.entry.id
+        )
+        return LinkRefusedError(TargetFault.OTHER, repr(error))
+
     def _handle_refusal(self, error: LinkRefusedError) -> None:
         now_ms = self._clock.now_ms()
         if error.fault in (TargetFault.TOO_MANY_CONNECTIONS, TargetFault.BUSY):
--- a/packages/fennelhilld/src/fennelhilld/promotion/probing.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/probing.py
@@ -10,6 +10,7 @@
 from fennelhill_core.clock import timeout_ms
 from fennelhill_core.events import EventLog
 from fennelhill_core.tasks import Tasks
+from loguru import logger
 
 from fennelhilld.links.messages import (
     LinkDriver,
@@ -130,6 +131,14 @@
             )
             busy = isinstance(error, LinkRefusedError) and error.fault in _ALIVE_FAULTS
             return ProbeResult(busy)
+        except Exception as error:
+            # The probes of the group's other targets go on.
+            if link is not None:
+                link.close()
+            logger.opt(exception=error).error(
+                "a probe of {} failed unexpectedly", entry.id
+            )
+            return ProbeResult(False)
         self._keep(entry.id, link)
         return ProbeResult(True, status)
 
