fix: numbers out of range in entries, claims and answers are refused

Cause: whole numbers of up to 4,300 digits are decoded, but a division of them raises OverflowError. A position that a target names was taken if its characters were digits, and int() refuses some of those and more than 4,300 of them, which ended the task of the link with a ValueError.

Ruled out: floating-point fields, for which msgspec refuses what is out of range.

--- a/packages/fennelhill-core/src/fennelhill_core/documents.py
+++ b/packages/fennelhill-core/src/fennelhill_core/documents.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
 import msgspec
 
 T = TypeVar("T")
+# A larger whole number can be decoded, but dividing it may raise an error.
+MAX_COUNT = 2**63 - 1
+# A whole number that another process counts, such as terms and versions.
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 
 
 def decode_json(text: bytes | msgspec.Raw, document_type: type[T]) -> T:
--- a/packages/fennelhilld/src/fennelhilld/promotion/messages.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/messages.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 import msgspec
+from fennelhill_core.documents import Count
 from fennelhill_core.platform import StoreVersion
 
 
@@ -55,11 +56,11 @@
     phase: ClaimPhase = ClaimPhase.CLAIMED
     planned: bool = False
     previous_leader: str = ""
-    previous_term: int = 0
-    previous_leader_term: int = 0
-    term: int = 0
+    previous_term: Count = 0
+    previous_leader_term: Count = 0
+    term: Count = 0
     released: bool = False
-    era: int = 0
+    era: Count = 0
 
 
 class ClaimRow(msgspec.Struct):
--- a/scenarios/adapter/test_documents.py
+++ b/scenarios/adapter/test_documents.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import base64
 import json
 
 import msgspec
 import pytest
 from adapter.documents import decode_catalog, decode_target
 from adapter.node import load_node_settings
+from adapter.store import StoredRow, decode_claim
 from fennelhill_core.digest import key_digest
 from fennelhilld.catalog.organisations import OrganisationTable
 from fennelhilld.catalog.state import Organisation, ReadKind
@@ -134,6 +136,12 @@
             {"address": "10.128.0.9:99999"},
             {"address": "10.128.0.9:\u00b2"},
             {"address": 8080},
+            {"slots": 10**400},
+            {"slots": 10**18},
+            {"slots": -1},
+            {"born": 10**400},
+            {"born": 2**64},
+            {"sequence": 10**400},
             {"service": None},
             {"born": "yesterday"},
         ],
@@ -156,6 +164,15 @@
             return
 
 
+class TestClaim:
+    @pytest.mark.parametrize("field", ["term", "previous_term", "era"])
+    @pytest.mark.parametrize("number", [2**64, -1, 10**400], ids=["64", "-1", "400"])
+    def test_with_a_number_out_of_range_is_not_believed(self, field, number):
+        claim = {"holder": "h1", "nonce": "n", "target": "i-1", field: number}
+        value = base64.b64encode(json.dumps(claim).encode()).decode()
+        assert decode_claim(StoredRow("claim/s1", 3, value)).claim is None
+
+
 class TestNodeSettings:
     def test_ignore_unknown_fields(self, tmp_path):
         path = tmp_path / "node.yaml"
--- a/scenarios/adapter/test_foreign_rows.py
+++ b/scenarios/adapter/test_foreign_rows.py
@@ -48,6 +48,8 @@
                 partial(entry_with, address="a" * 300 + ":80"), id="host of 300 letters"
             ),
             pytest.param(partial(entry_with, address="a..b:80"), id="empty label"),
+            pytest.param(partial(entry_with, slots=10**400), id="slots of 400 digits"),
+            pytest.param(partial(entry_with, born=10**400), id="start of 400 digits"),
         ],
     )
     def test_that_cant_be_used_leave_the_others_in_force(
--- a/scenarios/adapter/test_lines.py
+++ b/scenarios/adapter/test_lines.py
@@ -102,6 +102,14 @@
         assert parse_position("3.1207") == Position(3, 1207)
         assert parse_position("-") is None
 
+    @pytest.mark.parametrize(
+        "text", ["1.\u00b2", "\u0663.1", f"1.{2**63}", "1." + "9" * 5_000]
+    )
+    def test_that_are_no_numbers_of_a_log_are_rejected(self, text):
+        """Guards against an answer of a target that ends the task of its link."""
+        with pytest.raises(MessageError):
+            parse_position(text)
+
     @given(st.text(max_size=12))
     def test_any_text_is_decoded_or_rejected(self, text):
         try:
