fix: a log line that JSON can't hold does not end what it is about

Callers saw: nothing yet; found by walking the fields that others write.

Cause: numbers of more than 4,300 digits and lone surrogates can't be encoded, and the sink raised that error in whatever had logged the line: a feed, a request or a periodic check.

Change: such a line is written with its values quoted.

--- a/packages/fennelhill-core/src/fennelhill_core/logs.py
+++ b/packages/fennelhill-core/src/fennelhill_core/logs.py
@@ -16,6 +16,7 @@
 # Added to the limit for lines that do not concern a single request.
 RESERVED_LINES_PER_S = 50
 REQUEST_KIND_PREFIX = "request."
+MAX_QUOTED_CHARS = 200  # of a value that JSON can't hold
 
 
 class LineRateLimiter:
@@ -103,10 +104,9 @@
         dropped = self._limiter.take_dropped()
         if dropped:
             line["lines_left_out"] = dropped
+        text = _encode_line(line)
         try:
-            os.write(
-                self._descriptor, msgspec.json.encode(line, enc_hook=_plain) + b"\n"
-            )
+            os.write(self._descriptor, text + b"\n")
         except OSError:
             # The log is not being read now.  The next line reports the count.
             self._limiter.dropped += dropped + 1
@@ -140,6 +140,24 @@
     return int(value) if isinstance(value, int) else str(value)
 
 
+def _encode_line(line: dict) -> bytes:
+    try:
+        return msgspec.json.encode(line, enc_hook=_plain)
+    except (ValueError, OverflowError, RecursionError):
+        # Whoever logs must not fail because of what others have sent.
+        return msgspec.json.encode({name: _quote(line[name]) for name in line})
+
+
+def _quote(value: object) -> str:
+    """Return a text of ASCII characters for a value that JSON may not hold."""
+    if isinstance(value, str) and value.isascii():
+        return value
+    try:
+        return ascii(value)[:MAX_QUOTED_CHARS]
+    except (ValueError, RecursionError):
+        return f"<{type(value).__name__}>"
+
+
 def _encode(record: dict) -> dict:
     line = {
         "at": record["time"].isoformat(timespec="milliseconds"),
