fix: a datagram that can't be sent does not end all queries between hosts

Callers saw: nothing yet; found by walking the addresses of hosts.

Cause: the event loop closes a datagram transport when one datagram can't be sent: to a broadcast or reserved address, to port 0, to a network without a route, or one that is too long. Nothing opened it again, so that this host renewed no lease and confirmed none from then on. An address with a host name raised ValueError in the asking task.

Change: datagrams are sent on the socket, and an error loses that one datagram only. An exception while a query is answered is logged, and the query is not answered.

--- a/packages/fennelhilld/src/fennelhilld/fleet/datagrams.py
+++ b/packages/fennelhilld/src/fennelhilld/fleet/datagrams.py
@@ -5,12 +5,15 @@
 import asyncio
 import inspect
 import itertools
+import socket
 from collections.abc import Awaitable, Callable
 
 import msgspec
 from fennelhill_core.clock import timeout_ms
 from fennelhill_core.events import EventLog
+from fennelhill_core.sockets import InvalidAddressError, split_address
 from fennelhill_core.tasks import Tasks
+from loguru import logger
 
 from fennelhilld.fleet.messages import HostAnswer, HostQuery
 
@@ -60,6 +63,9 @@
         self._handle = handle
         self._events = events
         self._transport: asyncio.DatagramTransport | None = None
+        # Datagrams are sent on the socket itself: the transport closes for good when
+        # one of them can't be sent, and all other hosts would be cut off.
+        self._socket: socket.socket | None = None
         self._numbers = itertools.count(1)
         self._pending: dict[int, asyncio.Future[HostAnswer]] = {}
         self._logged_faults = 0
@@ -78,14 +84,22 @@
         OSError
             If the port is in use.
         """
-        ip, _, port = address.rpartition(":")
-        await asyncio.get_running_loop().create_datagram_endpoint(
-            lambda: self, local_addr=(ip, int(port))
-        )
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            sock.setblocking(False)
+            sock.bind(split_address(address))
+            await asyncio.get_running_loop().create_datagram_endpoint(
+                lambda: self, sock=sock
+            )
+        except BaseException:
+            sock.close()
+            raise
+        self._socket = sock
 
     def close(self) -> None:
         """Stop receiving, and give all queries up."""
         self._tasks.cancel()
+        self._socket = None
         if self._transport is not None:
             self._transport.close()
 
@@ -108,16 +122,18 @@
         HostAnswer or None
             None if no answer came in time.
         """
-        if self._transport is None:
+        if self._socket is None:
             return None
         number = next(self._numbers)
         answer = asyncio.get_running_loop().create_future()
         self._pending[number] = answer
-        ip, _, port = address.rpartition(":")
-        self._transport.sendto(_ENCODER.encode(_Query(number, query)), (ip, int(port)))
         try:
+            self._send(_Query(number, query), split_address(address))
             async with timeout_ms(limit_ms):
                 return await answer
+        except InvalidAddressError as error:
+            self._record_fault(address, error)
+            return None
         except TimeoutError:
             return None
         finally:
@@ -139,7 +155,12 @@
             if pending is not None and not pending.done():
                 pending.set_result(message.answer)
             return
-        answer = self._handle(message.query)
+        try:
+            answer = self._handle(message.query)
+        except Exception as error:
+            # The host that asked repeats its query; later ones are answered.
+            logger.opt(exception=error).error("a query of another host failed")
+            return
         if inspect.isawaitable(answer):
             self._tasks.spawn(self._answer_later(message.number, answer, address))
         else:
@@ -155,7 +176,16 @@
         self._reply(number, await answer, address)
 
     def _reply(self, number: int, answer: HostAnswer, address: tuple) -> None:
-        self._transport.sendto(_ENCODER.encode(_Reply(number, answer)), address)
+        self._send(_Reply(number, answer), address)
+
+    def _send(self, message: _Query | _Reply, address: tuple[str, int]) -> None:
+        """Send a datagram; one that can't be sent is lost like any other."""
+        if self._socket is None:
+            return
+        try:
+            self._socket.sendto(_ENCODER.encode(message), address)
+        except OSError as error:
+            self._record_fault(f"{address[0]}:{address[1]}", error)
 
     def _record_fault(self, peer: str, error: Exception) -> None:
         self._logged_faults += 1
