fix: targets of groups that the catalog does not name are not used

Callers saw: nothing yet; an entry of another writer with a group that no configuration names got connections, and its group was checked by all hosts as one without a leader.

Cause: groups were created from entries alone. A target that said of itself that it leads was followed, a draining one could have been replaced with a promote call for a group that does not exist, and a host was ready with such a target only.

Change: periodic checks, warm-up and readiness go by the groups that the catalog in force names. Entries of other groups stay known, so that a group added later is served at once.

--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -240,17 +240,27 @@
     def ready(self) -> bool:
         """Whether clients may connect to this host.
 
-        It needs a catalog and at least one target, and must be neither leaving nor
-        cut off from the fleet, nor bound to refuse operations for an outdated catalog.
+        It needs a catalog and at least one target of its groups, and must be neither
+        leaving nor cut off from the fleet, nor bound to refuse operations for an
+        outdated catalog.
         """
-        configured = self.catalog.current is not None and bool(self.directory.all())
         return (
-            configured
+            any(self.directory.of_group(group.name) for group in self._named_groups())
             and not self.env.leaving
             and not self.replacement.reach.cut_off
             and not self.env.catalog_outdated
         )
 
+    def _named_groups(self) -> list[GroupState]:
+        """Return the groups that the catalog in force names.
+
+        Anybody may have written entries of other groups, so those are not used.
+        """
+        catalog = self.catalog.current
+        if catalog is None:
+            return []
+        return [group for group in self.groups.values() if group.name in catalog.groups]
+
     def start(self) -> None:
         """Start the periodic checks."""
         self._started_ms = self._clock.now_ms()
@@ -846,7 +856,7 @@
             trims = now_ms >= trim_ms + TRIM_INTERVAL_MS
             if trims:
                 trim_ms = now_ms
-            for group in list(self.groups.values()):
+            for group in self._named_groups():
                 self._check_group(group, now_ms, trims)
 
     def _check_group(self, group: GroupState, now_ms: float, trims: bool) -> None:
@@ -869,7 +879,10 @@
 
     async def _wait_for_tick(self) -> None:
         """Wait for the next check; longer in a large fleet without any doubt."""
-        large = any(self.ownership.shares_connections(name) for name in self.groups)
+        large = any(
+            self.ownership.shares_connections(group.name)
+            for group in self._named_groups()
+        )
         if not large or self._in_doubt():
             await self._clock.sleep_ms(TICK_MS)
             return
@@ -886,7 +899,7 @@
             self.replacement.reach.cut_off
             or self.renewal.failing
             or self.directory.any_removed
-            or any(group.in_doubt for group in self.groups.values())
+            or any(group.in_doubt for group in self._named_groups())
         )
 
     def _start_reach_check(self) -> None:
--- a/scenarios/adapter/test_foreign_rows.py
+++ b/scenarios/adapter/test_foreign_rows.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from functools import partial
 
@@ -9,11 +10,17 @@
 from adapter.targets import LineDriver
 from adapter_deployment import run_deployed
 from fennelhill_bench.platform_stand_ins.platform import GROUP, until
-from fennelhilld.directory.state import TargetDirectory
+from fennelhill_bench.session_simulation.targets import DriverModel
+from fennelhill_bench.virtual_time import VirtualClock, run_virtual
+from fennelhill_core.events import EventLog
+from fennelhilld.catalog.state import Catalog, Group
+from fennelhilld.directory.state import TargetDirectory, TargetEntry
+from fennelhilld.gateway import SessionGateway
 from fennelhilld.links.pool import TargetPool
 
 # Within the users' `drain_timeout_ms`.
 DRAIN_LIMIT_S = 7.0
+SOME_CHECKS_S = 1.0  # a leader that fails is checked every 0.15 s
 ENTRY = {
     "service": GROUP,
     "address": "127.0.0.1:9",
@@ -114,3 +121,51 @@
 
         monkeypatch.setattr(owner, name, fail_for_the_entry)
         run_deployed(tmp_path, check)
+
+
+class TestEntriesOfOtherGroups:
+    @pytest.mark.parametrize("state", ["ready", "draining"])
+    def test_get_no_connection_and_no_promotion(self, tmp_path, state):
+        """Guards against work at targets of a group that the catalog does not name."""
+        connections = []
+
+        async def check(deployment):
+            server = await asyncio.start_server(
+                lambda reader, writer: connections.append(writer), "127.0.0.1", 0
+            )
+            port = server.sockets[0].getsockname()[1]
+            document = entry_with(
+                service="other",
+                address=f"127.0.0.1:{port}",
+                db_role="primary",
+                state=state,
+            )
+            deployment.stand_ins.store.put("servers", "i-other", document)
+            await until(
+                lambda: any(
+                    event.detail["target"] == "i-other"
+                    for event in deployment.events("target.listed")
+                )
+            )
+            await asyncio.sleep(SOME_CHECKS_S)
+            server.close()
+            assert connections == []
+            assert deployment.stand_ins.store.promotions == []
+
+        run_deployed(tmp_path, check)
+
+    def test_do_not_make_a_host_ready(self):
+        """Guards against clients at a host that knows no target for them."""
+
+        async def main():
+            clock = VirtualClock()
+            gateway = SessionGateway(
+                "h", "z", DriverModel({}), clock, EventLog("h", "z", clock)
+            )
+            gateway.put_target(TargetEntry("i-other", "other", "10.0.0.1:1", "z"))
+            gateway.install_catalog(Catalog(1, {}, {GROUP: Group(GROUP)}))
+            assert not gateway.ready
+            gateway.put_target(TargetEntry("i-1", GROUP, "10.0.0.1:2", "z"))
+            assert gateway.ready
+
+        run_virtual(main())
