fix: the name of a target or group is one field of a line

Callers saw: nothing yet; found by walking the fields of entries.

Cause: the key of an entry goes into the line that starts a connection. A key with a line end sends further lines to the entry's address, which may be that of a target of ours: a statement that no client sent (UNASKED). Names were also put into the query of a URL as they are.

Names in URLs are quoted.

--- a/packages/fennelhilld/src/fennelhilld/fleet/queries.py
+++ b/packages/fennelhilld/src/fennelhilld/fleet/queries.py
@@ -6,8 +6,8 @@
 import math
 import random
 from collections.abc import Callable
+from urllib.parse import urlencode
 
-import msgspec
 from fennelhill_core.clock import MS_PER_S
 from fennelhill_core.documents import decode_json
 from fennelhill_core.sockets import http_client
@@ -136,8 +136,9 @@
     ) -> LeaderView | None:
         limit_ms = QUERY_TIMEOUT_MS if target_id else PRESENCE_TIMEOUT_MS
         timeout_s = limit_ms / MS_PER_S
+        query = urlencode({"group": group, "target": target_id})
         request = HTTPRequest(
-            f"http://{address}/leader?group={group}&target={target_id}",
+            f"http://{address}/leader?{query}",
             connect_timeout=timeout_s,
             request_timeout=timeout_s,
         )
@@ -148,7 +149,7 @@
             OSError,
             HTTPClientError,
             StreamClosedError,
-            msgspec.DecodeError,
+            ValueError,
         ) as error:
             logger.bind(address=address, reason=str(error)).info("neighbour.no_answer")
             return None
--- a/scenarios/adapter/test_documents.py
+++ b/scenarios/adapter/test_documents.py
@@ -150,6 +150,16 @@
         with pytest.raises((msgspec.DecodeError, ValueError)):
             decode_target("i-1", encode_entry(**changes))
 
+    @pytest.mark.parametrize(
+        "name", ["", "i 1", "i\r\nQUERY x WRITE a b", "i\x00", "i\t", "i" * 201]
+    )
+    def test_with_a_name_that_is_no_field_of_a_line_is_rejected(self, name):
+        """Guards against statements that nobody sent, in the name of a target."""
+        with pytest.raises(ValueError, match="invalid name"):
+            decode_target(name, encode_entry())
+        with pytest.raises(ValueError, match="invalid name"):
+            decode_target("i-1", encode_entry(service=name))
+
     @pytest.mark.parametrize("name", ["service", "address", "zone", "state", "db_role"])
     def test_without_a_required_field_is_rejected(self, name):
         entry = {field: ENTRY[field] for field in ENTRY if field != name}
