--- a/packages/fennelhill-bench/src/fennelhill_bench/platform_stand_ins/store.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/platform_stand_ins/store.py
@@ -177,13 +177,13 @@
         # Called with the group and the target id of each accepted promotion.
         self.promote = None
 
-    def put(self, table: str, key: str, document: dict | bytes) -> int:
+    def put(self, table: str, key: str, document: dict | bytes, part: str = "") -> int:
         """Write a row as the operator or a target does; return its version."""
         text = (
             document if isinstance(document, bytes) else json.dumps(document).encode()
         )
         value = base64.b64encode(text).decode()
-        row = {"table": table, "part": "", "key": key, "value": value}
+        row = {"table": table, "part": part, "key": key, "value": value}
         self._lost_rows.pop(_row_key(row), None)
         return self.tables.write([row], [])
 
--- a/scenarios/adapter/test_foreign_rows.py
+++ b/scenarios/adapter/test_foreign_rows.py
@@ -169,3 +169,33 @@
             assert gateway.ready
 
         run_virtual(main())
+
+
+class TestRowsOfOtherParts:
+    @pytest.mark.parametrize(
+        ("table", "key"),
+        [("servers", "g0-0"), ("op", "config"), ("fennelhill", "claim/g0")],
+    )
+    def test_are_not_those_of_the_same_name(self, tmp_path, table, key):
+        """Guards against a row of another part that replaces a target or a catalog."""
+
+        async def check(deployment):
+            stand_ins = deployment.stand_ins
+            documents = {
+                "servers": json.loads(entry_with(address="127.0.0.1:9")),
+                "op": {"version": 10**6},
+                "fennelhill": {"holder": "h9", "nonce": "n", "target": "g0-1"},
+            }
+            stand_ins.store.put(table, key, documents[table], part="notes")
+            version = stand_ins.configure()
+            gateway = deployment.daemons[0].gateway
+            await until(lambda: gateway.catalog.version >= version)
+            await asyncio.sleep(SOME_CHECKS_S)
+            client = await deployment.connect()
+            assert (await client.ask("w", "WRITE item data"))[-2].startswith("COMPLETE")
+            assert gateway.catalog.version == version
+            target = stand_ins.targets[0]
+            assert gateway.directory.get("g0-0").address == target.address
+            assert gateway.replacement.claims.get("g0").claim is None
+
+        run_deployed(tmp_path, check)
