fix: a planned stop closes busy sessions behind an answer

Cause: a connection was closed only when a check every 20 ms found it idle for 40 ms, the time in which a request could be on its way. Right behind an answer none is, and nothing used that. Transactions had the same fault: they were rolled back once, after half of the time, and only if no statement was running at that moment. Connections were accepted until the end, also while the owner's part of the stop went on.

Ruled out: a balancer that goes on sending clients (no session is new), and slow targets (statements take 3 to 15 ms).

Change: while a host stops, or is cut off for longer than the balancer needs to notice it, each connection is closed behind its next answer outside a transaction. After half of the time transactions are aborted behind their next answer, too, and no connection is accepted any more. Before idle connections are closed, what has arrived is read.

--- a/packages/fennelhilld/src/fennelhilld/draining/clients.py
+++ b/packages/fennelhilld/src/fennelhilld/draining/clients.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
+import math
+from collections.abc import Callable
 from typing import Protocol
 
 from fennelhill_core.clock import Clock
@@ -18,6 +21,7 @@
 DRAIN_CHECK_INTERVAL_MS = MIN_IDLE_MS / 2
 # How often idle connections are closed while this host is cut off.
 IDLE_CHECK_INTERVAL_MS = 150.0
+SHUTDOWN_REASON = "this host shuts down"
 
 
 class DrainableConnection(Protocol):
@@ -29,8 +33,8 @@
     def close_if_idle(self, idle_ms: float) -> bool:
         """Close the connection if it is idle and has no open transaction.
 
-        It must have been idle for `idle_ms`, so that no statement is on its way.
-        Returns whether it is closed now.
+        It must have been idle for `idle_ms`, so that no statement is on its way; right
+        behind an answer none is.  Returns whether it is closed now.
         """
 
 
@@ -45,16 +49,62 @@
         State of this host's connectivity to the fleet.
     clock : Clock
         Source of time.
+    stop_accepting : callable
+        Called once during a shutdown; no client can connect after that.
     """
 
-    __slots__ = ("_clock", "_reach", "connections")
+    __slots__ = (
+        "_aborts_from_ms",
+        "_accepting",
+        "_clock",
+        "_closes_from_ms",
+        "_reach",
+        "_stop_accepting",
+        "connections",
+    )
 
     def __init__(
-        self, connections: set[DrainableConnection], reach: FleetReach, clock: Clock
+        self,
+        connections: set[DrainableConnection],
+        reach: FleetReach,
+        clock: Clock,
+        stop_accepting: Callable[[], None] = lambda: None,
     ) -> None:
         self.connections = connections
         self._reach = reach
         self._clock = clock
+        self._stop_accepting = stop_accepting
+        self._accepting = True
+        # From when on connections are closed and transactions are aborted.
+        self._closes_from_ms = math.inf
+        self._aborts_from_ms = math.inf
+
+    def handle_answer(self, connection: DrainableConnection) -> None:
+        """Close a connection behind its answer, or abort its transaction, if due.
+
+        A client that sends its next statement soon is never found idle, but has none on
+        its way right behind an answer.
+
+        Parameters
+        ----------
+        connection : DrainableConnection
+            A connection that is not busy and whose client was sent an answer.
+        """
+        if not self._closes:
+            return
+        if connection.session is not None and connection.session.in_transaction:
+            if self._clock.now_ms() >= self._aborts_from_ms:
+                connection.session.abort(SHUTDOWN_REASON)
+            return
+        connection.close_if_idle(0.0)
+
+    @property
+    def _closes(self) -> bool:
+        """Whether clients that connect again reach another host."""
+        return (
+            self._clock.now_ms() >= self._closes_from_ms
+            or self._reach.cut_off_for_ms() >= BALANCER_NOTICE_MS
+        )
 
     async def close_idle_while_cut_off(self) -> None:
         """Close idle connections while this host is cut off from the fleet.
@@ -67,15 +117,16 @@
             remaining_ms = BALANCER_NOTICE_MS - self._reach.cut_off_for_ms()
             await self._clock.sleep_ms(max(IDLE_CHECK_INTERVAL_MS, remaining_ms))
             if self._reach.cut_off_for_ms() >= BALANCER_NOTICE_MS:
-                self._close_idle()
+                await self._close_idle()
 
     async def drain(self, shutdown_ms: float) -> None:
         """Close the connections without interrupting a statement.
 
         Connections are served until the load balancer has removed this host; then
-        each is closed once it is idle.  After half of the shutdown time, open
-        transactions that run no statement are aborted.  Returns when all connections
-        are closed, or `CLOSING_RESERVE_MS` before the end of the shutdown time.
+        each is closed once it is idle, or behind its next answer.  After half of the
+        shutdown time no more connections are accepted, and open transactions are
+        aborted behind their next answer.  Returns when all connections are closed, or
+        `CLOSING_RESERVE_MS` before the end of the shutdown time.
 
         Parameters
         ----------
@@ -83,23 +134,35 @@
             Time until the process is killed, in milliseconds.
         """
         started_ms = self._clock.now_ms()
-        aborted = False
-        while self.connections:
-            spent_ms = self._clock.now_ms() - started_ms
-            if spent_ms >= shutdown_ms - CLOSING_RESERVE_MS:
-                break
-            if spent_ms >= BALANCER_NOTICE_MS:
-                self._close_idle()
-            if spent_ms >= shutdown_ms / 2 and not aborted:
-                aborted = True
+        ends_ms = started_ms + shutdown_ms - CLOSING_RESERVE_MS
+        self._closes_from_ms = started_ms + BALANCER_NOTICE_MS
+        self._aborts_from_ms = started_ms + shutdown_ms / 2
+        accepts_until_ms = max(self._closes_from_ms, self._aborts_from_ms)
+        while (now_ms := self._clock.now_ms()) < ends_ms:
+            if not self.connections or now_ms >= accepts_until_ms:
+                self._end_accepting()
+            # Some may have been accepted a moment ago.
+            if not self.connections:
+                return
+            if now_ms >= self._closes_from_ms:
+                await self._close_idle()
+            if now_ms >= self._aborts_from_ms:
                 self._abort_transactions()
             await self._clock.sleep_ms(DRAIN_CHECK_INTERVAL_MS)
+        self._end_accepting()
+
+    def _end_accepting(self) -> None:
+        if self._accepting:
+            self._accepting = False
+            self._stop_accepting()
 
-    def _close_idle(self) -> None:
+    async def _close_idle(self) -> None:
+        # Reads what has arrived while other work kept the event loop busy.
+        await asyncio.sleep(0)
         for connection in list(self.connections):
             connection.close_if_idle(MIN_IDLE_MS)
 
     def _abort_transactions(self) -> None:
         for connection in self.connections:
             if connection.session is not None and not connection.busy:
-                connection.session.abort("this host shuts down")
+                connection.session.abort(SHUTDOWN_REASON)
--- a/scenarios/adapter/test_daemon.py
+++ b/scenarios/adapter/test_daemon.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import itertools
 import json
 import time
 
@@ -648,3 +649,80 @@
             await leaving
 
         run_deployed(tmp_path, check)
+
+    @pytest.mark.parametrize("pause_s", [0.002, 0.01, 0.03])
+    def test_closes_sessions_that_are_never_idle_behind_an_answer(
+        self, tmp_path, pause_s
+    ):
+        """Guards against statements that the end of a stop cuts (LOST)."""
+
+        async def check(deployment):
+            daemon = deployment.daemons[0]
+            users = [
+                asyncio.ensure_future(use_until_closed(deployment, number, pause_s))
+                for number in range(4)
+            ]
+            await asyncio.sleep(0.2)
+            started_s = time.monotonic()
+            await daemon.shutdown()
+            assert not daemon.clients.connections
+            assert time.monotonic() - started_s < BALANCER_NOTICE_MS / MS_PER_S + 0.5
+            assert [await user for user in users] == [True] * len(users)
+
+        run_deployed(tmp_path, check)
+
+    @pytest.mark.parametrize("pause_s", [0.002, 0.01])
+    def test_rolls_back_transactions_that_are_never_idle(self, tmp_path, pause_s):
+        """Guards against a transaction that goes on until the end (LOST)."""
+
+        async def check(deployment):
+            daemon = deployment.daemons[0]
+            client = await deployment.connect()
+            await client.ask("b", "BEGIN")
+            leaving = asyncio.ensure_future(daemon.shutdown())
+            async with asyncio.timeout(daemon.settings.bounds.shutdown_s):
+                state = "T"
+                for number in itertools.count():
+                    answer = await client.ask(f"w{number}", "WRITE item data")
+                    state = answer[-1].split(" ")[1]
+                    if state != "T":
+                        break
+                    await asyncio.sleep(pause_s)
+                assert answer[-2].startswith("ERROR ABORTED")
+                assert (await client.ask("r", "ROLLBACK"))[-1].startswith("READY I")
+                assert await client.line() == ""
+                await leaving
+            assert deployment.stand_ins.group.leader.log == []
+
+        run_deployed(tmp_path, check)
+
+    def test_takes_no_connection_once_the_sessions_are_closed(self, tmp_path):
+        """Guards against a statement of a late session that the end cuts (LOST)."""
+
+        async def check(deployment):
+            await deployment.daemons[0].shutdown()
+            with pytest.raises(ConnectionRefusedError):
+                await deployment.connect()
+
+        run_deployed(tmp_path, check)
+
+
+async def use_until_closed(deployment, number, pause_s, limit_s=8.0):
+    """Run statements until the daemon closes the session.
+
+    Returns
+    -------
+    bool
+        Whether it was closed behind an answer, so that no statement was cut.
+    """
+    client = await deployment.connect("own")
+    async with asyncio.timeout(limit_s):
+        for count in itertools.count():
+            text = "READ item" if count % 4 else "WRITE item data"
+            answer = await client.ask(f"s{number}-{count}", text)
+            if not answer[-1]:
+                break
+            await asyncio.sleep(pause_s)
+            if client.reader.at_eof():
+                return True
+    return False
