fix: a statement that crosses the closing of its session is not read

Cause, by reading: an idle session was closed on the writing side only, and what came after that was read and dropped. A host with half a core takes longer for that than the 200 ms that count, while the client waits.

Ruled out: answering such a statement, since nothing can be written any more.

Change: the connection is closed as a whole, so that the client's next packet is reset by the kernel at once and nothing is read. It holds for planned stops, hosts that are cut off, and sessions of withdrawn keys.

--- a/packages/fennelhilld/src/fennelhilld/draining/revocation.py
+++ b/packages/fennelhilld/src/fennelhilld/draining/revocation.py
@@ -18,7 +18,7 @@
 
 
 class KeyRevocation:
-    """Half-closes the sessions that a new version of the catalog left without access.
+    """Closes the sessions that a new version of the catalog left without access.
 
     The sessions are looked through once for each version that withdraws something;
     afterwards only those of withdrawn keys are looked at again.
--- a/scenarios/adapter/test_daemon.py
+++ b/scenarios/adapter/test_daemon.py
@@ -6,6 +6,7 @@
 import base64
 import itertools
 import json
+import select
 import time
 
 import pytest
@@ -696,6 +697,24 @@
 
         run_deployed(tmp_path, check)
 
+    def test_reads_no_statement_that_crosses_the_closing(self, tmp_path):
+        """Guards against one that is read by a slow host and never answered (LOST)."""
+
+        async def check(deployment):
+            daemon = deployment.daemons[0]
+            client = await deployment.connect()
+            await client.ask("r", "READ item")
+            (connection,) = daemon.clients.connections
+            assert connection.close_if_idle(0.0)
+            await asyncio.sleep(0.05)
+            # The daemon does nothing from here on.
+            sender = client.writer.get_extra_info("socket").dup()
+            with sender:
+                sender.sendall(b"QUERY w WRITE item data\r\n")
+                assert is_reset_within(sender, 200)
+
+        run_deployed(tmp_path, check)
+
     def test_takes_no_connection_once_the_sessions_are_closed(self, tmp_path):
         """Guards against a statement of a late session that the end cuts (LOST)."""
 
@@ -707,6 +726,13 @@
         run_deployed(tmp_path, check)
 
 
+def is_reset_within(sock, limit_ms):
+    """Return whether the peer's kernel resets a connection, without its process."""
+    poller = select.poll()
+    poller.register(sock, 0)
+    return any(event & select.POLLERR for _, event in poller.poll(limit_ms))
+
+
 async def use_until_closed(deployment, number, pause_s, limit_s=8.0):
     """Run statements until the daemon closes the session.
 
