fix: an owner that stops ends the transactions of other hosts at any pace

Cause: after half of the time an owner that stopped waited for a moment at which no batch ran, and a transaction whose statements follow each other soon has none: it went on until the process ended and cut a statement.

Change: after half of the time open transactions of other hosts are rolled back behind their next answer, and their senders get "aborted" with the next batch.

test_an_owner_that_stops_lets_transactions_end stopped an owner without the transaction; it stops the one with it now, and checks that the drain waits.

--- a/packages/fennelhilld/src/fennelhilld/relay/service.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/service.py
@@ -40,6 +40,9 @@
 DUE_IN_SERVICE_TIMES = 3.0
 # How often a host that stops looks whether it has answered everything.
 DRAIN_CHECK_INTERVAL_MS = 10.0
+ENDED_BY_STOP = (
+    "the owner of the connection is stopping; the transaction was rolled back"
+)
 
 
 class RelayService:
@@ -51,12 +54,14 @@
         Groups, clock and log of this host.
     """
 
-    __slots__ = ("_env", "_sessions", "closing")
+    __slots__ = ("_env", "_sessions", "closing", "ends_transactions")
 
     def __init__(self, env: Environment) -> None:
         self._env = env
         # Whether batches that don't continue a transaction are sent back as not run.
         self.closing = False
+        # Whether open transactions are rolled back behind their next answer.
+        self.ends_transactions = False
         self._sessions: set[_RelaySession] = set()
 
     async def drain(self, transactions_ms: float, limit_ms: float) -> None:
@@ -69,6 +74,7 @@
         ----------
         transactions_ms : float
             Longest wait for the open transactions of other hosts, in milliseconds.
+            Then they are rolled back, which their next batches are told.
         limit_ms : float
             Longest wait for the answers to batches, in milliseconds.
         """
@@ -76,9 +82,13 @@
         clock = self._env.clock
         started_ms = clock.now_ms()
         while (elapsed_ms := clock.now_ms() - started_ms) < limit_ms:
-            running = any(session.running for session in self._sessions)
-            open_ = any(session.in_transaction for session in self._sessions)
-            if not running and not (open_ and elapsed_ms < transactions_ms):
+            if elapsed_ms >= transactions_ms:
+                self.ends_transactions = True
+                for session in self._sessions:
+                    session.end_transactions()
+            if not any(
+                session.running or session.in_transaction for session in self._sessions
+            ):
                 return
             await clock.sleep_ms(DRAIN_CHECK_INTERVAL_MS)
 
@@ -111,8 +121,8 @@
         # Numbers of links on which a batch runs, and of those closed meanwhile.
         self._running: set[int] = set()
         self._closed: set[int] = set()
-        # Numbers of links whose transaction was rolled back here, until the next batch.
-        self._rolled_back: set[int] = set()
+        # Why the transaction of a link was rolled back here, until its next batch.
+        self._rolled_back: dict[int, str] = {}
         self._ended = False
 
     @property
@@ -144,8 +154,10 @@
         if batch.in_transaction:
             held = self._leases.pop(batch.link, None)
             if held is None and batch.link in self._rolled_back:
-                self._rolled_back.discard(batch.link)
-                return RelayResult([_after_rollback(item) for item in batch.commands])
+                reason = self._rolled_back.pop(batch.link)
+                return RelayResult(
+                    [_after_rollback(item, reason) for item in batch.commands]
+                )
             if held is None:
                 return RelayResult(error="the transaction's link was lost")
             target, lease = held
@@ -192,7 +204,7 @@
     async def close(self, params: msgspec.Raw) -> RelayResult:
         call = decode_json(params, RelayClose)
         held = self._leases.pop(call.link, None)
-        self._rolled_back.discard(call.link)
+        self._rolled_back.pop(call.link, None)
         if held is not None:
             held[1].discard()
         elif call.link in self._running:
@@ -205,7 +217,7 @@
     def _end_for_others(self, batch: RelayBatch) -> None:
         """Roll back because other organisations wait for the link's place."""
         _, lease = self._leases.pop(batch.link)
-        self._rolled_back.add(batch.link)
+        self._rolled_back[batch.link] = ENDED_FOR_OTHERS
         self._env.events.record(
             "transaction.ended",
             group=batch.group,
@@ -214,6 +226,22 @@
         )
         lease.discard()
 
+    def end_transactions(self) -> None:
+        """Roll back the open transactions that run no batch."""
+        for link in list(self._leases):
+            target, lease = self._leases.pop(link)
+            self._roll_back_for_stop(link, target, lease)
+
+    def _roll_back_for_stop(self, link: int, target: TargetState, lease: Lease) -> None:
+        self._rolled_back[link] = ENDED_BY_STOP
+        self._env.events.record(
+            "relay.transaction_ended",
+            group=target.entry.group,
+            target=target.entry.id,
+            reason=ENDED_BY_STOP,
+        )
+        lease.discard()
+
     def close_all(self) -> None:
         self._ended = True
         for _, lease in self._leases.values():
@@ -273,16 +301,19 @@
             # Nobody would end the transaction.
             lease.discard()
             return RelayResult(error="the link was closed")
+        if self._service.ends_transactions:
+            self._roll_back_for_stop(batch.link, target, lease)
+            return RelayResult(exchange.answers, in_transaction=True)
         self._leases[batch.link] = (target, lease)
         lease.rest(partial(self._end_for_others, batch))
         return RelayResult(exchange.answers, in_transaction=True)
 
 
-def _after_rollback(command: Command) -> TargetAnswer:
-    """Answer a command of a transaction that was rolled back for others."""
+def _after_rollback(command: Command, reason: str) -> TargetAnswer:
+    """Answer a command of a transaction that was rolled back here."""
     if command.kind is CommandKind.ROLLBACK:
         return TargetAnswer()
-    return TargetAnswer(fault=TargetFault.ABORTED, detail=ENDED_FOR_OTHERS)
+    return TargetAnswer(fault=TargetFault.ABORTED, detail=reason)
 
 
 def _context(batch: RelayBatch) -> SessionContext:
--- a/packages/fennelhilld/src/fennelhilld/relay/tests/test_relay.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/tests/test_relay.py
@@ -62,6 +62,15 @@
     return next(other for other in simulation.gateways if other.host == name)
 
 
+def owner_in_transaction(simulation):
+    """Return the owner on whose link a transaction is open."""
+    return next(
+        gateway
+        for gateway in simulation.gateways
+        if any(session.in_transaction for session in gateway.relay._sessions)
+    )
+
+
 class TestRelay:
     def test_only_owners_connect_to_a_target(self):
         async def main(simulation, dialer):
@@ -217,9 +226,10 @@
             client = client_of(simulation, gateway)
             await client.begin()
             assert (await client.write()).code is None
-            owner = first_owner(simulation, gateway)
+            owner = owner_in_transaction(simulation)
             draining = asyncio.ensure_future(owner.relay.drain(1_000.0, 2_000.0))
             await simulation.clock.sleep_ms(100.0)
+            assert not draining.done()
             assert (await client.write()).code is None
             assert (await client.commit()).code is None
             await simulation.clock.sleep_ms(50.0)
@@ -227,6 +237,33 @@
 
         simulate(main)
 
+    @pytest.mark.parametrize("pause_ms", [0.0, 3.0, 60.0])
+    def test_an_owner_that_stops_rolls_back_transactions_at_any_pace(self, pause_ms):
+        """Guards against a transaction that is cut while a statement runs (LOST)."""
+
+        async def main(simulation, dialer):
+            gateway = relaying_host(simulation)
+            client = client_of(simulation, gateway)
+            await client.begin()
+            assert (await client.write()).code is None
+            clock = simulation.clock
+            started_ms = clock.now_ms()
+            owner = owner_in_transaction(simulation)
+            draining = asyncio.ensure_future(owner.relay.drain(400.0, 2_000.0))
+            reply = await client.write()
+            while reply.code is None:
+                assert clock.now_ms() - started_ms < 600.0
+                await clock.sleep_ms(pause_ms)
+                reply = await client.write()
+            assert reply.code is codes.TRANSACTION_ABORTED
+            await draining
+            assert 400.0 <= clock.now_ms() - started_ms < 600.0
+            # What comes now goes to another owner.
+            await client.rollback()
+            assert (await client.write()).code is None
+
+        simulate(main)
+
     def test_a_transaction_that_begins_after_its_sender_gave_up_is_rolled_back(self):
         async def main(simulation, dialer):
             leader = simulation.groups["g0"].leader
--- a/scenarios/adapter/test_daemon.py
+++ b/scenarios/adapter/test_daemon.py
@@ -715,6 +715,23 @@
 
         run_deployed(tmp_path, check)
 
+    def test_finishes_the_work_of_other_hosts_though_a_client_stays(self, tmp_path):
+        """Guards against other hosts' statements that the end cuts (LOST)."""
+
+        async def check(deployment):
+            daemon = deployment.daemons[0]
+            client = await deployment.connect()
+            await client.ask("b", "BEGIN")
+            leaving = asyncio.ensure_future(daemon.shutdown())
+            half_s = daemon.settings.bounds.shutdown_s / 2
+            await asyncio.sleep(half_s + 0.2)
+            assert daemon.clients.connections
+            assert daemon.gateway.relay.closing
+            client.close()
+            await leaving
+
+        run_deployed(tmp_path, check)
+
     def test_takes_no_connection_once_the_sessions_are_closed(self, tmp_path):
         """Guards against a statement of a late session that the end cuts (LOST)."""
 
