fix: a limit on connections that can't be divided is refused

Callers saw: nothing yet. A configuration with 400 digits as the connections of a group made every entry of its targets unusable, since their shares could not be worked out.

--- a/scenarios/adapter/test_documents.py
+++ b/scenarios/adapter/test_documents.py
@@ -97,6 +97,13 @@
         with pytest.raises(msgspec.DecodeError):
             decode_catalog(b'{"version": 4, "tenants": %s}' % organisations)
 
+    def test_with_connections_that_can_not_be_divided_is_rejected(self):
+        """Guards against a version that keeps all targets from being used."""
+        services = [{"name": "s1", "max_conns": 10**400}]
+        document = json.dumps({**CONFIGURATION, "services": services}).encode()
+        with pytest.raises(msgspec.DecodeError):
+            decode_catalog(document)
+
     @given(st.binary(max_size=60))
     def test_any_bytes_are_decoded_or_rejected(self, document):
         try:
