fix: a statement that has arrived unread keeps its session open in any event loop

Cause: before idle sessions are closed the event loop gets a round to read what has arrived. asyncio's own loop finds it in that round and reads it in the next one; the daemon's loop reads it at once, so that callers saw nothing.

Change: two rounds. Tests of addresses at all functions that connect, of names in queries between hosts, and of the addresses for frames.

--- a/packages/fennelhilld/src/fennelhilld/draining/clients.py
+++ b/packages/fennelhilld/src/fennelhilld/draining/clients.py
@@ -21,6 +21,7 @@
 DRAIN_CHECK_INTERVAL_MS = MIN_IDLE_MS / 2
 # How often idle connections are closed while this host is cut off.
 IDLE_CHECK_INTERVAL_MS = 150.0
+READ_ROUNDS = 2  # rounds of the event loop in which it reads what has arrived
 SHUTDOWN_REASON = "this host shuts down"
 
 
@@ -157,8 +158,10 @@
             self._stop_accepting()
 
     async def _close_idle(self) -> None:
-        # Reads what has arrived while other work kept the event loop busy.
-        await asyncio.sleep(0)
+        # What has arrived while other work kept the loop busy is read first.  Some
+        # loops call back for it only in the round after the one that finds it.
+        for _ in range(READ_ROUNDS):
+            await asyncio.sleep(0)
         for connection in list(self.connections):
             connection.close_if_idle(MIN_IDLE_MS)
 
--- a/scenarios/adapter/test_any_rows.py
+++ b/scenarios/adapter/test_any_rows.py
@@ -265,8 +265,11 @@
             target = row("i-1", json.dumps(ENTRY).encode())
             host.feeds._apply_targets([target], False, False)
             host.feeds._apply_fleet([row(f"member/{key}", document)], False, False)
-            for address in host.gateway.roster.addresses.values():
+            roster = host.gateway.roster
+            for address in roster.addresses.values():
                 split_address(address)
+                frame_address = roster.frame_address_of(address)
+                assert not frame_address or split_address(frame_address)
 
         assert apply_rows(apply, 30) == []
 
--- a/scenarios/adapter/test_daemon.py
+++ b/scenarios/adapter/test_daemon.py
@@ -15,6 +15,7 @@
 from fennelhill_bench.platform_stand_ins.lineserver import LineClient
 from fennelhill_bench.platform_stand_ins.platform import until
 from fennelhill_core.clock import MS_PER_S
+from fennelhilld.draining.clients import MIN_IDLE_MS
 from fennelhilld.fleet.roster import UNRESPONSIVE_AFTER_MS
 from fennelhilld.links.messages import LinkRefusedError
 from fennelhilld.promotion.reach import BALANCER_NOTICE_MS
@@ -316,6 +317,18 @@
 
         run_deployed(tmp_path, check)
 
+    def test_asks_for_names_with_any_characters(self, tmp_path):
+        async def check(deployment):
+            asking, asked = deployment.daemons
+            group, target = "a&target=b c", "i#1&x"
+            leadership = asked.gateway.env.group(group).leadership
+            leadership.install_leader(target, 3, asked.clock.now_ms())
+            address = asked.settings.peer_address
+            view = await asking.peers._query(address, group, target)
+            assert (view.leader, view.term) == (target, 3)
+
+        run_deployed(tmp_path, check, hosts=2)
+
 
 class TestFailover:
     def test_a_crashed_primary_is_replaced_and_the_new_one_serves(self, tmp_path):
@@ -697,6 +710,23 @@
 
         run_deployed(tmp_path, check)
 
+    def test_serves_a_statement_that_has_arrived_unread(self, tmp_path):
+        """Guards against one that a busy host takes for none, and cuts (LOST)."""
+
+        async def check(deployment):
+            daemon = deployment.daemons[0]
+            client = await deployment.connect()
+            await client.ask("r", "READ item")
+            await asyncio.sleep(2 * MIN_IDLE_MS / MS_PER_S)
+            sender = client.writer.get_extra_info("socket").dup()
+            with sender:
+                # The event loop does not get to read it before connections are closed.
+                sender.sendall(b"QUERY w WRITE item data\r\n")
+                await daemon.client_drain._close_idle()
+            assert (await client.line()).startswith("DATAROW")
+
+        run_deployed(tmp_path, check)
+
     def test_reads_no_statement_that_crosses_the_closing(self, tmp_path):
         """Guards against one that is read by a slow host and never answered (LOST)."""
 
