--- a/scenarios/adapter/test_foreign_rows.py
+++ b/scenarios/adapter/test_foreign_rows.py
@@ -154,7 +154,7 @@
 
         run_deployed(tmp_path, check)
 
-    def test_do_not_make_a_host_ready(self):
+    def test_make_a_host_neither_ready_nor_check_more_often(self):
         """Guards against clients at a host that knows no target for them."""
 
         async def main():
@@ -165,6 +165,7 @@
             gateway.put_target(TargetEntry("i-other", "other", "10.0.0.1:1", "z"))
             gateway.install_catalog(Catalog(1, {}, {GROUP: Group(GROUP)}))
             assert not gateway.ready
+            assert not gateway._in_doubt()  # checks would be more frequent
             gateway.put_target(TargetEntry("i-1", GROUP, "10.0.0.1:2", "z"))
             assert gateway.ready
 
