fix: a host that has not read the store since its start confirms no leases

Cause: without the store, a lease rests on more than half of the hosts, which confirm that they know no other claim. A process that has just started knows no claim and no host, so it confirmed whatever it was asked: its list of hosts has version 0, which is older than any, and `may_vouch` was false only after a start in a later era. It had acknowledged the claim before, which still counted for the promotion.

Ruled out: a wrong age of proofs (renewals 2 ms old), the claim's fence (it was complete before the kill), and claims that the store has lost (its answers name no era).

Change: `EraWatch.fleet_known` is set once the fleet table was read in full since the start. Before that a host confirms nothing, gets no lease, also by the proof of another host, and claims no group. A claim is in the store before anybody acknowledges it, so after that read the host knows it again. What most hosts say does not end it: an acknowledgement from before the restart still counts in a fence under way, whose claim few may know yet. The hosts that remember go on by their own majority, and no longer take the refusal of a host that has forgotten for that of one that has asked the others.

An older build ignores the new field of the answer, and vouches as before until it is replaced. The simulated hosts that start again now know nothing; they had been given the list and the claims, also while the store was away, so that no test could show the fault.

Models: the model of leases lets a host start again without its memory; a second one, of five hosts, shows that each part of the rule is needed.

--- a/packages/fennelhill-bench/src/fennelhill_bench/load_simulation/replay.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/load_simulation/replay.py
@@ -245,10 +245,9 @@
         number = self.gateways.index(gateway)
         restarted = self._create_host(gateway.host, number)
         restarted.install_catalog(self.catalog)
-        for other in self.gateways:
-            restarted.put_member(other.host, other.host)
         self.gateways[number] = restarted
         self._stopped_hosts.discard(gateway.host)
+        self.spawn(self.stores_by_host[gateway.host].start_anew())
 
     async def send_with_retries(self, arrival: Arrival) -> RequestResult:
         """Send one request, with its client's retries; return the result."""
--- a/packages/fennelhill-bench/src/fennelhill_bench/platform_stand_ins/store.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/platform_stand_ins/store.py
@@ -135,7 +135,8 @@
     ``fault`` is one of ``""``, ``down`` (503), ``busy`` (429), ``lost`` (done, but
     the connection closes without an answer) and ``silent`` (no answer for
     an hour).  ``fault_addresses`` limits all faults but ``lost`` to callers with
-    these addresses; None means all callers.
+    these addresses; None means all callers.  ``fault_tables`` limits them to reads of
+    these tables; None means all calls.
 
     The store can also go away and come back from an older copy: see `go_away`,
     `come_back` and `drill`.  That concerns all callers, but not the order interface.
@@ -153,6 +154,7 @@
         self.tables = Tables(self._now_ms)
         self.fault = ""
         self.fault_addresses: set[str] | None = None
+        self.fault_tables: set[str] | None = None
         self.calls = 0
         # Polls that wait for a change at the moment.
         self.waiting_polls = 0
@@ -349,6 +351,9 @@
         affected = self.store.fault_addresses
         if affected is not None and self.request.remote_ip not in affected:
             return
+        tables = self.store.fault_tables
+        if tables is not None and self.get_query_argument("table", "") not in tables:
+            return
         if self.store.fault in ("down", "busy"):
             self.set_status(503 if self.store.fault == "down" else 429)
             self.finish()
--- a/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/simulation.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/simulation.py
@@ -381,6 +381,17 @@
         self.missed_changes = False
         self._read_version = 0
         self._read_era = FIRST_ERA
+        # Whether all rows were read since the start of the host's process.
+        self._started = True
+
+    async def start_anew(self) -> None:
+        """Read all rows, as a process does that has just started and knows none."""
+        self._started = False
+        while not self._started and self._simulation.alive(self._gateway):
+            try:
+                await self._read()
+            except StoreUnavailableError:
+                await self._simulation.clock.sleep_ms(READ_RETRY_MS)
 
     def begin_era(self) -> None:
         """Read all rows anew; a host that may be unlisted gets no new lease."""
@@ -399,7 +410,12 @@
                 await self._simulation.clock.sleep_ms(READ_RETRY_MS)
 
     async def refresh(self) -> None:
-        """Apply all changes."""
+        """Apply all changes; fails before all rows were read."""
+        if not self._started:
+            raise StoreUnavailableError(StoreFault.DOWN)
+        await self._read()
+
+    async def _read(self) -> None:
         store = self._simulation.store
         era, version = store.era, store.version
         rows, hosts = dict(store.rows), dict(store.hosts)
@@ -432,7 +448,8 @@
         """Return whether this host's feed delivers a change of an era now."""
         simulation = self._simulation
         return (
-            self.host not in simulation.hosts_without_store
+            self._started
+            and self.host not in simulation.hosts_without_store
             and era == simulation.store.era
             and simulation.clock.now_ms() >= self.feed_from_ms
         )
@@ -477,7 +494,8 @@
     ) -> None:
         """Apply the changes since the last version, or all rows if that is gone."""
         after = self._read_version
-        is_snapshot = version < after or self.era != self._read_era
+        is_new_era = self.era != self._read_era
+        is_snapshot = version < after or is_new_era or not self._started
         if is_snapshot:
             after = -1
             self._gateway.sync_members(set(hosts))
@@ -495,6 +513,7 @@
         )
         self._read_version = version
         self._read_era = self.era
+        self._started = True
         self.missed_changes = False
 
     async def _call(self, call: Awaitable[object]) -> object:
@@ -721,6 +740,8 @@
             self._create_host(f"host-{number}", number) for number in range(hosts)
         ]
         for gateway in self.gateways:
+            gateway.eras.record_fleet_read()
+            gateway.renewal.registered = True
             for other in self.gateways:
                 gateway.put_member(other.host, other.host, other.zone)
             self.store.hosts[gateway.host] = 0
@@ -871,11 +892,7 @@
         await self.clock.sleep_ms(down_ms)
         self.gateways[number] = self._create_host(host, number)
         self.paused_hosts.discard(host)
-        for other in self.gateways:
-            self.gateways[number].put_member(other.host, other.host, other.zone)
-        for group, row in self.store.rows.items():
-            if host not in self.hosts_without_store:
-                self.gateways[number].update_claim(group, row)
+        self.spawn(self.stores_by_host[host].start_anew())
 
     def target_entry(
         self, model: GroupModel, target_id: str, leaving: bool = False
@@ -971,7 +988,6 @@
         gateway.eras.on_change.append(store.begin_era)
         peers = DatagramsModel(self, gateway)
         gateway.renewal.peers = gateway.collector.peers = gateway.samples.peers = peers
-        gateway.renewal.registered = True
         gateway.replacement.orders = self.orders
         gateway.replacement.peers = PeersModel(self, gateway)
         gateway.start()
--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -512,6 +512,8 @@
         if version.era < claims.era:
             return
         claims.record_read(version)
+        if is_snapshot:
+            self.eras.record_fleet_read()
         if is_snapshot and not claims.stored_complete:
             claims.stored_complete = True
             self.replacement.restore_claims(self.env.group)
--- a/packages/fennelhilld/src/fennelhilld/leader_lease/messages.py
+++ b/packages/fennelhilld/src/fennelhilld/leader_lease/messages.py
@@ -72,6 +72,9 @@
         Whether those are all; if not, the proof must not be used.
     era : int
         Newest era of the store that the host knows.
+    fleet_known : bool
+        Whether the host has read the store in full since its start; it confirms
+        nothing before.
     """
 
     granted: bool
@@ -80,6 +83,7 @@
     claims: list[GroupClaim] = []
     complete: bool = True
     era: int = 0
+    fleet_known: bool = True
 
 
 class FenceOrder(msgspec.Struct, tag="fence_order", frozen=True):
--- a/packages/fennelhilld/src/fennelhilld/leader_lease/renewal.py
+++ b/packages/fennelhilld/src/fennelhilld/leader_lease/renewal.py
@@ -172,6 +172,8 @@
     passes it on with its age.  If no host that can be reached reads the store, more
     than half of all hosts must confirm that they know no other claim.  That is enough
     because a promotion is ordered only after more than half of them knew its claim.
+    A host that has not read the store since its start may have forgotten that claim, so
+    it confirms nothing, and gets no lease.
 
     In a new era the store may have lost claims, so its list proves nothing until more
     than half of all hosts, in that era, have sent the claims that they know.
@@ -402,8 +404,15 @@
             [GroupClaim(group, row.version, row.claim) for group, row in sent],
             len(sent) == len(newer),
             self._eras.current,
+            self._eras.fleet_known,
         )
 
+    @property
+    def _may_hold_lease(self) -> bool:
+        # What this host gave up before a restart counts in a fence that is under way,
+        # so only a claim that it knows again keeps it from using the old leader.
+        return self.registered and self._eras.fleet_known
+
     def _valid(self) -> bool:
         return self.lease.valid_at(self._clock.boottime_ms())
 
@@ -432,7 +441,7 @@
         return await asyncio.shield(self._renewal)
 
     async def _renew(self) -> bool:
-        if not self.registered:
+        if not self._may_hold_lease:
             return False
         had_lease = self._valid()
         pause_ms = self._failed_ms + RETRY_MS - self._clock.now_ms()
@@ -491,7 +500,7 @@
             answer, sent_ms = await self._ask(name, ProofSource.RENEWED)
             if answer is not None and self._use_answer(answer, sent_ms, name):
                 return True
-            refused = refused or answer is not None
+            refused = refused or (answer is not None and answer.fleet_known)
         reading = asyncio.ensure_future(self._read_store())
         await asyncio.wait({reading}, timeout=STORE_HEAD_START_MS / MS_PER_S)
         if reading.done() and reading.result():
@@ -582,7 +591,7 @@
         if self._clock.now_ms() < self._unconfirmed_ms + pause_ms:
             return False
         sent_ms = self._clock.boottime_ms()
-        confirming = 1
+        confirming, forgetful = 1, 0
         pending = {
             asyncio.ensure_future(self._ask(name, ProofSource.CONFIRMATION))
             for name in names
@@ -593,12 +602,18 @@
             )
             for query in done:
                 answer, _ = query.result()
-                confirming += answer is not None and self._apply(answer)
+                if answer is not None:
+                    confirming += self._apply(answer)
+                    forgetful += not answer.fleet_known
         for query in pending:
             query.cancel()
         if not is_majority(confirming, listed) or self._eras.current != era:
             self._unconfirmed_ms = self._clock.now_ms()
             self._confirmations = f"{confirming} of {listed} hosts"
+            if forgetful:
+                self._confirmations += (
+                    f"; {forgetful} have not read the store since their start"
+                )
             return False
         self._claims.complete_era(era)
         self.lease.extend(sent_ms, "most hosts")
@@ -635,7 +650,7 @@
         The proof's age is counted from the sending of the query.  That is too early
         by the time until the host answered, and right however late the answer is read.
         """
-        if not self._apply(answer) or not self.registered:
+        if not self._apply(answer) or not self._may_hold_lease:
             self._answers[name] = "has no proof" if answer.complete else "incomplete"
             return False
         self.lease.extend(sent_ms - answer.age_ms, name)
--- a/packages/fennelhilld/src/fennelhilld/leader_lease/tests/test_model.py
+++ b/packages/fennelhilld/src/fennelhilld/leader_lease/tests/test_model.py
@@ -5,6 +5,9 @@
 be suspended between two steps, and host 1 may be cut off from the store, from the
 others or from both: then it just does not take the steps that need them.
 
+One host may start again without its memory, also a holder; what it has acknowledged
+before still counts.  It knows the claims again once it has read the store.
+
 Time is modelled by two events.  A lease is marked as old once more than half of the
 hosts have acknowledged the claim; waiting for `LEASE_MS` after that ends all old ones.
 The end of a holder's turn comes before another host may claim.
@@ -29,6 +32,7 @@
     phase: str = "idle"  # of a holder: idle, claimed, fenced, ordered
     token: int = 0
     in_turn: bool = False
+    remembers: bool = True  # whether it has read the store since its start
 
 
 class State(NamedTuple):
@@ -46,6 +50,7 @@
     promoted: bool = False
     new_commit: bool = False  # whether a write at the new leader was acknowledged
     abandoned: frozenset = frozenset()  # versions that ended a claim with no order
+    restarts: int = 0  # hosts that may still start again
     problem: str = ""
 
     def is_free(self, version):
@@ -61,8 +66,9 @@
     read, ``demotion`` demotes the old leader first, ``turn`` ends a holder's right to
     order before another host may claim, ``majority`` asks more than half of the hosts
     for a confirmation, ``sent_time`` counts a proof's age from the query,
-    ``fence_first`` orders the promotion only after the leases have ended, and
-    ``left_open`` abandons no claim that replaced an open one.
+    ``fence_first`` orders the promotion only after the leases have ended,
+    ``left_open`` abandons no claim that replaced an open one, and ``memory`` lets a
+    host that has forgotten claims confirm none and get no lease.
     """
 
     PARTS = (
@@ -75,12 +81,14 @@
         "sent_time",
         "fence_first",
         "left_open",
+        "memory",
     )
 
-    def __init__(self, missing="", ends_at_once=False):
+    def __init__(self, missing="", ends_at_once=False, max_versions=MAX_VERSIONS):
         for part in self.PARTS:
             setattr(self, part, part != missing)
         self.ends_at_once = ends_at_once
+        self.max_versions = max_versions
 
     def steps(self, state):
         yield from self._lease_steps(state)
@@ -88,9 +96,30 @@
         yield from self._platform_steps(state)
         for number in range(len(state.hosts)):
             yield from self._learning_steps(state, number)
+            yield from self._restart_steps(state, number)
         for number in HOLDERS:
             yield from self._holder_steps(state, number)
 
+    def _restart_steps(self, state, number):
+        host = state.hosts[number]
+        if state.restarts:
+            forgetful = Host(acknowledged=host.acknowledged, remembers=False)
+            hosts = list(state.hosts)
+            hosts[number] = forgetful
+            restarts = state.restarts - 1
+            following = state._replace(hosts=tuple(hosts), restarts=restarts)
+            if number == USER:
+                following = following._replace(lease=NONE, pending=None, write=NONE)
+            yield f"host {number} starts again without its memory", following
+        if not host.remembers and number != USER:
+            yield (
+                f"host {number} reads the store",
+                self._replace_host(state, number, seen=state.row, remembers=True),
+            )
+
+    def _may_vouch(self, host):
+        return host.remembers or not self.memory
+
     def _lease_steps(self, state):
         user = state.hosts[USER]
         if state.lease:
@@ -103,15 +132,21 @@
         else:
             row, mark = state.pending
             following = state._replace(pending=None)
+            following = self._replace_host(following, USER, remembers=True)
             if row > user.seen:
                 following = self._learn(following, USER, row)
             elif state.is_free(user.seen):
                 lease = mark if self.sent_time else NEW
                 following = following._replace(lease=lease)
             yield "the user gets the store's answer", following
-        agreeing = 1 + sum(state.hosts[number].seen <= user.seen for number in HOLDERS)
+        agreeing = 1 + sum(
+            self._may_vouch(state.hosts[number])
+            and state.hosts[number].seen <= user.seen
+            for number in HOLDERS
+        )
         needed = 2 if self.majority else 1
-        if agreeing >= needed and state.is_free(user.seen):
+        free = state.is_free(user.seen) and self._may_vouch(user)
+        if agreeing >= needed and free:
             yield "most hosts confirm to the user", state._replace(lease=NEW)
 
     def _write_steps(self, state):
@@ -168,8 +203,8 @@
         host = state.hosts[number]
         if host.phase == "idle":
             other = state.hosts[HOLDERS[1 - HOLDERS.index(number)]]
-            free = not other.in_turn
-            if host.seen == state.row < MAX_VERSIONS and free:
+            free = not other.in_turn and host.remembers
+            if host.seen == state.row < self.max_versions and free:
                 token = state.row + 1
                 claimed = self._replace_host(
                     state._replace(row=token),
@@ -278,6 +313,17 @@
         model = Model(ends_at_once=ends_at_once)
         assert explore(State(), model.steps, lambda state: state.problem) > 5_000
 
+    @pytest.mark.parametrize("ends_at_once", [False, True])
+    def test_keeps_all_promises_if_a_host_forgets_what_it_knew(self, ends_at_once):
+        model = Model(ends_at_once=ends_at_once, max_versions=2)
+        initial = State(restarts=1)
+        assert explore(initial, model.steps, lambda state: state.problem) > 5_000
+
+    def test_a_host_that_has_forgotten_breaks_a_promise_if_it_confirms(self):
+        model = Model("memory", max_versions=2)
+        with pytest.raises(Counterexample, match="missed a write"):
+            explore(State(restarts=1), model.steps, lambda state: state.problem)
+
     @pytest.mark.parametrize(
         ("missing", "violation"),
         [
@@ -532,3 +578,136 @@
             explore(EraState(), model.steps, lambda state: state.problem)
         print(f"without {missing}:\n{caught.value}")
         assert len(caught.value.steps) >= 3
+
+
+class FleetHost(NamedTuple):
+    knows: bool = False  # the claim
+    acknowledged: bool = False  # as the holder counts it, also after a restart
+    remembers: bool = True
+    lease: str = NONE
+
+
+class FleetState(NamedTuple):
+    hosts: tuple = (FleetHost(),) * 4  # all but the holder, in any order
+    claimed: bool = False
+    majority: bool = False  # whether most hosts have acknowledged the claim
+    waited: bool = False
+    promoted: bool = False
+    restarts: int = 2
+    problem: str = ""
+
+
+class ForgetfulModel:
+    """One claim in a fleet of five hosts, some of which start again.
+
+    A fleet of three is too small to show what a host may take as a proof that it knows
+    all claims again: there, any two other hosts include the holder.
+
+    A flag that is False removes one part: with ``confirmed`` a host that has forgotten
+    claims confirms none, with ``own_proof`` it uses no proof of another host, and with
+    ``store_only`` only a read of the store ends that, not the word of most hosts.
+    """
+
+    PARTS = ("confirmed", "own_proof", "store_only")
+    MAJORITY = 3
+
+    def __init__(self, missing=""):
+        for part in self.PARTS:
+            setattr(self, part, part != missing)
+
+    def steps(self, state):
+        if not state.claimed:
+            yield "the holder makes a claim", state._replace(claimed=True)
+        yield from self._fencing_steps(state)
+        for number, host in enumerate(state.hosts):
+            for name, following in self._host_steps(state, number, host):
+                hosts = tuple(sorted(following.hosts))
+                yield f"{name} ({host})", following._replace(hosts=hosts)
+
+    def _fencing_steps(self, state):
+        acknowledging = 1 + sum(host.acknowledged for host in state.hosts)
+        if acknowledging >= self.MAJORITY and not state.majority:
+            hosts = [
+                host._replace(lease=OLD) if host.lease else host for host in state.hosts
+            ]
+            yield (
+                "most hosts have acknowledged the claim",
+                state._replace(majority=True, hosts=tuple(sorted(hosts))),
+            )
+        if state.majority and not state.waited:
+            hosts = [
+                host._replace(lease=NONE) if host.lease == OLD else host
+                for host in state.hosts
+            ]
+            yield (
+                "the holder waits for the other leases to expire",
+                state._replace(waited=True, hosts=tuple(sorted(hosts))),
+            )
+        if state.claimed and (state.waited or acknowledging == 5):
+            yield "the target is promoted", state._replace(promoted=True)
+
+    def _host_steps(self, state, number, host):
+        if state.claimed and not (host.knows and host.acknowledged):
+            yield (
+                "a host acknowledges the claim",
+                self._change(state, number, knows=True, acknowledged=True, lease=NONE),
+            )
+        if state.restarts:
+            yield (
+                "a host starts again",
+                self._change(
+                    state._replace(restarts=state.restarts - 1),
+                    number,
+                    knows=False,
+                    remembers=False,
+                    lease=NONE,
+                ),
+            )
+        lease = NONE if state.claimed else NEW
+        knows = host.knows or state.claimed
+        yield (
+            "a host reads the store",
+            self._change(state, number, knows=knows, remembers=True, lease=lease),
+        )
+        if host.lease:
+            yield "a lease expires", self._change(state, number, lease=NONE)
+            if state.promoted:
+                problem = "the replaced leader was used"
+                yield "a host uses the leader", state._replace(problem=problem)
+        if not host.knows:
+            yield from self._proof_steps(state, number, host)
+
+    def _proof_steps(self, state, number, host):
+        others = [other for at, other in enumerate(state.hosts) if at != number]
+        vouching = sum(
+            not other.knows and (other.remembers or not self.confirmed)
+            for other in others
+        )
+        if vouching >= self.MAJORITY and not self.store_only:
+            remembering = self._change(state, number, remembers=True)
+            yield "most other hosts tell a host what they know", remembering
+        if vouching + 1 >= self.MAJORITY and (host.remembers or not self.confirmed):
+            leased = self._change(state, number, lease=NEW)
+            yield "most hosts confirm to a host", leased
+        for other in others:
+            if other.lease and (host.remembers or not self.own_proof):
+                passed_on = self._change(state, number, lease=other.lease)
+                yield "a host passes its proof on", passed_on
+
+    def _change(self, state, number, **changes):
+        hosts = list(state.hosts)
+        hosts[number] = hosts[number]._replace(**changes)
+        return state._replace(hosts=tuple(hosts))
+
+
+class TestForgetfulModel:
+    def test_keeps_its_promise_in_every_order_of_steps(self):
+        model = ForgetfulModel()
+        assert explore(FleetState(), model.steps, lambda state: state.problem) > 500
+
+    @pytest.mark.parametrize("missing", ForgetfulModel.PARTS)
+    def test_removing_any_part_breaks_the_promise(self, missing):
+        model = ForgetfulModel(missing)
+        with pytest.raises(Counterexample, match="was used") as caught:
+            explore(FleetState(), model.steps, lambda state: state.problem)
+        print(f"without {missing}:\n{caught.value}")
--- a/packages/fennelhilld/src/fennelhilld/leader_lease/tests/test_renewal.py
+++ b/packages/fennelhilld/src/fennelhilld/leader_lease/tests/test_renewal.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import re
 from collections import Counter
 
@@ -240,6 +241,82 @@
         simulate(main, hosts=30)
 
 
+class TestForgottenClaims:
+    """Hosts that have started again while the store is away."""
+
+    ZONE = {"host-0", "host-3"}
+    OTHERS = ("host-1", "host-2", "host-4", "host-5")
+    KILLED_MS = 500.0
+
+    async def _claim_without(self, simulation, hosts):
+        """Let all hosts but some, which are cut off, know a claim."""
+        simulation.isolated_hosts = simulation.hosts_without_store = hosts
+        claim = Claim("host-1", "nonce", "g0-1", previous_term=1)
+        version = await simulation.store.swap_claim("g0", 0, claim)
+        await simulation.clock.sleep_ms(LEASE_MS)
+        return version
+
+    async def _kill_during_outage(self, simulation, hosts):
+        simulation.store.down = True
+        await asyncio.gather(
+            *(simulation.restart_host(host, self.KILLED_MS) for host in hosts)
+        )
+        simulation.isolated_hosts = simulation.hosts_without_store = set()
+
+    @pytest.mark.parametrize("killed", [OTHERS, OTHERS[:3]])
+    def test_are_not_vouched_for_by_hosts_that_may_have_acknowledged_them(self, killed):
+        """Guards against a zone that returns to leaders that were replaced."""
+
+        async def main(simulation):
+            version = await self._claim_without(simulation, self.ZONE)
+            await self._kill_during_outage(simulation, killed)
+            renewals = [simulation.gateway(host).renewal for host in self.ZONE]
+            for _ in range(10):
+                attempts = [renewal.ensure(500.0) for renewal in renewals]
+                assert not any(await asyncio.gather(*attempts))
+            assert f"{len(killed)} have not read the store" in (
+                renewals[0]._confirmations
+            )
+            simulation.store.down = False
+            await simulation.clock.sleep_ms(2_000.0)
+            for gateway in simulation.gateways:
+                assert await gateway.renewal.ensure(500.0)
+                assert gateway.replacement.claims.get("g0").version >= version
+
+        simulate(main)
+
+    def test_do_not_keep_the_hosts_that_remember_from_serving(self):
+        async def main(simulation):
+            simulation.store.down = True
+            await self._kill_during_outage(simulation, ["host-1", "host-4"])
+            gateway = simulation.gateways[0]
+            client = simulation.client(gateway, simulation.databases[0])
+            for _ in range(30):
+                assert (await client.write()).code is None
+                await simulation.clock.sleep_ms(100.0)
+            assert gateway.renewal.lease.source != "store"
+            assert not await simulation.gateway("host-1").renewal.ensure(500.0)
+
+        simulate(main)
+
+    def test_proofs_of_others_are_of_no_use_before_the_store_was_read(self):
+        """Guards against a fence that counts what a host had given up before."""
+
+        async def main(simulation):
+            await self._kill_during_outage(simulation, ["host-1"])
+            restarted = simulation.gateway("host-1")
+            proof = LeaseAnswer(True, age_ms=1.0)
+            restarted.renewal.registered = True
+            sent_ms = simulation.clock.boottime_ms()
+            assert not restarted.renewal._use_answer(proof, sent_ms, "host-2")
+            assert not await restarted.renewal.ensure(500.0)
+            simulation.store.down = False
+            await simulation.clock.sleep_ms(1_000.0)
+            assert await restarted.renewal.ensure(500.0)
+
+        simulate(main)
+
+
 class CountingPeers:
     """Counts the queries of a host."""
 
--- a/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
@@ -390,9 +390,13 @@
             return
         if not self._eras.may_vouch:
             # This host may have forgotten an open claim, and may not know all hosts.
-            group.leadership.obstacle = (
+            reason = (
                 "this host has started in a new era of the store"
+                if self._eras.fleet_known
+                else "this host has not read the store since its start"
             )
+            group.leadership.obstacle = reason
+            self._record("promotion.impossible", group, reason=reason)
             return
         if not planned and not self._fleet_confirms_loss(group, survey):
             if leader is None or not self._must_finish_claim(group, survey):
--- a/packages/fennelhilld/src/fennelhilld/store_era/state.py
+++ b/packages/fennelhilld/src/fennelhilld/store_era/state.py
@@ -1,4 +1,4 @@
-"""The newest era of the store that this host has heard of."""
+"""The newest era of the store, and whether this host may vouch for what it knows."""
 
 from __future__ import annotations
 
@@ -16,10 +16,15 @@
 
 
 class EraWatch:
-    """Notices each new era, whoever learns of it first.
+    """Notices each new era, and knows whether this host may have forgotten claims.
 
     Without an era in any answer the store is in era 0 throughout.
 
+    A process that has just started may have acknowledged claims before that it does
+    not know.  They were in the store before they were sent, so it knows them again once
+    it has read the store.  What other hosts confirm does not show that: a claim that
+    few of them know yet may still collect acknowledgements.
+
     Parameters
     ----------
     clock : Clock
@@ -36,6 +41,7 @@
         "change_count",
         "current",
         "disbelieved_count",
+        "fleet_known",
         "on_change",
         "started_within",
     )
@@ -50,7 +56,9 @@
         self.disbelieved_count = 0
         # Called after each new era, in order.
         self.on_change: list[Callable[[], None]] = []
-        # Whether this host started after the current era began.
+        # Whether the hosts and the claims were read in full since the start.
+        self.fleet_known = False
+        # Whether this host may have started after the current era began.
         self.started_within = False
         self._heard = False
         self._settled_ms = float("-inf")
@@ -66,7 +74,13 @@
     @property
     def may_vouch(self) -> bool:
         """Whether this host knows every claim that it may have acknowledged."""
-        return self.settled or not self.started_within
+        return self.fleet_known and (self.settled or not self.started_within)
+
+    def record_fleet_read(self) -> None:
+        """Record that all hosts and claims in the store were read and applied."""
+        if not self.fleet_known:
+            self.fleet_known = True
+            self._events.record("fleet.known", era=self.current)
 
     def notice(self, era: int, host: str = "") -> bool:
         """Take note of the era in an answer of the store or a message of a host.
@@ -91,7 +105,7 @@
         if era == self.current:
             return True
         previous_era, self.current = self.current, era
-        self.started_within = (first and era > FIRST_ERA) or not self.may_vouch
+        self.started_within = era > FIRST_ERA and (first or not self.may_vouch)
         self.change_count += not first
         if not first or era > FIRST_ERA:
             self._settled_ms = self._clock.now_ms() + SETTLING_MS
--- a/packages/fennelhilld/src/fennelhilld/store_era/tests/test_state.py
+++ b/packages/fennelhilld/src/fennelhilld/store_era/tests/test_state.py
@@ -66,6 +66,7 @@
         async def check(clock, eras):
             assert eras.notice(0)
             assert eras.settled
+            eras.record_fleet_read()
             assert eras.may_vouch
 
         watch(check)
@@ -73,6 +74,7 @@
     def test_a_host_that_ran_before_may_vouch_for_what_it_knows(self):
         async def check(clock, eras):
             eras.notice(1)
+            eras.record_fleet_read()
             eras.notice(2)
             assert eras.may_vouch
             assert not eras.settled
@@ -85,6 +87,7 @@
         async def check(clock, eras):
             eras.notice(2, "another host")
             eras.notice(2)
+            eras.record_fleet_read()
             assert not eras.may_vouch
             eras.notice(3)
             assert not eras.may_vouch
@@ -93,6 +96,30 @@
 
         watch(check)
 
+    @pytest.mark.parametrize("era", [0, 1])
+    def test_a_host_that_has_not_read_the_store_vouches_for_nothing(self, era):
+        async def check(clock, eras):
+            assert not eras.may_vouch
+            eras.notice(era, "another host")
+            await clock.sleep_ms(2 * SETTLING_MS)
+            assert not eras.may_vouch
+            eras.notice(era)
+            eras.record_fleet_read()
+            assert eras.may_vouch
+
+        watch(check)
+
+    def test_a_host_that_has_read_only_a_later_era_may_lack_lost_claims(self):
+        async def check(clock, eras):
+            eras.notice(1)
+            eras.notice(2)
+            eras.record_fleet_read()
+            assert not eras.may_vouch
+            await clock.sleep_ms(SETTLING_MS)
+            assert eras.may_vouch
+
+        watch(check)
+
 
 class TestClaimsInANewEra:
     def test_a_restored_row_does_not_replace_a_lost_claim(self):
--- /dev/null
+++ b/scenarios/adapter/test_forgetful_hosts.py
@@ -0,0 +1,176 @@
+"""Tests of hosts that have started and have not read the store in full yet."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+from adapter.daemon import PlatformDaemon
+from adapter.node import load_node_settings
+from adapter.store import CONFIGURATION_TABLE, FLEET_TABLE, TARGET_TABLE
+from adapter_deployment import run_deployed
+from fennelhill_bench.platform_stand_ins.platform import until
+from fennelhill_core.clock import MS_PER_S
+from fennelhill_core.platform import StoreVersion
+from fennelhilld.directory.messages import TableQuery
+from fennelhilld.leader_lease.messages import (
+    FenceOrder,
+    GroupClaim,
+    LeaseQuery,
+    ProofSource,
+    SampleQuery,
+)
+from fennelhilld.promotion.messages import Claim
+from fennelhilld.quotas.messages import PromiseQuery
+
+FAULTS = ["down", "busy", "silent"]
+# Without the list of hosts it can't ask others for the configuration either.
+UNREAD_TABLES = [[CONFIGURATION_TABLE, FLEET_TABLE], [TARGET_TABLE], [FLEET_TABLE]]
+# Longer than a host waits for a first read and for connections at its start.
+WAIT_S = 0.8
+
+
+async def start_without(deployment, tmp_path, fault, tables):
+    """Start a host while the store serves it no reads of some tables."""
+    stand_ins = deployment.stand_ins
+    stand_ins.store.fault, stand_ins.store.fault_tables = fault, set(tables)
+    path, _ = stand_ins.node_file(tmp_path, "starting")
+    daemon = PlatformDaemon(load_node_settings(str(path)))
+    deployment.daemons.append(daemon)
+    await daemon.start()
+    await asyncio.sleep(WAIT_S)
+    return daemon
+
+
+async def ask(daemon, query):
+    answer = daemon.gateway.host_queries.handle(query)
+    return await answer if asyncio.iscoroutine(answer) else answer
+
+
+def confirmation_query(gateway):
+    era = gateway.eras.current
+    members = max(gateway.roster.version, StoreVersion.from_parts(era, 0))
+    return LeaseQuery(ProofSource.CONFIRMATION, StoreVersion(), members, era)
+
+
+class TestStartingHost:
+    @pytest.mark.parametrize("fault", FAULTS)
+    def test_vouches_for_nothing_until_it_has_read_the_fleet(self, tmp_path, fault):
+        """Guards against answers of a host that may have forgotten what it knew."""
+
+        async def check(deployment):
+            daemon = await start_without(deployment, tmp_path, fault, [FLEET_TABLE])
+            gateway = daemon.gateway
+            await until(lambda: gateway.groups and gateway.catalog.current)
+            for source in ProofSource:
+                query = LeaseQuery(source, 0, 0, gateway.eras.current)
+                answer = await ask(daemon, query)
+                assert not answer.granted
+                assert not answer.fleet_known
+                assert answer.claims_version == 0
+            assert FLEET_TABLE not in (await ask(daemon, TableQuery())).tables
+            assert (await ask(daemon, SampleQuery("g0"))).position is None
+            assert not (await ask(daemon, PromiseQuery(0, "h0", 1, 1, 1, 1))).granted
+            deployment.stand_ins.store.fault = ""
+            await until(lambda: gateway.eras.fleet_known)
+            await until(lambda: gateway.renewal.registered)
+            answer = await ask(daemon, confirmation_query(gateway))
+            assert answer.granted
+            assert answer.fleet_known
+
+        run_deployed(tmp_path, check, hosts=2)
+
+    def test_gives_up_what_it_does_not_use(self, tmp_path):
+        # It knows the claim from then on, and has no lease, so the fence may count it.
+        async def check(deployment):
+            daemon = await start_without(deployment, tmp_path, "down", [FLEET_TABLE])
+            era = daemon.gateway.eras.current
+            version = StoreVersion.from_parts(era, 9)
+            claim = Claim("h0", "nonce", "g0-1", previous_term=1)
+            order = FenceOrder(GroupClaim("g0", version, claim), era)
+            answer = await ask(daemon, order)
+            assert answer.given_up
+            answer = await ask(daemon, confirmation_query(daemon.gateway))
+            assert [row.version for row in answer.claims] == [version]
+            assert not answer.granted
+
+        run_deployed(tmp_path, check, hosts=2)
+
+    def test_replaces_no_leader(self, tmp_path):
+        """Guards against a promotion that asks none of the other hosts."""
+
+        async def check(deployment):
+            daemon = await start_without(deployment, tmp_path, "down", [FLEET_TABLE])
+            gateway = daemon.gateway
+            for other in deployment.daemons[:-1]:
+                other.gateway.replacement.leaving = True
+            deployment.stand_ins.targets[0].stop()
+            group = gateway.env.group("g0")
+            await gateway.replacement.check_leader(group)
+            assert "has not read the store" in group.leadership.obstacle
+            assert deployment.stand_ins.store.promotions == []
+            number = deployment.daemons.index(daemon)
+            assert deployment.events("promotion.claimed", number) == []
+
+        run_deployed(tmp_path, check, hosts=2)
+
+    @pytest.mark.parametrize("fault", FAULTS)
+    def test_tells_no_client_that_its_database_is_unknown(self, tmp_path, fault):
+        """Guards against a final answer from a host without a configuration."""
+
+        async def check(deployment):
+            tables = UNREAD_TABLES[0]
+            daemon = await start_without(deployment, tmp_path, fault, tables)
+            number = deployment.daemons.index(daemon)
+            started_s = time.monotonic()
+            _, answer = await deployment.start("never-existed", number)
+            assert "NODB" not in answer
+            assert time.monotonic() - started_s < 2.0
+            deployment.stand_ins.store.fault = ""
+            await until(lambda: daemon.gateway.ready)
+            _, answer = await deployment.start("never-existed", number)
+            assert "NODB" in answer
+
+        run_deployed(tmp_path, check)
+
+
+class TestRestartDuringAnOutage:
+    @pytest.mark.parametrize("how", ["down", "reset", "silent"])
+    def test_hosts_learn_their_claims_from_the_store_again(self, tmp_path, how):
+        """Guards against a replaced leader that is used again after a restart."""
+
+        async def check(deployment):
+            stand_ins = deployment.stand_ins
+            gateways = [daemon.gateway for daemon in deployment.daemons]
+            await until(lambda: all(gateway.renewal.registered for gateway in gateways))
+            claim = {
+                "holder": "other",
+                "nonce": "n",
+                "target": "g0-1",
+                "phase": "claimed",
+                "previous_term": 1,
+            }
+            stand_ins.store.put(FLEET_TABLE, "claim/g0", claim)
+            await until(
+                lambda: all(g.replacement.claims.get("g0").version for g in gateways)
+            )
+            stand_ins.store.go_away(how)
+            path, _ = stand_ins.node_file(tmp_path, "again")
+            daemon = PlatformDaemon(load_node_settings(str(path)))
+            deployment.daemons.append(daemon)
+            await daemon.start()
+            await asyncio.sleep(WAIT_S)
+            asked = await ask(daemon, confirmation_query(daemon.gateway))
+            assert not asked.granted
+            assert not await daemon.gateway.renewal.ensure(0.2 * MS_PER_S)
+            remembered = await ask(
+                deployment.daemons[0], confirmation_query(gateways[0])
+            )
+            assert [row.group for row in remembered.claims] == ["g0"]
+            stand_ins.store.away = ""
+            stand_ins.store._returned.set()
+            await until(lambda: daemon.gateway.replacement.claims.get("g0").version)
+            assert daemon.gateway.eras.fleet_known
+
+        run_deployed(tmp_path, check, hosts=2)
