fix: a host that has just started does not count as one that misses the leader

Callers saw: nothing traced to it yet. A leader that all hosts but one reach could be replaced while the others start, and the commits that the replicas lacked were rolled back.

Cause: a survey counts the hosts that answered and don't see the leader. A host that has not read its targets, claims and hosts yet answers at once, names no leader, and was counted so.

Change: a view says whether its host is informed. One that is not shows that the host runs, for the decision whether the asking host is cut off, and says nothing about the leader. `promotion.weighed` logs how many were informed. An older build counts such views as before, and its own views count as informed.

--- a/packages/fennelhilld/src/fennelhilld/fleet/http.py
+++ b/packages/fennelhilld/src/fennelhilld/fleet/http.py
@@ -24,7 +24,7 @@
 
     async def get(self) -> None:
         group = self._gateway.groups.get(self.get_query_argument("group"))
-        view = LeaderView()
+        view = LeaderView(host=self._gateway.host, informed=False)
         if group is not None:
             target = self.get_query_argument("target")
             view = await self._gateway.replacement.leader_view(group, target)
--- a/packages/fennelhilld/src/fennelhilld/promotion/choice.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/choice.py
@@ -72,15 +72,23 @@
     Returns
     -------
     bool
-        True if fewer than half of the hosts that answered still see the leader,
-        counting this host as one that answered and does not see it.  False if other
-        hosts were queried and none answered, because this host may be cut off.
+        True if fewer than half of the informed hosts that answered still see the
+        leader, counting this host as one that answered and does not see it.  False if
+        other hosts were queried and no informed one answered, because this host may be
+        cut off, or all others may have just started.
     """
-    views = survey.views
-    if survey.queried and not views:
+    informed = _informed(survey.views)
+    if survey.queried and not informed:
         return False
-    seeing = sum(view.sees and view.leader == target_id for view in views)
-    return 2 * seeing < len(views) + 1
+    return 2 * _seeing(informed, target_id) < len(informed) + 1
+
+
+def _informed(views: list[LeaderView]) -> list[LeaderView]:
+    return [view for view in views if view.informed]
+
+
+def _seeing(views: list[LeaderView], target_id: str) -> int:
+    return sum(view.sees and view.leader == target_id for view in views)
 
 
 def answered_by_most(views: list[LeaderView], queried: int) -> bool:
@@ -122,9 +130,11 @@
     if not answered_by_most(views, queried):
         return False
     missing = queried - len(views)
-    seeing = sum(view.sees and view.leader == target_id for view in views)
-    lost = 2 * (seeing + missing) < len(views) + missing + 1
-    return lost or 2 * seeing >= queried + 1
+    informed = _informed(views)
+    seeing = _seeing(informed, target_id)
+    most_counted = len(informed) + missing + 1
+    lost = 2 * (seeing + missing) < most_counted
+    return lost or 2 * seeing >= most_counted
 
 
 def turn_delay_ms(host: str, other_hosts: list[str], group: str) -> float:
--- a/packages/fennelhilld/src/fennelhilld/promotion/messages.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/messages.py
@@ -146,12 +146,16 @@
         either as the leader or as busy.
     host : str
         The host that answers.
+    informed : bool
+        Whether the host has read its hosts, claims and targets since its start.  If
+        not, it can't tell whether the leader is lost; it only shows that it runs.
     """
 
     leader: str = ""
     term: int = 0
     sees: bool = False
     host: str = ""
+    informed: bool = True
 
 
 class Survey(msgspec.Struct):
--- a/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/replacement.py
@@ -312,8 +312,13 @@
             else ProbeResult(False)
         )
         leadership = group.leadership
-        sees = result.answered and (result.status is None or result.status.leads)
-        return LeaderView(leadership.leader_id or "", leadership.term, sees, self.host)
+        return LeaderView(
+            leadership.leader_id or "",
+            leadership.term,
+            result.answered and (result.status is None or result.status.leads),
+            self.host,
+            self._eras.fleet_known and bool(group.targets),
+        )
 
     async def _probe_candidates(
         self, group: GroupState, leader: TargetState | None
@@ -481,6 +486,7 @@
             target=target_id,
             asked=survey.queried,
             answered=len(survey.views),
+            informed=sum(view.informed for view in survey.views),
             seeing=sum(view.sees for view in survey.views),
             lost=lost,
         )
--- a/packages/fennelhilld/src/fennelhilld/promotion/tests/test_choice.py
+++ b/packages/fennelhilld/src/fennelhilld/promotion/tests/test_choice.py
@@ -4,6 +4,7 @@
 
 import itertools
 
+import pytest
 from fennelhill_core.tokens import Position
 from fennelhilld.links.messages import TargetStatus
 from fennelhilld.promotion.choice import (
@@ -65,29 +66,44 @@
     def test_in_a_fleet_of_one(self):
         assert leader_is_lost(survey(0), "p")
 
+    @pytest.mark.parametrize("seeing", [[], [True]])
+    def test_not_because_of_hosts_that_have_just_started(self, seeing):
+        """Guards against a replaced leader that all hosts but one still reach."""
+        answers = survey(5, *seeing).views
+        answers += [LeaderView(informed=False)] * (5 - len(answers))
+        assert not leader_is_lost(Survey(5, answers), "p")
+        assert survey_is_decided(answers, 5, "p")
+
+    def test_if_the_informed_hosts_do_not_see_it(self):
+        answers = [*survey(5, False).views, *[LeaderView(informed=False)] * 4]
+        assert leader_is_lost(Survey(5, answers), "p")
+
 
 class TestSurveyIsDecided:
     def test_only_if_no_missing_answer_changes_the_result(self):
         """Guards against a leader replaced on too few answers."""
-        for queried in range(1, 8):
-            for answered in range(queried + 1):
+        for queried, starting in itertools.product(range(1, 8), range(3)):
+            for answered in range(queried - starting + 1):
                 for seeing in range(answered + 1):
                     views = survey(
                         queried, *(number < seeing for number in range(answered))
                     ).views
+                    views += [LeaderView(informed=False)] * starting
                     if not survey_is_decided(views, queried, "p"):
                         continue
-                    assert 2 * (answered + 1) > queried + 1
-                    later = itertools.product((None, False, True), repeat=3)
+                    assert 2 * (len(views) + 1) > queried + 1
+                    choices = [None, *survey(2, False, True).views]
+                    choices.append(LeaderView(informed=False))
+                    later = itertools.product(choices, repeat=3)
                     results = {
                         leader_is_lost(
                             Survey(
                                 queried,
                                 views
                                 + [
-                                    LeaderView("p", 1, sees)
-                                    for sees in answers[: queried - answered]
-                                    if sees is not None
+                                    view
+                                    for view in answers[: queried - len(views)]
+                                    if view is not None
                                 ],
                             ),
                             "p",
--- a/scenarios/adapter/test_forgetful_hosts.py
+++ b/scenarios/adapter/test_forgetful_hosts.py
@@ -115,6 +115,29 @@
 
         run_deployed(tmp_path, check, hosts=2)
 
+    def test_does_not_count_as_one_that_misses_the_leader(self, tmp_path):
+        """Guards against a leader replaced by the word of hosts that know none."""
+
+        async def check(deployment):
+            daemon = await start_without(deployment, tmp_path, "down", [FLEET_TABLE])
+            asking = deployment.daemons[0]
+            asking.gateway.replacement.leaving = True
+            deployment.stand_ins.targets[0].stop()
+            asking.gateway.put_member(
+                "starting",
+                daemon.settings.peer_address,
+                "a",
+                asking.gateway.roster.version,
+            )
+            survey = await asking.peers.survey("g0", "g0-0")
+            assert [view.informed for view in survey.views] == [False]
+            group = asking.gateway.env.group("g0")
+            assert not asking.gateway.replacement._fleet_confirms_loss(group, survey)
+            presence = await asking.peers.survey("", "")
+            assert len(presence.views) == 1
+
+        run_deployed(tmp_path, check)
+
     @pytest.mark.parametrize("fault", FAULTS)
     def test_tells_no_client_that_its_database_is_unknown(self, tmp_path, fault):
         """Guards against a final answer from a host without a configuration."""
