fix: a host that knows no other one opens one link to each target

Callers saw: nothing traced to it yet. The targets refuse connections beyond their limit (TOOMANY) to all hosts.

Cause: a host's share of a target's connections follows from the list of hosts. Before it has read that list it counted all connections as its own, and as an owner it would open them for what other hosts send.

Change: one link until the list was read. Ruled out: the first 500 ms after a start, which had that bound already; a store that fails a host's first reads lasts longer.

Without the change test_takes_no_connections_of_hosts_that_it_does_not_know fails.

--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -766,6 +766,8 @@
             At least 1.
         """
         share = self.ownership.of(entry)
+        if not self.eras.fleet_known:
+            return 1  # The connections may be those of hosts that it does not know.
         starting = self._clock.now_ms() - self._started_ms < STARTUP_PHASE_MS
         # One link would be that of one organisation; set-ups have a bound of their own.
         if starting and share.owns and not self.ownership.names_organisations:
--- a/scenarios/adapter/test_forgetful_hosts.py
+++ b/scenarios/adapter/test_forgetful_hosts.py
@@ -97,6 +97,21 @@
 
         run_deployed(tmp_path, check, hosts=2)
 
+    def test_takes_no_connections_of_hosts_that_it_does_not_know(self, tmp_path):
+        """Guards against an owner that counts all connections as its own."""
+
+        async def check(deployment):
+            daemon = await start_without(deployment, tmp_path, "down", [FLEET_TABLE])
+            gateway = daemon.gateway
+            entry = gateway.directory.get("g0-0")
+            assert gateway.link_limit(entry) == 1
+            assert gateway.window_limit(entry) == 1
+            deployment.stand_ins.store.fault = ""
+            await until(lambda: gateway.renewal.registered)
+            assert gateway.link_limit(entry) > 1
+
+        run_deployed(tmp_path, check)
+
     def test_replaces_no_leader(self, tmp_path):
         """Guards against a promotion that asks none of the other hosts."""
 
