fix: a host is not ready before it knows the other hosts

Callers saw: refusals of a host that can't serve them. After a start in which the store answers the reads of the configuration and the targets but not that of the fleet, the host was ready, and without a lease it refused all writes and current reads.

Cause: readiness asked for a configuration and a target only.

Change: it asks for the list of hosts as well. The test of foreign entries, whose host had read nothing, records that it has read the fleet.

--- a/packages/fennelhilld/src/fennelhilld/gateway.py
+++ b/packages/fennelhilld/src/fennelhilld/gateway.py
@@ -240,12 +240,14 @@
     def ready(self) -> bool:
         """Whether clients may connect to this host.
 
-        It needs a catalog and at least one target of its groups, and must be neither
-        leaving nor cut off from the fleet, nor bound to refuse operations for an
-        outdated catalog.
+        It needs a catalog, the list of hosts and at least one target of its groups, and
+        must be neither leaving nor cut off from the fleet, nor bound to refuse
+        operations for an outdated catalog.
         """
+        groups = self._named_groups()
         return (
-            any(self.directory.of_group(group.name) for group in self._named_groups())
+            self.eras.fleet_known
+            and any(self.directory.of_group(group.name) for group in groups)
             and not self.env.leaving
             and not self.replacement.reach.cut_off
             and not self.env.catalog_outdated
--- a/scenarios/adapter/test_foreign_rows.py
+++ b/scenarios/adapter/test_foreign_rows.py
@@ -162,6 +162,7 @@
             gateway = SessionGateway(
                 "h", "z", DriverModel({}), clock, EventLog("h", "z", clock)
             )
+            gateway.eras.record_fleet_read()
             gateway.put_target(TargetEntry("i-other", "other", "10.0.0.1:1", "z"))
             gateway.install_catalog(Catalog(1, {}, {GROUP: Group(GROUP)}))
             assert not gateway.ready
--- a/scenarios/adapter/test_forgetful_hosts.py
+++ b/scenarios/adapter/test_forgetful_hosts.py
@@ -97,6 +97,20 @@
 
         run_deployed(tmp_path, check, hosts=2)
 
+    @pytest.mark.parametrize("fault", FAULTS)
+    @pytest.mark.parametrize("tables", UNREAD_TABLES)
+    def test_is_not_ready_before_it_can_serve(self, tmp_path, fault, tables):
+        """Guards against clients that are sent to a host that refuses them."""
+
+        async def check(deployment):
+            daemon = await start_without(deployment, tmp_path, fault, tables)
+            number = deployment.daemons.index(daemon)
+            assert await deployment.ready_status(number) == 503
+            deployment.stand_ins.store.fault = ""
+            await until(lambda: daemon.gateway.ready)
+
+        run_deployed(tmp_path, check)
+
     def test_takes_no_connections_of_hosts_that_it_does_not_know(self, tmp_path):
         """Guards against an owner that counts all connections as its own."""
 
