test: hosts of the simulation that start again while the store is away

A zone is cut off with its primary, the other hosts replace it, the store goes away, some of them start again, and the cut heals. The random faults of the recovery tests restart any hosts while the store is down.

The simulation was more lenient than the platform in two places: a replaced leader noticed the new one up to a second too early, and the targets' entries reached the hosts while the store was down.

--- a/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/simulation.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/simulation.py
@@ -790,7 +790,7 @@
     async def promote(self, model: GroupModel, target_id: str) -> None:
         """Carry a promotion out, then publish the new entries of the targets."""
         await model.promote(target_id)
-        await self.clock.sleep_ms(FEED_DELAY_MS)
+        await self._wait_for_feed()
         for gateway in self.gateways:
             if gateway.host in self.hosts_without_store:
                 continue
@@ -798,6 +798,12 @@
                 if self._cut == Cut() or (target.isolated == self._cut.store_inside):
                     gateway.put_target(self.target_entry(model, target.id))
 
+    async def _wait_for_feed(self) -> None:
+        """Wait until the hosts receive what the targets write to the store now."""
+        while self.store.down:
+            await self.clock.sleep_ms(READ_RETRY_MS)
+        await self.clock.sleep_ms(FEED_DELAY_MS)
+
     def partition(self, hosts: set[str], targets: set[str]) -> None:
         """Cut hosts and targets off from all others, and from the store.
 
@@ -853,7 +859,7 @@
             for target in model.targets.values()
             if cut == Cut() or (target.id in cut.targets) == cut.store_inside
         ]
-        await self.clock.sleep_ms(FEED_DELAY_MS)
+        await self._wait_for_feed()
         for gateway in self.gateways:
             if gateway.host not in self.hosts_without_store:
                 for target in listed:
--- a/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/targets.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/targets.py
@@ -317,9 +317,9 @@
                 self.spawn(self._replicate(target.upstream, target, length))
 
     async def _notice_new_leader(self, old_leader: TargetModel) -> None:
-        await self.clock.sleep_ms(NOTICE_MS)
         while not old_leader.reaches(self.leader):
-            await self.clock.sleep_ms(NOTICE_MS)
+            await self.clock.sleep_ms(REACH_CHECK_MS)
+        await self.clock.sleep_ms(NOTICE_MS)
         self.demote(old_leader, self.leader.term)
 
     async def _replicate(
--- a/scenarios/test_recovery.py
+++ b/scenarios/test_recovery.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 
 import pytest
@@ -253,6 +254,7 @@
                     self.store_down,
                     self.store_down_for_a_host,
                     self.cut_while_store_is_down,
+                    self.restart_while_store_is_down,
                 ]
             )
             await fault(self.random.choice([1_500.0, 4_000.0, 9_000.0]))
@@ -306,6 +308,16 @@
         await self.simulation.clock.sleep_ms(duration_ms)
         self.simulation.hosts_without_store = set()
 
+    async def restart_while_store_is_down(self, duration_ms):
+        names = [gateway.host for gateway in self.simulation.gateways]
+        restarted = self.random.sample(names, self.random.randint(1, len(names)))
+        self.simulation.store.down = True
+        await asyncio.gather(
+            *(self.simulation.restart_host(name, 500.0) for name in restarted)
+        )
+        await self.simulation.clock.sleep_ms(duration_ms)
+        self.simulation.store.down = False
+
     async def cut_while_store_is_down(self, duration_ms):
         self.simulation.store.down = True
         await self.cut_zone(duration_ms)
--- a/scenarios/test_stale_reads.py
+++ b/scenarios/test_stale_reads.py
@@ -6,6 +6,7 @@
 import random
 
 import pytest
+from fennelhill_bench.session_simulation.liveness import LivenessCheck
 from fennelhill_bench.session_simulation.simulation import (
     Cut,
     CutKind,
@@ -16,9 +17,11 @@
 from fennelhilld.leader_lease.state import LeaderLease
 from fennelhilld.links.messages import CommandKind
 from fennelhilld.promotion.messages import Claim, ClaimPhase, ClaimRow
+from fennelhilld.store_era.state import EraWatch
 
 CLIENTS = 20
 ZONES = 3
+RECOVERY_MS = 4_000.0
 
 
 def cut_off_with_primary(
@@ -82,6 +85,60 @@
         )
 
 
+def zone_cut_off_from_hosts_that_forget(seed, restarted=4, groups=1):
+    """Restart hosts of the other zones while the store is away, then heal the cut."""
+
+    async def main():
+        traits = Traits(old_leader_goes_on=True, service_ms=3.0)
+        simulation = SessionSimulation(seed, 6, groups, traits=traits, zones=ZONES)
+        random_state = random.Random(seed)
+        clock = simulation.clock
+        load = asyncio.ensure_future(simulation.run_clients(CLIENTS, 13_000.0))
+        await clock.sleep_ms(800)
+        zone = simulation.gateways[0].zone
+        inside = {host.host for host in simulation.gateways if host.zone == zone}
+        outside = [host.host for host in simulation.gateways if host.zone != zone]
+        primaries = frozenset(model.leader.id for model in simulation.groups.values())
+        simulation.cut(Cut(frozenset(inside), primaries))
+        await clock.sleep_ms(random_state.uniform(1_200.0, 6_000.0))
+        simulation.store.down = True
+        forgetting = [
+            asyncio.ensure_future(simulation.restart_host(host, 500.0))
+            for host in random_state.sample(outside, restarted)
+        ]
+        await clock.sleep_ms(random_state.uniform(550.0, 1_500.0))
+        simulation.cut(Cut())
+        await clock.sleep_ms(random_state.uniform(500.0, 3_000.0))
+        simulation.store.down = False
+        await asyncio.gather(load, *forgetting)
+        violations = simulation.observer.check_final_logs(simulation.groups)
+        recovered = await LivenessCheck(simulation, RECOVERY_MS).run()
+        simulation.close()
+        return simulation, violations, recovered
+
+    return run_virtual(main())
+
+
+class TestHostsThatForget:
+    """Hosts that replaced a primary start again while nobody reads the store."""
+
+    @pytest.mark.parametrize("restarted", [2, 4])
+    @pytest.mark.parametrize("seed", [2, 4, 6])
+    def test_give_no_zone_its_replaced_primary_back(self, seed, restarted):
+        """Guards against reads and writes at a primary that was replaced."""
+        simulation, violations, refusing = zone_cut_off_from_hosts_that_forget(
+            seed, restarted
+        )
+        assert violations == []
+        assert refusing == []
+        assert simulation.observer.reads > 500
+
+    def test_are_noticed_if_they_vouch_for_what_they_do_not_know(self, monkeypatch):
+        monkeypatch.setattr(EraWatch, "may_vouch", True)
+        _, violations, _ = zone_cut_off_from_hosts_that_forget(2)
+        assert any("stale read" in text for text in violations)
+
+
 def random_cut(simulation, random_state):
     """Return a cut of a zone, or of any hosts, mostly with the primary inside."""
     model = simulation.groups["g0"]
