test: promises and ages of configurations that a starting host gives

Ruled out: an election of an issuer counts no promise of a host that does not know the hosts of its zone, and a configuration that a starting host got from another one counts as heard of when that host heard of it, not when it was passed on.

Measured: both tests pass on the code as it was.

--- a/scenarios/adapter/test_forgetful_hosts.py
+++ b/scenarios/adapter/test_forgetful_hosts.py
@@ -22,6 +22,7 @@
     SampleQuery,
 )
 from fennelhilld.promotion.messages import Claim
+from fennelhilld.quotas.election import ZoneHosts
 from fennelhilld.quotas.messages import PromiseQuery
 
 FAULTS = ["down", "busy", "silent"]
@@ -29,6 +30,14 @@
 UNREAD_TABLES = [[CONFIGURATION_TABLE, FLEET_TABLE], [TARGET_TABLE], [FLEET_TABLE]]
 # Longer than a host waits for a first read and for connections at its start.
 WAIT_S = 0.8
+MAX_ERROR_MS = 100.0
+
+
+def limit_organisations(stand_ins):
+    stand_ins.bounds["quota_window_s"] = 5
+    stand_ins.organisations = [
+        {"name": "o", "keys": ["k"], "routes": [], "ops_per_s": 100, "burst": 10}
+    ]
 
 
 async def start_without(deployment, tmp_path, fault, tables):
@@ -71,7 +80,6 @@
                 assert answer.claims_version == 0
             assert FLEET_TABLE not in (await ask(daemon, TableQuery())).tables
             assert (await ask(daemon, SampleQuery("g0"))).position is None
-            assert not (await ask(daemon, PromiseQuery(0, "h0", 1, 1, 1, 1))).granted
             deployment.stand_ins.store.fault = ""
             await until(lambda: gateway.eras.fleet_known)
             await until(lambda: gateway.renewal.registered)
@@ -186,6 +194,42 @@
 
         run_deployed(tmp_path, check)
 
+    def test_promises_no_issuer_of_permits(self, tmp_path):
+        """Guards against two issuers in a zone, one of which does not know its hosts."""
+
+        async def check(deployment):
+            daemon = await start_without(deployment, tmp_path, "down", [FLEET_TABLE])
+            names = frozenset(["h0", "h1", "starting"])
+            first = ZoneHosts("a", names).candidates(0)[0]
+            version = StoreVersion.from_parts(daemon.gateway.eras.current + 1, 0)
+            query = PromiseQuery(first, daemon.clock.wall_ms(), 0, version, 0, 1)
+            assert not (await ask(daemon, query)).granted
+            deployment.stand_ins.store.fault = ""
+            await until(lambda: len(daemon.gateway.roster) == 2)
+            await until(lambda: daemon.gateway.quotas._knows_roster)
+            assert (await ask(daemon, query)).granted
+
+        run_deployed(tmp_path, check, hosts=2, prepare=limit_organisations)
+
+    def test_passes_on_how_old_the_configuration_of_another_host_is(self, tmp_path):
+        """Guards against withdrawn keys of a configuration that counts as confirmed."""
+
+        async def check(deployment):
+            stand_ins = deployment.stand_ins
+            stand_ins.store.fault = "silent"
+            stand_ins.store.fault_tables = {CONFIGURATION_TABLE}
+            stand_ins.configure()  # Ends the poll; the next one gets no answer.
+            stale_s = time.monotonic()
+            await asyncio.sleep(WAIT_S)
+            tables = [CONFIGURATION_TABLE]
+            daemon = await start_without(deployment, tmp_path, "silent", tables)
+            await until(lambda: daemon.gateway.catalog.current)
+            least_ms = (time.monotonic() - stale_s) * MS_PER_S - MAX_ERROR_MS
+            assert daemon.intake.age_ms >= least_ms
+            assert deployment.daemons[0].intake.age_ms >= least_ms
+
+        run_deployed(tmp_path, check)
+
 
 class TestRestartDuringAnOutage:
     @pytest.mark.parametrize("how", ["down", "reset", "silent"])
