--- a/scenarios/adapter/test_forgetful_hosts.py
+++ b/scenarios/adapter/test_forgetful_hosts.py
@@ -195,7 +195,7 @@
         run_deployed(tmp_path, check)
 
     def test_promises_no_issuer_of_permits(self, tmp_path):
-        """Guards against two issuers in a zone, one of which does not know its hosts."""
+        """Guards against two issuers in a zone that one of them does not know."""
 
         async def check(deployment):
             daemon = await start_without(deployment, tmp_path, "down", [FLEET_TABLE])
