--- a/scenarios/adapter/test_forgetful_hosts.py
+++ b/scenarios/adapter/test_forgetful_hosts.py
@@ -8,7 +8,12 @@
 import pytest
 from adapter.daemon import PlatformDaemon
 from adapter.node import load_node_settings
-from adapter.store import CONFIGURATION_TABLE, FLEET_TABLE, TARGET_TABLE
+from adapter.store import (
+    CONFIGURATION_TABLE,
+    FLEET_TABLE,
+    TARGET_TABLE,
+    StoreClient,
+)
 from adapter_deployment import run_deployed
 from fennelhill_bench.platform_stand_ins.platform import until
 from fennelhill_core.clock import MS_PER_S
@@ -270,3 +275,38 @@
             assert daemon.gateway.eras.fleet_known
 
         run_deployed(tmp_path, check, hosts=2)
+
+
+class TestHostThatRegisters:
+    @pytest.mark.parametrize("fault", FAULTS)
+    def test_gets_no_lease_before_it_knows_the_claims_made_until_then(
+        self, tmp_path, fault, monkeypatch
+    ):
+        """Guards against a lease of a host that the holder of a claim does not list."""
+
+        async def check(deployment):
+            store = deployment.stand_ins.store
+            path, _ = deployment.stand_ins.node_file(tmp_path, "new")
+            daemon = PlatformDaemon(load_node_settings(str(path)))
+            deployment.daemons.append(daemon)
+            gateway, put = daemon.gateway, StoreClient.put
+            # After the claim its holder reads the list of hosts, without the new one.
+            claim = {"holder": "h0", "nonce": "n", "target": "g0-1"}
+
+            async def put_after_a_claim(client, key, document):
+                # The poll that would deliver the claim gets no answer.
+                store.fault, store.fault_tables = fault, {FLEET_TABLE}
+                store.put(FLEET_TABLE, "claim/g0", {**claim, "phase": "claimed"})
+                await put(client, key, document)
+
+            monkeypatch.setattr(StoreClient, "put", put_after_a_claim)
+            await daemon.start()
+            await until(lambda: store.fault)
+            await asyncio.sleep(WAIT_S)
+            knows_claim = gateway.replacement.claims.get("g0").version > 0
+            assert knows_claim or not gateway.renewal.registered
+            store.fault = ""
+            await until(lambda: gateway.renewal.registered)
+            assert gateway.replacement.claims.get("g0").version > 0
+
+        run_deployed(tmp_path, check, hosts=2)
