--- a/review/stand_ins_2/platform_2.py
+++ b/review/stand_ins_2/platform_2.py
@@ -81,9 +81,21 @@
         self.rows: dict[tuple[str, str, str], dict] = {}
         self.version = 0
         self.history: list[dict] = []
+        self.down = False
+        self._first_version = 0
         self._changed = asyncio.Event()
         self.http = HttpServer(self._handle)
 
+    def drop_history(self) -> None:
+        """Discard all changes; feeds that continue from before get 410."""
+        self.history = []
+        self._first_version = self.version
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def put(self, table: str, key: str, document: dict) -> int:
         """Write a row as the operator or a server does."""
         value = base64.b64encode(json.dumps(document).encode()).decode()
@@ -105,21 +117,23 @@
                 gone = {"table": name["table"], "part": name["part"]}
                 gone |= {"key": name["key"], "ver": self.version, "removed": True}
                 self.history.append(gone)
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._wake()
         return self.version
 
     async def _handle(
         self, method: str, path: str, query: dict, headers: dict, body: bytes
     ) -> tuple[int, dict]:
         await asyncio.sleep(0.004)
+        if self.down:
+            return 503, {}
         stamp = {"now_ms": int(now_s() * MS_PER_S)}
         if path == "/-/rows-tx":
             return self._transact(json.loads(body), stamp)
         if path == "/-/rows-get":
             return 200, self._get(query) | stamp
         if path == "/-/rows-feed":
-            return 200, await self._feed(query) | stamp
+            page = await self._feed(query)
+            return (410, {}) if page is None else (200, page | stamp)
         return 404, {}
 
     def _transact(self, transaction: dict, stamp: dict) -> tuple[int, dict]:
@@ -154,12 +168,14 @@
             "ver": self.version,
         }
 
-    async def _feed(self, query: dict) -> dict:
+    async def _feed(self, query: dict) -> dict | None:
         after, table = int(query["after"]), query["table"]
         wait_ms = min(MAX_FEED_WAIT_MS, int(query.get("wait_ms", 0)))
         deadline_s = now_s() + wait_ms / MS_PER_S
         while True:
             changed = self._changed
+            if after < self._first_version:
+                return None
             rows = {
                 _key(row): row
                 for row in self.history
