--- a/review/12/case.py
+++ b/review/12/case.py
@@ -17,8 +17,8 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SHAPE = "q2c"
 ROUNDS = 5
-# Has the same 64-bit hash as the other shape: XXH64, which is not made to withstand such
-# a choice.  It was found in 100 s from the other shape's hash.
+# Has the same 64-bit hash as the other shape (XXH64, which does not withstand such a
+# choice); found from that hash in 100 s.
 CHOSEN_SHAPE = "c1v8hcsolhgff7n2g7z2o7ls"
 
 
