fix: shapes with one hash are not taken for one prepared statement

Cause: the XXH64 of a shape, which can be inverted, stood for the shape in three places: on a pooled connection, on a link through an owner, and at the owner, where it crossed hosts.

Ruled out: the clients' own names, which sessions keep apart, and RESET.

Change: shapes are compared by 256 bits of BLAKE2b, made once when they are prepared. Names on a connection to a target are counted, so they are made of nothing that a client sends; a connection keeps 256 and drops the least recently used with DEALLOC (without a bound before). A link through an owner keeps no shapes, as each batch carries its own. An owner executes by its own name and ignores the sender's.

Older builds: the batch is unchanged, and still carries the XXH64 name, by which an older owner prepares. An older sender's name is replaced by the owner. Without that replacement test_an_owner_executes_by_its_own_names fails.

--- a/packages/fennelhill-bench/src/fennelhill_bench/platform_stand_ins/lineserver.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/platform_stand_ins/lineserver.py
@@ -224,6 +224,8 @@
         return Command(COMMAND_KINDS[text], after=after)
     if text.startswith("DEMOTE "):
         return Command(CommandKind.DEMOTE, term=int(text.removeprefix("DEMOTE ")))
+    if text.startswith("DEALLOC "):
+        return Command(CommandKind.DEALLOCATE, name=text.removeprefix("DEALLOC "))
     word, name, rest = text.split(" ", 2)
     if word == "SET":
         return Command(CommandKind.SET_VALUE, name=name, value=rest)
--- a/packages/fennelhill-bench/src/fennelhill_bench/platform_stand_ins/upgrade.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/platform_stand_ins/upgrade.py
@@ -14,6 +14,7 @@
 from typing import NamedTuple
 
 from fennelhill_core.registry import Registry
+from fennelhilld.links.messages import TargetFault
 
 from fennelhill_bench.platform_stand_ins.demo import (
     KEYS,
@@ -31,6 +32,7 @@
 CLIENTS = 24
 MEAN_PAUSE_MS = 25.0
 NEXT_OPERATION_PROBABILITY = 0.92  # that a client sends one more operation
+SHAPES = ("qa", "qb", "qc")
 BETWEEN_HOSTS_S = 0.8
 STOP_TIMEOUT_S = 8.0
 STORE_AWAY_S = 2.0
@@ -124,6 +126,8 @@
         self.results: Counter[str] = Counter()
         self.acknowledged: set[str] = set()
         self.refused: set[str] = set()
+        # What each request executes: whether it writes, and its shape.
+        self.executed: dict[str, tuple[bool, str]] = {}
         self.problems: list[str] = []
         self._daemons: dict[str, asyncio.subprocess.Process] = {}
         self._settings: dict[str, tuple[Path, dict]] = {}
@@ -230,6 +234,8 @@
         """Run one operation; return whether the session can go on."""
         if database == "aged":
             return await self._statement(client, "READ item", writes=False)
+        if self._random.random() < 0.3:
+            return await self._prepared_statement(client)
         if self._random.random() < 0.5:
             writes = self._random.random() < 0.5
             text = "WRITE item data" if writes else "READ item"
@@ -240,8 +246,25 @@
                 return False
         return True
 
-    async def _statement(self, client: LineClient, text: str, writes: bool) -> bool:
+    async def _prepared_statement(self, client: LineClient) -> bool:
+        writes, shape = self._random.random() < 0.5, self._random.choice(SHAPES)
+        kind = "WRITE" if writes else "READ"
+        if not await self._statement(client, f"PREPARE s1 {kind} {shape}", False):
+            return False
+        return await self._statement(
+            client, "EXECUTE s1 item data", writes, executes=(writes, shape)
+        )
+
+    async def _statement(
+        self,
+        client: LineClient,
+        text: str,
+        writes: bool,
+        executes: tuple[bool, str] | None = None,
+    ) -> bool:
         request = f"{next(self._numbers):x}"
+        if executes is not None:
+            self.executed[request] = executes
         answer = await client.ask(request, text)
         if answer[-1] == "":
             # A host that stops may close an idle session, but a whole request that it
@@ -255,6 +278,8 @@
                 self.acknowledged.add(request)
             return True
         self.results[first[1]] += 1
+        if TargetFault.UNKNOWN_PREPARED.value in answer[0]:
+            self.problems.append(f"a prepared statement is unknown: {answer[0]}")
         if writes and first[1] in NOT_RUN_WORDS:
             self.refused.add(request)
         return False
@@ -265,6 +290,14 @@
         doubled = sorted(name for name, count in commits.items() if count > 1)
         lost = [request for request in self.acknowledged if request not in commits]
         ran_though_refused = [request for request in self.refused if request in commits]
+        other_shapes = [
+            request
+            for request, executed in self.executed.items()
+            for run in self.stand_ins.observer.runs.get(request, ())
+            if run.prepared != executed
+        ]
+        if other_shapes:
+            self.problems.append(f"{len(other_shapes)} statements ran another shape")
         if doubled:
             self.problems.append(f"{len(doubled)} writes ran twice")
         if lost and trouble != "primary_lost":
@@ -279,6 +312,7 @@
         print(
             f"upgrade {self._older.name} -> {self._newer.name} -> {self._older.name}, "
             f"{trouble}: operations={total} served={served:.3f} "
+            f"prepared={len(self.executed)} "
             f"doubled={len(doubled)} lost={len(lost)} "
             f"other_results={dict(self.results - Counter(served=total))}"
         )
--- a/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/targets.py
+++ b/packages/fennelhill-bench/src/fennelhill_bench/session_simulation/targets.py
@@ -501,6 +501,11 @@
         self.prepared[command.name] = (command.writes, command.value)
         return self._answer()
 
+    def _run_deallocate(self, command: Command) -> TargetAnswer:
+        if self.prepared.pop(command.name, None) is None:
+            return self._answer(TargetFault.UNKNOWN_PREPARED)
+        return self._answer()
+
     def _run_reset(self, command: Command) -> TargetAnswer:
         self.values = {}
         self.prepared = {}
--- a/packages/fennelhilld/src/fennelhilld/links/lease.py
+++ b/packages/fennelhilld/src/fennelhilld/links/lease.py
@@ -29,7 +29,12 @@
     CommandKind.COMMIT,
 }
 _REPLAY_KINDS = frozenset(
-    {CommandKind.SET_VALUE, CommandKind.PREPARE, CommandKind.RESET}
+    {
+        CommandKind.SET_VALUE,
+        CommandKind.PREPARE,
+        CommandKind.DEALLOCATE,
+        CommandKind.RESET,
+    }
 )
 
 
--- a/packages/fennelhilld/src/fennelhilld/links/messages.py
+++ b/packages/fennelhilld/src/fennelhilld/links/messages.py
@@ -25,6 +25,7 @@
     ROLLBACK = "rollback"
     SET_VALUE = "set_value"
     PREPARE = "prepare"
+    DEALLOCATE = "deallocate"
     RESET = "reset"
     STATUS = "status"
     DEMOTE = "demote"
--- a/packages/fennelhilld/src/fennelhilld/links/state.py
+++ b/packages/fennelhilld/src/fennelhilld/links/state.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+import hashlib
+import itertools
 from collections.abc import Callable
 
-import msgspec
 import xxhash
 
 from fennelhilld.links.messages import Command, CommandKind, TargetLink
 
+# Prepared statements that a connection to a target keeps.
+MAX_PREPARED = 256
+DIGEST_BYTES = 32
 
-class PreparedShape(msgspec.Struct, frozen=True):
+
+class PreparedShape:
     """A prepared statement, regardless of the name that a client gave it.
 
     Parameters
@@ -21,12 +26,24 @@
         Text that defines the statement, as the client gave it; without arguments.
     """
 
-    writes: bool
-    shape: str
+    __slots__ = ("key", "shape", "writes")
+
+    def __init__(self, writes: bool, shape: str) -> None:
+        self.writes = writes
+        self.shape = shape
+        # Stands for the whole text, of up to 1 MiB, wherever shapes are compared.
+        # Clients choose the text, so the hash has to resist collisions.
+        digest = hashlib.blake2b(shape.encode(), digest_size=DIGEST_BYTES).digest()
+        self.key: tuple[bool, bytes] = (writes, digest)
 
     @property
-    def link_name(self) -> str:
-        """Name on links, the same for all clients that prepare this shape."""
+    def relay_name(self) -> str:
+        """Name of the prepared statement in batches to owners.
+
+        Owners of builds up to a6da826 prepare the shape under this name and don't
+        rename what they are sent.  Other shapes may have the same name, so nothing may
+        be looked up by it beyond one batch.
+        """
         kind = "w" if self.writes else "r"
         return f"f{kind}{xxhash.xxh64_hexdigest(self.shape.encode())}"
 
@@ -55,6 +72,8 @@
     """
 
     __slots__ = (
+        "_names",
+        "_prepared",
         "busy_since_ms",
         "connection",
         "end_transaction",
@@ -62,7 +81,6 @@
         "opened_ms",
         "organisation",
         "paused",
-        "prepared",
         "rests_since_ms",
         "through_owner",
         "values",
@@ -76,7 +94,9 @@
         # Whether an owner picks the connection to the target for each batch.
         self.through_owner: bool = getattr(connection, "through_owner", False)
         self.values: dict[str, str] = {}
-        self.prepared: set[str] = set()
+        # Names on the connection by key of the shape, the least recently used first.
+        self._prepared: dict[tuple[bool, bytes], str] = {}
+        self._names = itertools.count(1)
         self.opened_ms = now_ms
         self.idle_since_ms = now_ms
         self.busy_since_ms = now_ms
@@ -126,19 +146,53 @@
         if self.values.keys() - context.values.keys():
             commands.append(Command(CommandKind.RESET))
             self.values = {}
-            self.prepared = set()
+            self.forget_prepared()
         for name, value in context.values.items():
             if self.values.get(name) != value:
                 commands.append(Command(CommandKind.SET_VALUE, name=name, value=value))
                 self.values[name] = value
-        if needed is not None and needed.link_name not in self.prepared:
-            commands.append(
-                Command(
-                    CommandKind.PREPARE,
-                    name=needed.link_name,
-                    value=needed.shape,
-                    writes=needed.writes,
-                )
-            )
-            self.prepared.add(needed.link_name)
+        if needed is not None:
+            commands += self._prepare(needed)
         return commands
+
+    def prepared_name(self, shape: PreparedShape | None) -> str:
+        """Return the name by which the link executes a prepared statement.
+
+        Parameters
+        ----------
+        shape : PreparedShape or None
+            The shape that `replay` was last called with.
+
+        Returns
+        -------
+        str
+            The name; empty without a shape.
+        """
+        if shape is None:
+            return ""
+        return shape.relay_name if self.through_owner else self._prepared[shape.key]
+
+    def forget_prepared(self) -> None:
+        """Prepare each statement again before its next use."""
+        self._prepared.clear()
+
+    def _prepare(self, shape: PreparedShape) -> list[Command]:
+        if self.through_owner:
+            # The owner may run each batch on another connection.
+            return [_prepare_command(shape.relay_name, shape)]
+        commands = []
+        name = self._prepared.pop(shape.key, "")
+        if not name:
+            if len(self._prepared) >= MAX_PREPARED:
+                unused = self._prepared.pop(next(iter(self._prepared)))
+                commands.append(Command(CommandKind.DEALLOCATE, name=unused))
+            name = f"f{next(self._names)}"
+            commands.append(_prepare_command(name, shape))
+        self._prepared[shape.key] = name
+        return commands
+
+
+def _prepare_command(name: str, shape: PreparedShape) -> Command:
+    return Command(
+        CommandKind.PREPARE, name=name, value=shape.shape, writes=shape.writes
+    )
--- a/packages/fennelhilld/src/fennelhilld/links/tests/test_state.py
+++ b/packages/fennelhilld/src/fennelhilld/links/tests/test_state.py
@@ -3,7 +3,14 @@
 from __future__ import annotations
 
 from fennelhilld.links.messages import CommandKind
-from fennelhilld.links.state import PooledLink, PreparedShape, SessionContext
+from fennelhilld.links.state import (
+    MAX_PREPARED,
+    PooledLink,
+    PreparedShape,
+    SessionContext,
+)
+
+SAME_XXH64 = ("q2c", "c1v8hcsolhgff7n2g7z2o7ls")
 
 
 def session(values=None, **prepared):
@@ -46,8 +53,49 @@
         assert second_commands == []
 
     def test_gives_reading_and_writing_shapes_different_names(self):
-        reading, writing = PreparedShape(False, "q"), PreparedShape(True, "q")
-        assert reading.link_name != writing.link_name
+        link = PooledLink(None, 0.0)
+        shapes = [PreparedShape(False, "q"), PreparedShape(True, "q")]
+        commands = [link.replay(session(), shape)[0] for shape in shapes]
+        assert [command.writes for command in commands] == [False, True]
+        assert commands[0].name != commands[1].name
+
+    def test_prepares_shapes_with_one_xxh64_hash_by_different_names(self):
+        # One client's statement ran in place of another's, whose shape it had chosen
+        # its own for.
+        link = PooledLink(None, 0.0)
+        shapes = [PreparedShape(False, text) for text in SAME_XXH64]
+        commands = [*link.replay(session(), shapes[0])]
+        commands += link.replay(session(), shapes[1])
+        assert [command.value for command in commands] == list(SAME_XXH64)
+        names = [command.name for command in commands]
+        assert names == [link.prepared_name(shape) for shape in shapes]
+        assert names[0] != names[1]
+
+    def test_prepares_each_batch_through_an_owner(self):
+        link = PooledLink(None, 0.0)
+        link.through_owner = True
+        shape = PreparedShape(True, "q2c")
+        for _ in range(2):
+            (command,) = link.replay(session(), shape)
+            assert command.name == link.prepared_name(shape)
+
+    def test_keeps_the_statements_used_last_and_a_bounded_number(self):
+        link = PooledLink(None, 0.0)
+        shapes = [PreparedShape(False, f"q{n}") for n in range(2 * MAX_PREPARED)]
+        names = set()
+        for shape in shapes:
+            for command in link.replay(session(), shape):
+                if command.kind is CommandKind.DEALLOCATE:
+                    names.remove(command.name)
+                else:
+                    names.add(command.name)
+            # In use all the time, so it is never prepared again.
+            assert link.replay(session(), shapes[0]) == []
+            assert len(names) <= MAX_PREPARED
+        assert kinds(link.replay(session(), shapes[1])) == [
+            CommandKind.DEALLOCATE,
+            CommandKind.PREPARE,
+        ]
 
 
 class TestMatches:
--- a/packages/fennelhilld/src/fennelhilld/relay/driver.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/driver.py
@@ -426,7 +426,6 @@
         "_number",
         "_owner",
         "_owners",
-        "_prepared",
         "_send_by_ms",
         "_streams",
         "_target_id",
@@ -454,8 +453,6 @@
         # Owner of the link on which a transaction is open, and the stream to it.
         self._owner: tuple[str, RpcClient] | None = None
         self._values: dict[str, str] = {}
-        # Shape and whether it writes, by the name of the prepared statement.
-        self._prepared: dict[str, tuple[str, bool]] = {}
         self._answers: deque[TargetAnswer] = deque()
         # Until when the current batch may be sent to the target, on the clock that
         # counts suspended time.
@@ -512,9 +509,10 @@
             self._owner is not None,
             self._values,
         )
-        batch.shape, batch.shape_writes = self._prepared.get(
-            remaining[-1].name, ("", False)
-        )
+        for command in commands:
+            if command.kind is CommandKind.PREPARE:
+                # The shape that the batch executes: the owner prepares it.
+                batch.shape, batch.shape_writes = command.value, command.writes
         batch.organisation = urgency.organisation
         self._send_by_ms = urgency.send_by_ms
         if self._owner is not None:
@@ -643,11 +641,10 @@
         """
         if command.kind is CommandKind.SET_VALUE:
             self._values = {**self._values, command.name: command.value}
-        elif command.kind is CommandKind.PREPARE:
-            self._prepared[command.name] = (command.value, command.writes)
         elif command.kind is CommandKind.RESET:
             self._values = {}
-            self._prepared = {}
+        elif command.kind is CommandKind.PREPARE:
+            pass  # Part of the batch.
         elif command.kind is not CommandKind.ROLLBACK or self._owner is not None:
             return False
         self._answers.append(TargetAnswer())
--- a/packages/fennelhilld/src/fennelhilld/relay/service.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/service.py
@@ -283,6 +283,9 @@
             # Under a lease its answers are samples, which other hosts ask for.
             env.renewal.use()
         commands = lease.link.replay(_context(batch), shape)
+        if shape is not None:
+            # The sender can't know the name on this link.
+            batch.commands[-1].name = lease.link.prepared_name(shape)
         left_ms = deadline_ms - env.clock.now_ms()
         try:
             exchange = await lease.exchange([*commands, *batch.commands], left_ms)
--- a/packages/fennelhilld/src/fennelhilld/relay/tests/test_relay.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/tests/test_relay.py
@@ -6,6 +6,7 @@
 
 import msgspec
 import pytest
+import xxhash
 from fennelhill_bench.session_simulation.simulation import SessionSimulation
 from fennelhill_bench.virtual_time import run_virtual
 from fennelhill_core import codes
@@ -19,6 +20,7 @@
     TargetFault,
     Urgency,
 )
+from fennelhilld.links.state import PreparedShape
 from fennelhilld.relay.driver import PING_TIMEOUT_MS, RelayLink
 from fennelhilld.relay.messages import RelayBatch, RelayResult
 from fennelhilld.relay.owners import owner_count, owner_order
@@ -29,6 +31,7 @@
 )
 
 HOSTS = 24  # more than the 16 connections of a target
+SAME_XXH64 = ("q2c", "c1v8hcsolhgff7n2g7z2o7ls")
 
 
 def simulate(main, **options):
@@ -153,6 +156,36 @@
 
         simulate(main)
 
+    def test_shapes_with_one_xxh64_hash_stay_apart_on_the_way_and_at_the_owner(self):
+        # A link through an owner sent one client's shape for another's statement.
+        async def main(simulation, dialer):
+            gateway = relaying_host(simulation)
+            clients = [client_of(simulation, gateway) for _ in SAME_XXH64]
+            for client, shape in zip(clients, SAME_XXH64, strict=True):
+                await client.prepare("s1", True, shape)
+            for _ in range(3):
+                for client in clients:
+                    assert (await client.execute("s1")).code is None
+            assert simulation.observer.violations == []
+
+        simulate(main)
+
+    def test_an_owner_executes_by_its_own_names(self, monkeypatch):
+        # Guards against a sender of another build whose names the owner does not use.
+        monkeypatch.setattr(PreparedShape, "relay_name", "s")
+
+        async def main(simulation, dialer):
+            client = client_of(simulation, relaying_host(simulation))
+            for shape in ("p", "q", "p"):
+                await client.prepare("s1", True, shape)
+                assert (await client.execute("s1")).code is None
+                await client.begin()
+                assert (await client.execute("s1")).code is None
+                assert (await client.commit()).code is None
+            assert simulation.observer.violations == []
+
+        simulate(main)
+
     def test_an_owner_that_can_not_be_reached_is_replaced_by_another(self):
         async def main(simulation, dialer):
             gateway = relaying_host(simulation)
@@ -323,6 +356,31 @@
 
 
 class TestRelayLink:
+    def test_sends_an_older_owner_the_name_that_it_prepares_by(self, monkeypatch):
+        # Guards against prepared statements unknown to owners of builds before the
+        # change, which make the name of the shape and execute the name they are sent.
+        async def main(simulation, dialer):
+            gateway = relaying_host(simulation)
+            batches = []
+
+            send = RelayLink._call
+
+            async def call(self, name, client, batch):
+                batches.append(batch)
+                return await send(self, name, client, batch)
+
+            monkeypatch.setattr(RelayLink, "_call", call)
+            client = client_of(simulation, gateway)
+            for shape in ("q2c", "q2d", "q2c"):
+                await client.prepare("s1", True, shape)
+                await client.execute("s1")
+            assert {batch.shape for batch in batches} == {"q2c", "q2d"}
+            for batch in batches:
+                hash_ = xxhash.xxh64_hexdigest(batch.shape.encode())
+                assert [command.name for command in batch.commands] == [f"fw{hash_}"]
+
+        simulate(main)
+
     def test_owners_wait_no_longer_than_a_batch_may_be_sent(self, monkeypatch):
         # Guards against operations that run long after their permit has expired.
         async def main(simulation, dialer):
--- a/packages/fennelhilld/src/fennelhilld/statements/execution.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/execution.py
@@ -247,9 +247,8 @@
                 lease.release()
                 break
             commands = lease.link.replay(self.context, shape)
-            commands.append(
-                Command(CommandKind.STATEMENT, statement, name=_link_name(shape))
-            )
+            name = lease.link.prepared_name(shape)
+            commands.append(Command(CommandKind.STATEMENT, statement, name=name))
             left_ms = deadline_ms - env.clock.now_ms()
             permit.use()
             try:
@@ -412,10 +411,6 @@
                 target.entry.id, self.env.clock.now_ms()
             )
         elif answer.fault is TargetFault.UNKNOWN_PREPARED:
-            lease.link.prepared.clear()
+            lease.link.forget_prepared()
         else:
             await self.env.clock.sleep_ms(BUSY_RETRY_DELAY_MS)
-
-
-def _link_name(shape: PreparedShape | None) -> str:
-    return shape.link_name if shape else ""
--- a/packages/fennelhilld/src/fennelhilld/statements/reading.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/reading.py
@@ -267,9 +267,9 @@
     async def _exchange(
         self, lease: Lease, minimum: MinimumPosition | None, left_ms: float
     ) -> Exchange:
-        name = self._shape.link_name if self._shape else ""
-        read = Command(CommandKind.STATEMENT, self._statement, name=name)
         replay = lease.link.replay(self._runner.context, self._shape)
+        name = lease.link.prepared_name(self._shape)
+        read = Command(CommandKind.STATEMENT, self._statement, name=name)
         if minimum is not None:
             read.after = minimum.position
         return await lease.exchange([*replay, read], left_ms, self._permit.send_by_ms)
@@ -315,7 +315,7 @@
         elif fault is TargetFault.NOT_LEADING:
             self._group.leadership.record_not_leading(target.entry.id, now_ms)
         elif fault is TargetFault.UNKNOWN_PREPARED:
-            lease.link.prepared.clear()
+            lease.link.forget_prepared()
         elif fault is TargetFault.BUSY:
             target.avoid(now_ms)
             await env.clock.sleep_ms(BUSY_RETRY_DELAY_MS)
--- a/packages/fennelhilld/src/fennelhilld/statements/transaction.py
+++ b/packages/fennelhilld/src/fennelhilld/statements/transaction.py
@@ -111,11 +111,7 @@
         Reply
             The answer, or a failure with its result code.
         """
-        command = Command(
-            CommandKind.STATEMENT,
-            statement,
-            name=shape.link_name if shape else "",
-        )
+        command = Command(CommandKind.STATEMENT, statement)
         reply = await self._run(command, statement, shape)
         if self._lease is not None:
             self._lease.rest(self._end_for_others)
@@ -240,6 +236,7 @@
                 return await self._fail(statement, codes.TRANSACTION_ABORTED, detail)
             left_ms = deadline_ms - env.clock.now_ms()
             commands = self._lease.link.replay(self.runner.context, shape)
+            command.name = self._lease.link.prepared_name(shape)
             counts = True
             try:
                 if commits_writes:
--- a/scenarios/adapter/adapter_deployment.py
+++ b/scenarios/adapter/adapter_deployment.py
@@ -12,6 +12,8 @@
 from fennelhill_core.sockets import http_client
 
 FAST_TRAITS = {"set_up_ms": 1.0, "service_ms": 1.0, "lag_ms": 5.0, "promote_ms": 200.0}
+SERVED_ATTEMPTS = 100
+SERVED_RETRY_S = 0.05
 
 
 class DeploymentFixture:
@@ -29,6 +31,16 @@
         assert answer == "READY I -"
         return client
 
+    async def wait_until_served(self, daemon):
+        for attempt in range(SERVED_ATTEMPTS):
+            client = await self.connect(daemon=daemon)
+            answer = await client.ask(f"served{attempt}", "READ item")
+            client.close()
+            if not answer[0].startswith("ERROR"):
+                return
+            await asyncio.sleep(SERVED_RETRY_S)
+        raise TimeoutError(f"daemon {daemon} does not serve: {answer[0]}")
+
     async def start_daemon(self, tmp_path, name):
         path, _ = self.stand_ins.node_file(tmp_path, name)
         daemon = PlatformDaemon(load_node_settings(str(path)))
--- a/scenarios/adapter/test_daemon.py
+++ b/scenarios/adapter/test_daemon.py
@@ -21,6 +21,9 @@
 from fennelhilld.promotion.reach import BALANCER_NOTICE_MS
 from fennelhilld.statements.transaction import Transaction
 
+# With more hosts than connections of a target, owners hold the connections.
+HOSTS_BEHIND_OWNERS = 6
+
 
 class TestStatements:
     def test_are_served_with_signature_rows_and_state(self, tmp_path):
@@ -51,6 +54,30 @@
 
         run_deployed(tmp_path, check)
 
+    def test_run_the_shape_of_their_client_whatever_its_hash(self, tmp_path):
+        # One client's shape ran for another's statement, at all hosts that send to the
+        # same owners, if both had one XXH64 hash.
+        async def check(deployment):
+            runs = deployment.stand_ins.observer.runs
+            for number in range(HOSTS_BEHIND_OWNERS):
+                await deployment.wait_until_served(number)
+            for number in range(2 * HOSTS_BEHIND_OWNERS):
+                for shape in ("c1v8hcsolhgff7n2g7z2o7ls", "q2c"):
+                    client = await deployment.connect(
+                        daemon=number % HOSTS_BEHIND_OWNERS
+                    )
+                    request = f"{number}{shape}"
+                    await client.ask("p", f"PREPARE s READ {shape}")
+                    answer = await client.ask(request, "EXECUTE s item")
+                    assert answer[-2].startswith("COMPLETE"), answer
+                    assert runs[request][-1].prepared == (False, shape)
+                    client.close()
+
+        def prepare(stand_ins):
+            stand_ins.max_connections = 2
+
+        run_deployed(tmp_path, check, HOSTS_BEHIND_OWNERS, prepare)
+
     def test_that_are_malformed_do_not_affect_other_clients(self, tmp_path):
         async def check(deployment):
             client, other_client = (
