fix: a signal during the start or the end does not end the process

Cause: the event loop installed the handlers, so they existed only while it ran.

Ruled out: an error of the reload, whose handler only logs.

Change: ProcessSignals is the first thing that both programs use. Its handlers note signals, which are passed on once the daemon exists: SIGHUP is logged as daemon.reloaded, once for all that were noted together, SIGTERM ends the start with status 0, daemon.stopped started=False and nothing in the store. At the end the signals are ignored, as the interpreter restores the default actions of handlers only.

--- a/packages/fennelhilld/src/fennelhilld/cli.py
+++ b/packages/fennelhilld/src/fennelhilld/cli.py
@@ -1,93 +1,28 @@
-"""The command line of the daemon."""
+"""Entry point of the daemon's command line."""
 
 from __future__ import annotations
 
-import asyncio
-import signal
 import sys
+from _signal import SIGINT, SIGTERM
 
-import fire
-from fennelhill_core.logs import configure_logs
-from fennelhill_core.settings import Settings, SettingsError
-from loguru import logger
+from fennelhill_core.signals import ProcessSignals
 
-from fennelhilld.daemon import Daemon
 
-EXIT_BAD_SETTINGS = 2
-
-
-class FennelhillDaemon:
-    """The fennelhill daemon.
-
-    Check a settings file first, then run one daemon on each entry host:
-
-        fennelhilld check --settings=fleet.yaml
-        fennelhilld run --settings=fleet.yaml --host-id=bog-a-1
-
-    Stop it with SIGTERM: it fails the load balancer's health check, finishes requests
-    and transactions in progress, for at most limits.shutdown_ms, and exits.
-    """
-
-    def check(self, settings: str) -> None:
-        """Check a settings file and print every problem.
-
-        Parameters
-        ----------
-        settings : str
-            Path of the YAML file.
-        """
-        loaded = _load(settings)
-        hosts, groups = len(loaded.entry_hosts), len(loaded.groups)
-        print(f"{settings}: valid, {hosts} entry hosts and {groups} database groups")
-
-    def run(self, settings: str, host_id: str, log_level: str = "INFO") -> None:
-        """Run the daemon of an entry host until SIGTERM.
-
-        Parameters
-        ----------
-        settings : str
-            Path of the YAML file.
-        host_id : str
-            Name of this entry host in the settings.
-        log_level : str
-            Least severe level that is logged.
-        """
-        configure_logs(log_level)
-        asyncio.run(_serve(_load(settings), str(host_id)))
-
-
-async def _serve(settings: Settings, host_id: str) -> None:
-    try:
-        daemon = Daemon.from_config(settings, host_id)
-    except SettingsError as error:
-        _fail(error)
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stop.set)
-    daemon.start()
-    daemon.listen()
-    logger.bind(host=daemon.host.id, address=daemon.host.address).info("listening")
-    await stop.wait()
-    await daemon.shutdown()
+def main() -> None:
+    """Run the command line."""
+    signals = ProcessSignals(SIGTERM, SIGINT)
+    if sys.argv[1:2] == ["run"]:
+        # Everything else is imported after this: until then a signal ends the process.
+        signals.install()
+    import fire
 
+    from fennelhilld.commands import FennelhillDaemon
 
-def _load(path: str) -> Settings:
     try:
-        return Settings.from_file(path)
-    except SettingsError as error:
-        _fail(error)
-
-
-def _fail(error: SettingsError) -> None:
-    for problem in error.problems:
-        print(f"settings: {problem}", file=sys.stderr)
-    raise SystemExit(EXIT_BAD_SETTINGS)
-
-
-def main() -> None:
-    """Run the command line."""
-    fire.Fire(FennelhillDaemon, name="fennelhilld")
+        fire.Fire(FennelhillDaemon(signals), name="fennelhilld")
+    finally:
+        if sys.argv[1:2] == ["run"]:
+            signals.ignore()
 
 
 if __name__ == "__main__":
--- a/packages/fennelhilld/src/fennelhilld/daemon.py
+++ b/packages/fennelhilld/src/fennelhilld/daemon.py
@@ -301,6 +301,16 @@
         self.router.close()
         self.peers.close()
 
+    def record_reload(self, signal_count: int) -> None:
+        """Record SIGHUP; the settings file is read at the start only.
+
+        Parameters
+        ----------
+        signal_count : int
+            Signals since the last record.
+        """
+        self.events.record("daemon.reloaded", signals=signal_count)
+
     async def serve_peer(self, stream: Stream) -> None:
         """Serve the stream of another entry host.
 
