fix: an owner prepares a statement again that a target has lost

Callers behind an owner were refused with 1010, "unknown_prepared", until the link of the owner was closed.

Cause: the sender forgets what its link has prepared when a target doesn't know a statement; a link through an owner has nothing to forget, and the owner did not look at the answer.

Change: the owner forgets what its link has prepared, as a host does on its own links.

Evidence: test_an_owner_prepares_again_what_a_target_has_lost fails before the change with 1010 and passes after it.

--- a/packages/fennelhilld/src/fennelhilld/relay/service.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/service.py
@@ -297,6 +297,8 @@
         answer = exchange.answers[-1]
         if answer.fault is None:
             env.record_leader_answer(group, target, exchange, answer)
+        elif answer.fault is TargetFault.UNKNOWN_PREPARED:
+            lease.link.forget_prepared()
         if answer.state is TransactionState.IDLE:
             lease.release()
             return RelayResult(exchange.answers)
--- a/packages/fennelhilld/src/fennelhilld/relay/tests/test_relay.py
+++ b/packages/fennelhilld/src/fennelhilld/relay/tests/test_relay.py
@@ -186,6 +186,24 @@
 
         simulate(main)
 
+    def test_an_owner_prepares_again_what_a_target_has_lost(self):
+        # Guards against links of an owner on which a statement stays unknown.
+        async def main(simulation, dialer):
+            gateway = relaying_host(simulation)
+            client = client_of(simulation, gateway)
+            await client.prepare("s1", True, "q")
+            for _ in range(20):
+                assert (await client.execute("s1")).code is None
+            links = simulation.groups["g0"].leader.links
+            prepared = [link for link in links if link.prepared]
+            for link in prepared:
+                link.prepared.clear()
+            for _ in range(20):
+                assert (await client.execute("s1")).code is None
+            assert gateway.env.counters.retried <= len(prepared)
+
+        simulate(main)
+
     def test_an_owner_that_can_not_be_reached_is_replaced_by_another(self):
         async def main(simulation, dialer):
             gateway = relaying_host(simulation)
