fix: PREPARE with an empty shape is refused

Callers got an acknowledgement for it; their EXECUTE then ran on hosts that own the target's connections, and was refused as 1016 on the others (two of six on sockets).

Ruled out: the names of links; a host with its own connections served it.

To serve it instead, a batch would need another field, which older owners ignore.

--- a/scenarios/adapter/test_lines.py
+++ b/scenarios/adapter/test_lines.py
@@ -72,6 +72,8 @@
             "WRITE a",
             "SET a",
             "PREPARE s DELETE q",
+            # It was acknowledged, but unknown at each owner of a target.
+            "PREPARE s READ ",
             "EXECUTE s",
             "DEALLOC",
             "AFTERLSN 1.2 READ a",
