test: a link that holds too many prepared statements runs the right one

The bound on prepared statements was tested on the replay alone: no test sent DEALLOC, or read its answer. With the limit at two, twelve statements of ten shapes now run through a daemon on sockets; each must run its shape, once, with its own answer, and no connection may hold a third.

The product is unchanged.

--- a/scenarios/adapter/test_daemon.py
+++ b/scenarios/adapter/test_daemon.py
@@ -78,6 +78,25 @@
 
         run_deployed(tmp_path, check, HOSTS_BEHIND_OWNERS, prepare)
 
+    def test_run_their_shape_when_a_link_holds_too_many(self, tmp_path, monkeypatch):
+        # Guards against the answer to DEALLOC being taken for that to the statement.
+        monkeypatch.setattr("fennelhilld.links.state.MAX_PREPARED", 2)
+
+        async def check(deployment):
+            client = await deployment.connect()
+            runs = deployment.stand_ins.observer.runs
+            for number in range(12):
+                kind, shape = ("READ", "WRITE")[number % 2], f"q{number % 5}"
+                await client.ask("p", f"PREPARE s {kind} {shape}")
+                answer = await client.ask(f"e{number}", "EXECUTE s item data")
+                assert answer[1] == f"COMPLETE g0-0:e{number}"
+                (run,) = runs[f"e{number}"]
+                assert run.prepared == (kind == "WRITE", shape)
+                links = deployment.stand_ins.open_links()
+                assert max(len(link.prepared) for link in links) <= 2
+
+        run_deployed(tmp_path, check)
+
     def test_that_are_malformed_do_not_affect_other_clients(self, tmp_path):
         async def check(deployment):
             client, other_client = (
